--- /dev/null
+++ b/daemons/quayd/main.cpp
@@ -0,0 +1,3 @@
+#include "quay/quay.h"
+
+int main() { return 0; }
--- /dev/null
+++ b/include/quay/kernel/Published.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace quay {
+
+/**
+ * An immutable value that one thread replaces and any thread reads whole.
+ * A reader keeps the snapshot it took for as long as it needs it.
+ *
+ * Usage: `Published<Roster> roster; auto current = roster.get();`
+ */
+template <typename T> class Published {
+public:
+    Published()
+        : m_value(std::make_shared<const T>())
+    {
+    }
+
+    std::shared_ptr<const T> get() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_value;
+    }
+
+    void set(T value)
+    {
+        auto next = std::make_shared<const T>(std::move(value));
+        std::lock_guard lock(m_mutex);
+        m_value.swap(next);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const T> m_value; // never null
+};
+
+} // namespace quay
--- /dev/null
+++ b/include/quay/quay.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** Umbrella header of libquay: the public types that a program needs. */
+
+#include "quay/core/Ids.h"
+#include "quay/core/Reason.h"
+#include "quay/core/Time.h"
--- /dev/null
+++ b/src/kernel/Duty.cpp
@@ -0,0 +1,98 @@
+#include "quay/kernel/Duty.h"
+
+#include <boost/asio/post.hpp>
+#include <memory>
+#include <pthread.h>
+#include <utility>
+
+namespace quay {
+
+namespace {
+
+// Tasks run in one turn before timers and sockets get theirs.
+constexpr int maxTasksPerTurn = 256;
+
+// The kernel keeps 15 characters of a thread's name.
+constexpr std::size_t maxThreadNameLength = 15;
+
+} // namespace
+
+Duty::Duty(std::string name, std::size_t ringCapacity)
+    : m_name(std::move(name))
+    , m_work(boost::asio::make_work_guard(m_context))
+    , m_ring(ringCapacity)
+{
+}
+
+Duty::~Duty() { stop(); }
+
+void Duty::start()
+{
+    m_thread = std::thread([this] {
+        pthread_setname_np(pthread_self(), m_name.substr(0, maxThreadNameLength).c_str());
+        onStart();
+        m_context.run();
+    });
+}
+
+void Duty::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+bool Duty::post(Task task)
+{
+    if (!m_ring.tryPush(std::move(task)))
+        return false;
+    // One wake-up serves all tasks pushed before the drain starts.
+    if (!m_drainPosted.exchange(true))
+        boost::asio::post(m_context, [this] { drain(); });
+    return true;
+}
+
+void Duty::drain()
+{
+    // The flag is cleared first: a task pushed after this line posts its own wake-up,
+    // one pushed before it is seen by the loop below.
+    m_drainPosted = false;
+    for (int i = 0; i < maxTasksPerTurn; ++i) {
+        auto task = m_ring.tryPop();
+        if (!task)
+            return;
+        (*task)();
+    }
+    if (!m_drainPosted.exchange(true))
+        boost::asio::post(m_context, [this] { drain(); });
+}
+
+void Duty::every(Duration period, Task action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
+    armPeriodic(std::move(timer), period, std::move(action));
+}
+
+void Duty::armPeriodic(std::shared_ptr<boost::asio::steady_timer> timer, Duration period, Task action)
+{
+    timer->expires_after(period);
+    auto& handle = *timer;
+    handle.async_wait([this, timer = std::move(timer), period, action = std::move(action)](auto ec) mutable {
+        if (ec)
+            return;
+        action();
+        armPeriodic(std::move(timer), period, std::move(action));
+    });
+}
+
+void Duty::after(Duration delay, Task action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    auto& handle = *timer;
+    handle.async_wait([timer = std::move(timer), action = std::move(action)](auto ec) {
+        if (!ec)
+            action();
+    });
+}
+
+} // namespace quay
--- /dev/null
+++ b/tests/cores/ReasonTest.cpp
@@ -0,0 +1,24 @@
+#include "quay/core/Reason.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace quay;
+
+TEST_CASE("every error kind stands at its own number with a message and a remedy")
+{
+    std::set<std::string_view> names;
+    for (unsigned i = 0; i <= static_cast<unsigned>(ErrorKind::Overloaded); ++i) {
+        const auto& entry = describe(static_cast<ErrorKind>(i));
+        CAPTURE(i);
+        CHECK(static_cast<unsigned>(entry.kind) == i);
+        CHECK(names.insert(entry.name).second);
+        CHECK_FALSE(entry.message.empty());
+        CHECK_FALSE(entry.remedy.empty());
+    }
+}
+
+TEST_CASE("a number from a newer peer is never read as 'not run'")
+{
+    CHECK(describe(static_cast<ErrorKind>(9999)).disposition == Disposition::Unknown);
+}
