--- /dev/null
+++ b/include/quay/core/Resources.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace quay {
+
+/** An amount of a worker's resources. */
+struct Resources {
+    std::int64_t cpuMilli = 0; // thousandths of a core
+    std::int64_t memoryMb = 0; // mebibytes
+    std::int64_t accelerators = 0; // whole devices
+
+    bool operator==(const Resources&) const = default;
+
+    /** True if this amount fits into `room` in every dimension. */
+    bool fitsIn(const Resources& room) const
+    {
+        return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
+
+    Resources& operator+=(const Resources& other)
+    {
+        cpuMilli += other.cpuMilli;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    Resources& operator-=(const Resources& other)
+    {
+        cpuMilli -= other.cpuMilli;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+};
+
+inline Resources operator+(Resources a, const Resources& b) { return a += b; }
+inline Resources operator-(Resources a, const Resources& b) { return a -= b; }
+
+} // namespace quay
