HTTP, peer link, store client and stand-ins

Cause: the thin path needs its transports before its decisions. Ways weighed for a lost answer of the table service: reading back only (a late write can still land after the read), or sending the same conditional transaction again and reading back on a conflict; the second has no such gap and was taken. Answers from peers carry the asking process's id, so that a restarted process ignores answers to its former self.

--- /dev/null
+++ b/src/net/HttpClient.cpp
@@ -0,0 +1,268 @@
+#include "net/HttpClient.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace quay {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// One request from the call of send() to its result.
+struct Exchange {
+    std::string address;
+    HttpRequest request;
+    Instant deadline;
+    HttpClient::Done done;
+};
+
+using ExchangePointer = std::unique_ptr<Exchange>;
+
+class Connection;
+
+// The connections to one address and the requests that wait for one.
+struct Pool {
+    std::vector<std::shared_ptr<Connection>> idle;
+    std::deque<ExchangePointer> waiting;
+    std::size_t open = 0; // idle and busy ones
+};
+
+} // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    Impl(asio::io_context& io, std::size_t connections, std::size_t responseBytes)
+        : context(io)
+        , maxConnections(connections)
+        , maxResponseBytes(responseBytes)
+    {
+    }
+
+    void dispatch(const std::string& address);
+
+    asio::io_context& context;
+    std::size_t maxConnections;
+    std::size_t maxResponseBytes;
+    std::map<std::string, Pool> pools;
+};
+
+namespace {
+
+HttpResult failure(bool mayHaveArrived, std::string detail)
+{
+    HttpResult result;
+    result.mayHaveArrived = mayHaveArrived;
+    result.reason = Reason { mayHaveArrived ? ErrorKind::OutcomeUnknown : ErrorKind::OwnerUnreachable,
+        std::move(detail) };
+    return result;
+}
+
+// One connection; carries one exchange at a time.
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(std::shared_ptr<HttpClient::Impl> client, std::string address)
+        : m_client(std::move(client))
+        , m_address(std::move(address))
+        , m_stream(m_client->context)
+    {
+    }
+
+    void run(ExchangePointer exchange);
+
+    // False if the server has closed the connection or sent bytes nobody asked for.
+    bool isReusable();
+
+private:
+    void connect();
+    void write();
+    void read();
+    void finish(HttpResult result, bool keep);
+    HttpResult takeResponse();
+
+    std::shared_ptr<HttpClient::Impl> m_client;
+    std::string m_address;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    ExchangePointer m_exchange;
+    http::request<http::string_body> m_message;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    bool m_connected = false;
+};
+
+void Connection::run(ExchangePointer exchange)
+{
+    m_exchange = std::move(exchange);
+    if (m_connected)
+        write();
+    else
+        connect();
+}
+
+bool Connection::isReusable()
+{
+    beast::error_code ec;
+    auto& socket = m_stream.socket();
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+void Connection::connect()
+{
+    std::string host;
+    std::uint16_t port = 0;
+    if (!splitAddress(m_address, host, port)) {
+        finish(failure(false, "'" + m_address + "' is not IP:PORT"), false);
+        return;
+    }
+    beast::error_code ec;
+    const auto ip = asio::ip::make_address(host, ec);
+    if (ec) {
+        finish(failure(false, "'" + m_address + "' is not IP:PORT"), false);
+        return;
+    }
+    m_stream.expires_at(m_exchange->deadline);
+    m_stream.async_connect(tcp::endpoint(ip, port), [self = shared_from_this()](beast::error_code error) {
+        if (error) {
+            self->finish(failure(false, self->m_address + ": " + error.message()), false);
+            return;
+        }
+        beast::error_code ignored;
+        self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->m_connected = true;
+        self->write();
+    });
+}
+
+void Connection::write()
+{
+    const auto& request = m_exchange->request;
+    m_message = {};
+    m_message.method_string(request.method);
+    m_message.target(request.target);
+    m_message.version(11);
+    m_message.set(http::field::host, m_address);
+    for (const auto& [name, value] : request.headers)
+        m_message.set(name, value);
+    m_message.body() = std::move(m_exchange->request.body);
+    m_message.prepare_payload();
+    m_stream.expires_at(m_exchange->deadline);
+    http::async_write(m_stream, m_message, [self = shared_from_this()](beast::error_code ec, std::size_t) {
+        if (ec)
+            self->finish(failure(true, self->m_address + ": " + ec.message()), false);
+        else
+            self->read();
+    });
+}
+
+void Connection::read()
+{
+    m_parser.emplace();
+    m_parser->body_limit(m_client->maxResponseBytes);
+    http::async_read(
+        m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code ec, std::size_t) {
+            if (ec) {
+                self->finish(failure(true, self->m_address + ": " + ec.message()), false);
+                return;
+            }
+            const bool keep = self->m_parser->get().keep_alive();
+            self->finish(self->takeResponse(), keep);
+        });
+}
+
+HttpResult Connection::takeResponse()
+{
+    auto message = m_parser->release();
+    HttpResult result;
+    auto& response = result.response.emplace();
+    response.status = message.result_int();
+    response.contentType = std::string(message[http::field::content_type]);
+    for (const auto& field : message) {
+        std::string name(field.name_string());
+        std::transform(
+            name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        response.headers.emplace(std::move(name), std::string(field.value()));
+    }
+    response.body = std::move(message.body());
+    return result;
+}
+
+void Connection::finish(HttpResult result, bool keep)
+{
+    auto exchange = std::move(m_exchange);
+    auto& pool = m_client->pools[m_address];
+    if (keep) {
+        m_stream.expires_never();
+        pool.idle.push_back(shared_from_this());
+    } else {
+        m_stream.close();
+        --pool.open;
+    }
+    m_client->dispatch(m_address);
+    exchange->done(std::move(result));
+}
+
+} // namespace
+
+void HttpClient::Impl::dispatch(const std::string& address)
+{
+    auto& pool = pools[address];
+    while (!pool.waiting.empty()) {
+        std::shared_ptr<Connection> connection;
+        if (!pool.idle.empty()) {
+            connection = std::move(pool.idle.back());
+            pool.idle.pop_back();
+            if (!connection->isReusable()) {
+                --pool.open;
+                continue;
+            }
+        } else if (pool.open < maxConnections) {
+            connection = std::make_shared<Connection>(shared_from_this(), address);
+            ++pool.open;
+        } else {
+            return;
+        }
+        auto exchange = std::move(pool.waiting.front());
+        pool.waiting.pop_front();
+        if (exchange->deadline <= std::chrono::steady_clock::now()) {
+            // It waited too long for a connection; nothing was sent.
+            pool.idle.push_back(std::move(connection));
+            asio::post(context, [done = std::move(exchange->done), address] {
+                done(failure(false, address + ": no free connection in time"));
+            });
+            continue;
+        }
+        connection->run(std::move(exchange));
+    }
+}
+
+HttpClient::HttpClient(
+    asio::io_context& context, std::size_t maxConnectionsPerAddress, std::size_t maxResponseBytes)
+    : m_impl(std::make_shared<Impl>(context, maxConnectionsPerAddress, maxResponseBytes))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, Done done)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->address = address;
+    exchange->request = std::move(request);
+    exchange->deadline = std::chrono::steady_clock::now() + timeout;
+    exchange->done = std::move(done);
+    m_impl->pools[address].waiting.push_back(std::move(exchange));
+    m_impl->dispatch(address);
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,252 @@
+#include "net/HttpServer.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace quay {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// A connection refused for lack of room waits this long before the next accept.
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(
+        lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    return lower;
+}
+
+class Session;
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(asio::io_context& io, const std::string& address, HttpLimits theLimits, HttpHandler theHandler);
+
+    void accept();
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    HttpLimits limits;
+    HttpHandler handler;
+    std::set<std::shared_ptr<Session>> sessions;
+    std::atomic<std::size_t> inFlight = 0;
+    bool draining = false;
+};
+
+namespace {
+
+// One connection. Reads a request, waits for its answer, writes it, reads the next.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server);
+
+    void read();
+    void closeIfIdle();
+
+private:
+    void onRead(beast::error_code ec);
+    void answer(HttpResponse response);
+    void onWritten(beast::error_code ec);
+    void close();
+    HttpRequest takeRequest();
+    void refuseUnreadable(beast::error_code ec);
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<HttpServer::Impl> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    std::uint64_t m_requestNumber = 0; // an answer to an earlier request of this connection is ignored
+    bool m_busy = false;
+    bool m_keepAlive = true;
+};
+
+} // namespace
+
+Session::Session(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server)
+    : m_stream(std::move(socket))
+    , m_server(std::move(server))
+    , m_buffer(m_server->limits.maxHeaderBytes + m_server->limits.maxBodyBytes)
+{
+    beast::error_code ec;
+    m_stream.socket().set_option(tcp::no_delay(true), ec);
+}
+
+void Session::read()
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
+    m_parser->body_limit(m_server->limits.maxBodyBytes);
+    m_stream.expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
+    http::async_read(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onRead(ec); });
+}
+
+HttpRequest Session::takeRequest()
+{
+    auto message = m_parser->release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.emplace(lowerCase(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+void Session::refuseUnreadable(beast::error_code ec)
+{
+    m_keepAlive = false;
+    m_busy = true;
+    ++m_server->inFlight;
+    const bool tooLarge = ec == http::error::body_limit || ec == http::error::header_limit
+        || ec == http::error::buffer_overflow;
+    const auto kind = tooLarge ? ErrorKind::TooLarge : ErrorKind::MalformedRequest;
+    answer(errorResponse(Reason { kind, ec.message() }));
+}
+
+void Session::onRead(beast::error_code ec)
+{
+    if (ec && ec.category() == http::make_error_code(http::error::end_of_stream).category()
+        && ec != http::error::end_of_stream && ec != http::error::partial_message) {
+        refuseUnreadable(ec);
+        return;
+    }
+    if (ec) {
+        close();
+        return;
+    }
+    m_busy = true;
+    ++m_server->inFlight;
+    m_keepAlive = m_parser->get().keep_alive();
+    m_stream.expires_never(); // the answer's time limit is the handler's matter
+    const auto number = ++m_requestNumber;
+    auto respond = [self = shared_from_this(), number](HttpResponse response) {
+        auto& context = self->m_server->context;
+        asio::post(context, [self, number, response = std::move(response)]() mutable {
+            if (self->m_busy && self->m_requestNumber == number)
+                self->answer(std::move(response));
+        });
+    };
+    m_server->handler(takeRequest(), std::move(respond));
+}
+
+void Session::answer(HttpResponse response)
+{
+    ++m_requestNumber; // a second answer to this request no longer matches
+    m_keepAlive = m_keepAlive && !m_server->draining;
+    m_response = {};
+    m_response.result(response.status);
+    m_response.set(http::field::content_type, response.contentType);
+    for (const auto& [name, value] : response.headers)
+        m_response.set(name, value);
+    m_response.keep_alive(m_keepAlive);
+    m_response.body() = std::move(response.body);
+    m_response.prepare_payload();
+    m_stream.expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
+    http::async_write(m_stream, m_response,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onWritten(ec); });
+}
+
+void Session::onWritten(beast::error_code ec)
+{
+    m_busy = false;
+    --m_server->inFlight;
+    if (ec || !m_keepAlive || m_server->draining) {
+        close();
+        return;
+    }
+    read();
+}
+
+void Session::closeIfIdle()
+{
+    if (!m_busy && !m_buffer.size())
+        m_stream.cancel();
+}
+
+void Session::close()
+{
+    beast::error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_stream.close();
+    m_server->sessions.erase(shared_from_this());
+}
+
+HttpServer::Impl::Impl(
+    asio::io_context& io, const std::string& address, HttpLimits theLimits, HttpHandler theHandler)
+    : context(io)
+    , acceptor(io)
+    , limits(theLimits)
+    , handler(std::move(theHandler))
+{
+    std::string host;
+    std::uint16_t port = 0;
+    if (!splitAddress(address, host, port))
+        throw std::invalid_argument("listen address '" + address + "' is not IP:PORT");
+    const tcp::endpoint endpoint(asio::ip::make_address(host), port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(asio::socket_base::max_listen_connections);
+}
+
+void HttpServer::Impl::accept()
+{
+    acceptor.async_accept(context, [self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec && self->sessions.size() < self->limits.maxConnections) {
+            auto session = std::make_shared<Session>(std::move(socket), self);
+            self->sessions.insert(session);
+            session->read();
+            self->accept();
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(self->context, acceptPause);
+        timer->async_wait([self, timer](beast::error_code) { self->accept(); });
+    });
+}
+
+HttpServer::HttpServer(
+    asio::io_context& context, const std::string& address, HttpLimits limits, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(context, address, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::start() { m_impl->accept(); }
+
+std::string HttpServer::address() const
+{
+    const auto endpoint = m_impl->acceptor.local_endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+void HttpServer::drain()
+{
+    asio::post(m_impl->context, [impl = m_impl] {
+        impl->draining = true;
+        for (const auto& session : impl->sessions)
+            session->closeIfIdle();
+    });
+}
+
+std::size_t HttpServer::inFlight() const { return m_impl->inFlight; }
+
+} // namespace quay
--- /dev/null
+++ b/src/platform/ServerListCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "quay/core/Fleet.h"
+#include "quay/core/Reason.h"
+
+#include <optional>
+#include <string>
+
+namespace quay {
+
+/** The JSON text of one row of the VM list. */
+std::string encodeServer(const ServerInfo& server);
+std::optional<ServerInfo> decodeServer(const std::string& body, Reason& reason);
+
+/** The answer to GET /v1/vms. */
+std::string encodeServerList(const FleetList& list);
+std::optional<FleetList> decodeServerList(const std::string& body, Reason& reason);
+
+} // namespace quay
--- /dev/null
+++ b/standin/Platform.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "net/HttpServer.h"
+#include "platform/Transaction.h"
+#include "quay/core/Fleet.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <random>
+#include <string>
+
+namespace quay::standin {
+
+/** How the platform misbehaves at the moment. */
+struct PlatformFaults {
+    bool down = false; // every request is left without an answer and without an effect
+    unsigned loseAnswerPercent = 0; // the write takes effect, its answer never comes
+    int delayMs = 0; // added to every answer
+};
+
+/** Stand-in for the table service, the object store and the VM list. Memory only. */
+class Platform {
+public:
+    Platform(boost::asio::io_context& context, const std::string& listen);
+
+    std::string address() const { return m_server.address(); }
+
+private:
+    void handle(HttpRequest request, Respond respond);
+    HttpResponse dispatch(const HttpRequest& request);
+    HttpResponse commit(const std::string& body);
+    HttpResponse get(const std::string& body);
+    HttpResponse scan(const std::string& body);
+    HttpResponse object(const HttpRequest& request);
+    HttpResponse servers(const HttpRequest& request);
+    HttpResponse setFaults(const std::string& body);
+    HttpResponse stats() const;
+    void answerLater(HttpResponse response, Respond respond);
+
+    boost::asio::io_context& m_context;
+    HttpServer m_server;
+    std::map<std::string, TableRow> m_rows;
+    std::map<std::string, std::string> m_objects;
+    std::map<std::string, ServerInfo> m_servers;
+    std::uint64_t m_lastVersion = 0;
+    std::uint64_t m_transactionCount = 0;
+    std::uint64_t m_rowsWritten = 0;
+    std::uint64_t m_readCount = 0;
+    PlatformFaults m_faults;
+    std::mt19937_64 m_random { 1 };
+};
+
+} // namespace quay::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,3 +1,175 @@
-#include "quay/quay.h"
+#include "Executor.h"
+#include "Platform.h"
+#include "Worker.h"
+#include "net/HttpClient.h"
+#include "platform/ServerListCodec.h"
 
-int main() { return 0; }
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace options = boost::program_options;
+using namespace quay;
+
+namespace {
+
+constexpr std::size_t maxRegistrationBytes = 64 * 1024;
+
+struct BackendPlan {
+    std::string domain;
+    std::string platform;
+    std::string prefix;
+    unsigned workers = 0;
+    unsigned executors = 0;
+    unsigned workersPerRack = 6;
+    unsigned slots = 8;
+    std::int64_t cpuMilli = 32'000;
+    std::int64_t memoryMb = 64 * 1024;
+    unsigned acceleratorsEachSecond = 0; // accelerators of every second worker
+    int serviceMs = 2;
+};
+
+// Written whole under another name first, so that a reader never sees half a file.
+void writePortFile(const std::string& path, const std::string& text)
+{
+    if (path.empty())
+        return;
+    const auto partial = path + ".partial";
+    std::ofstream(partial) << text;
+    std::filesystem::rename(partial, path);
+}
+
+void registerServer(HttpClient& client, const std::string& platform, const ServerInfo& info)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/vms";
+    request.body = encodeServer(info);
+    client.send(platform, std::move(request), 10s, [id = info.id.text](HttpResult result) {
+        if (!result.response || result.response->status != 200)
+            std::cerr << "can't register " << id << ": " << result.reason.explain() << "\n";
+    });
+}
+
+ServerInfo workerInfo(const BackendPlan& plan, unsigned index)
+{
+    ServerInfo info;
+    info.id = ServerId { plan.prefix + "w" + std::to_string(index) };
+    info.kind = ServerKind::Worker;
+    info.domain = DomainId { plan.domain };
+    info.rack = plan.domain + "-r" + std::to_string(index / plan.workersPerRack);
+    info.capacity = { plan.cpuMilli, plan.memoryMb, index % 2 ? plan.acceleratorsEachSecond : 0 };
+    return info;
+}
+
+ServerInfo executorInfo(const BackendPlan& plan, unsigned index)
+{
+    ServerInfo info;
+    info.id = ServerId { plan.prefix + "x" + std::to_string(index) };
+    info.kind = ServerKind::Executor;
+    info.domain = DomainId { plan.domain };
+    info.rack = plan.domain + "-r" + std::to_string(index / plan.workersPerRack);
+    info.slots = plan.slots;
+    return info;
+}
+
+int runUntilSignal(boost::asio::io_context& context)
+{
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&](auto, int) { context.stop(); });
+    context.run();
+    return 0;
+}
+
+int runPlatform(const std::string& listen, const std::string& portFile)
+{
+    boost::asio::io_context context(1);
+    standin::Platform platform(context, listen);
+    std::cout << "platform " << platform.address() << std::endl;
+    writePortFile(portFile, platform.address() + "\n");
+    return runUntilSignal(context);
+}
+
+int runBackend(const BackendPlan& plan, const std::string& portFile)
+{
+    boost::asio::io_context context(1);
+    HttpClient client(context, 4, maxRegistrationBytes);
+    std::vector<std::unique_ptr<standin::Worker>> workers;
+    std::vector<std::unique_ptr<standin::Executor>> executors;
+    std::string addresses;
+    for (unsigned i = 0; i < plan.workers; ++i) {
+        workers.push_back(std::make_unique<standin::Worker>(context, workerInfo(plan, i), "127.0.0.1:0"));
+        const auto& info = workers.back()->info();
+        registerServer(client, plan.platform, info);
+        addresses += info.id.text + " " + info.address + "\n";
+    }
+    for (unsigned i = 0; i < plan.executors; ++i) {
+        standin::ExecutorBehaviour behaviour;
+        behaviour.serviceMs = plan.serviceMs;
+        executors.push_back(
+            std::make_unique<standin::Executor>(context, executorInfo(plan, i), "127.0.0.1:0", behaviour));
+        const auto& info = executors.back()->info();
+        registerServer(client, plan.platform, info);
+        addresses += info.id.text + " " + info.address + "\n";
+    }
+    std::cout << addresses << std::flush;
+    writePortFile(portFile, addresses);
+    return runUntilSignal(context);
+}
+
+int run(int argc, char** argv)
+{
+    BackendPlan plan;
+    std::string role;
+    std::string listen;
+    std::string portFile;
+    options::options_description description("quay-standin ROLE: stand-ins for tests and trials.\n"
+                                             "Roles: platform (table service, object store, VM list), "
+                                             "backend (workers and executors).\nOptions");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("role", options::value(&role), "platform or backend");
+    add("listen", options::value(&listen)->default_value("127.0.0.1:0"), "platform: IP:PORT");
+    add("port-file", options::value(&portFile), "file that gets the chosen addresses");
+    add("platform", options::value(&plan.platform), "backend: the platform's address");
+    add("domain", options::value(&plan.domain)->default_value("d1"), "backend: failure domain");
+    add("prefix", options::value(&plan.prefix), "backend: prefix of server names (default: DOMAIN-)");
+    add("workers", options::value(&plan.workers)->default_value(4), "backend: number of workers");
+    add("executors", options::value(&plan.executors)->default_value(2), "backend: number of executors");
+    add("slots", options::value(&plan.slots)->default_value(8), "backend: slots of each executor");
+    add("cpu-milli", options::value(&plan.cpuMilli)->default_value(plan.cpuMilli),
+        "backend: a worker's cores / 1000");
+    add("memory-mb", options::value(&plan.memoryMb)->default_value(plan.memoryMb),
+        "backend: a worker's memory");
+    add("accelerators", options::value(&plan.acceleratorsEachSecond)->default_value(0),
+        "backend: accelerators of every second worker");
+    add("service-ms", options::value(&plan.serviceMs)->default_value(2), "backend: executors' service time");
+    options::positional_options_description positional;
+    positional.add("role", 1);
+    options::variables_map values;
+    options::store(
+        options::command_line_parser(argc, argv).options(description).positional(positional).run(), values);
+    options::notify(values);
+    if (plan.prefix.empty())
+        plan.prefix = plan.domain + "-";
+    if (!values.count("help") && role == "platform")
+        return runPlatform(listen, portFile);
+    if (!values.count("help") && role == "backend")
+        return runBackend(plan, portFile);
+    std::cout << description;
+    return values.count("help") ? 0 : 2;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << "quay-standin: " << error.what() << "\n";
+        return 2;
+    }
+}
