--- /dev/null
+++ b/src/core/ConfigCompiler.cpp
@@ -0,0 +1,421 @@
+#include "quay/core/ConfigCompiler.h"
+
+#include "TomlReader.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quay {
+
+namespace {
+
+using internal::TomlFindings;
+using internal::TomlReader;
+
+constexpr std::int64_t maxUnits = 1'000'000;
+constexpr std::int64_t maxDeadlineMs = 24LL * 60 * 60 * 1000;
+constexpr std::string_view hashPrefix = "sha256:";
+constexpr std::size_t hashDigits = 64;
+
+// The state of one compilation. Each file is read over what the earlier files gave.
+struct Build {
+    Configuration result;
+    std::map<std::string, KeyEntry> keys;
+    std::uint32_t sharesSum = 0; // 0: not declared
+    std::uint32_t fleetUnits = 0; // 0: not declared
+    TomlFindings findings;
+    bool overlay = false; // the file now being read is one
+    bool teamsAreWhole = true; // no team's table had a fault, so sums over the teams mean something
+};
+
+bool isName(std::string_view name)
+{
+    constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
+    return !name.empty() && name.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+// Checks a name, and the `new` mark of things that only an overlay has. False: skip the table.
+bool admitName(Build& build, TomlReader& reader, const std::string& name, bool known)
+{
+    bool isNew = false;
+    TomlReader mark = reader;
+    if (reader.has("new"))
+        mark.boolean("new", isNew);
+    if (!isName(name)) {
+        build.findings.error(
+            reader.place(), "'" + name + "' is not a name", "use letters, digits, '-' and '_'");
+        return false;
+    }
+    if (build.overlay && !known && !isNew) {
+        build.findings.error(reader.place(), "'" + reader.path() + "' is not in the base",
+            "correct the name, or add 'new = true' if this site adds it");
+        return false;
+    }
+    if (isNew && (known || !build.overlay)) {
+        reader.errorAt("new", "'" + reader.path() + "' is not new here", "remove 'new = true'");
+        return false;
+    }
+    return true;
+}
+
+void takeMark(TomlReader& reader)
+{
+    bool ignored = false; // admitName() has read and checked it
+    if (reader.has("new"))
+        reader.boolean("new", ignored);
+}
+
+TomlReader quietIfNew(const Build& build, const TomlReader& reader, bool known)
+{
+    return build.overlay && known ? reader : reader.withoutRepeatWarnings();
+}
+
+void readTeam(Build& build, const std::string& name, TomlReader original)
+{
+    const TeamId id { name };
+    const bool known = build.result.teams.contains(id);
+    if (!admitName(build, original, name, known))
+        return;
+    auto reader = quietIfNew(build, original, known);
+    takeMark(reader);
+    auto& team = build.result.teams[id];
+    if (!known) {
+        reader.require("share", "give the team's weight, at least 1");
+        reader.require("upper_limit", "give the team's most running units");
+    }
+    reader.integer("share", 1, maxUnits, team.share);
+    reader.integer("upper_limit", 1, maxUnits, team.upperLimit);
+    reader.integer("max_queued", 0, maxUnits, team.maxQueued);
+    reader.finish();
+}
+
+void readTeams(Build& build, TomlReader& root)
+{
+    const auto errorsBefore = build.findings.errors.size();
+    for (auto& [name, reader] : root.tables("teams"))
+        readTeam(build, name, reader);
+    if (build.findings.errors.size() > errorsBefore)
+        build.teamsAreWhole = false;
+}
+
+void readQueueTeams(TomlReader& reader, QueueConfig& queue)
+{
+    std::vector<std::string> names;
+    for (const auto& team : queue.teams)
+        names.push_back(team.text);
+    if (!reader.strings("teams", names))
+        return;
+    queue.teams.clear();
+    for (const auto& name : names)
+        queue.teams.emplace_back(name);
+}
+
+void readQueue(Build& build, const std::string& name, TomlReader original)
+{
+    const QueueId id { name };
+    const bool known = build.result.queues.contains(id);
+    if (!admitName(build, original, name, known))
+        return;
+    auto reader = quietIfNew(build, original, known);
+    takeMark(reader);
+    auto& queue = build.result.queues[id];
+    if (!known) {
+        reader.require("kind", "write one of: interactive, batch, gang, service, any");
+        reader.require("teams", "name the teams that may use the queue");
+    }
+    std::string kind(text(queue.kind));
+    if (reader.choice("kind", { "interactive", "batch", "gang", "service", "any" }, kind))
+        queue.kind = queueKindNamed(kind).value_or(QueueKind::Any);
+    readQueueTeams(reader, queue);
+    reader.boolean("open", queue.open);
+    reader.integer("deadline_ms", 1, maxDeadlineMs, queue.deadlineMs);
+    reader.boolean("idempotent", queue.idempotent);
+    reader.finish();
+}
+
+bool isHash(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    return text.starts_with(hashPrefix) && text.size() == hashPrefix.size() + hashDigits
+        && text.find_first_not_of(digits, hashPrefix.size()) == std::string_view::npos;
+}
+
+void readHash(TomlReader& reader, KeyEntry& key)
+{
+    // An empty text stands for "none yet", so that a first hash is never taken for a repeat.
+    std::string hash = key.hash.empty() ? std::string() : std::string(hashPrefix) + key.hash;
+    if (!reader.string("hash", hash))
+        return;
+    if (!isHash(hash)) {
+        reader.errorAt("hash", "'" + reader.pathOf("hash") + "' is not a SHA-256 hash",
+            "write \"sha256:\" and 64 lower-case hex digits; never the key itself");
+        return;
+    }
+    key.hash = hash.substr(hashPrefix.size());
+}
+
+void readOwner(TomlReader& reader, KeyEntry& key)
+{
+    std::string role(text(key.role));
+    if (reader.choice("role", { "team", "operator" }, role))
+        key.role = keyRoleNamed(role).value_or(KeyRole::Team);
+    reader.string("team", key.team.text);
+}
+
+void readKey(Build& build, std::set<std::string>& seen, TomlReader original)
+{
+    std::string id;
+    original.require("id", "give the key a name");
+    TomlReader first = original.withoutRepeatWarnings();
+    if (!first.string("id", id))
+        return;
+    if (!seen.insert(id).second) {
+        original.errorAt("id", "key id '" + id + "' stands twice in this file", "remove one of the two");
+        return;
+    }
+    original.setPath("keys." + id);
+    const bool known = build.keys.contains(id);
+    if (!admitName(build, original, id, known))
+        return;
+    auto reader = quietIfNew(build, original, known);
+    takeMark(reader);
+    std::string ignored;
+    reader.string("id", ignored);
+    auto& key = build.keys[id];
+    key.id = id;
+    if (!known)
+        reader.require("hash", "write \"sha256:\" and 64 lower-case hex digits; never the key itself");
+    readHash(reader, key);
+    readOwner(reader, key);
+    reader.boolean("withdrawn", key.withdrawn);
+    reader.finish();
+}
+
+void readPolicy(TomlReader& root, PolicyConfig& policy)
+{
+    auto reader = root.table("policy");
+    if (!reader)
+        return;
+    reader->integer("retry_percent", 0, 100, policy.retryPercent);
+    reader->choice("placement", { "pack", "spread" }, policy.placement);
+    reader->choice("routing", { "two_choices", "least_loaded", "round_robin" }, policy.routing);
+    reader->finish();
+}
+
+void readFile(Build& build, const ConfigSource& source)
+{
+    const auto table = internal::parseToml(source.file, source.text, build.findings);
+    if (!table)
+        return;
+    TomlReader root(*table, source.file, {}, build.findings, build.overlay);
+    root.integer("shares_sum", 1, maxUnits, build.sharesSum);
+    root.integer("fleet_units", 1, maxUnits, build.fleetUnits);
+    readTeams(build, root);
+    for (auto& [name, reader] : root.tables("queues"))
+        readQueue(build, name, reader);
+    std::set<std::string> seen;
+    for (auto& reader : root.array("keys"))
+        readKey(build, seen, reader);
+    readPolicy(root, build.result.policy);
+    root.finish();
+}
+
+std::uint64_t sumOfShares(const Configuration& configuration)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, team] : configuration.teams)
+        sum += team.share;
+    return sum;
+}
+
+void checkSharesSum(Build& build)
+{
+    const auto sum = sumOfShares(build.result);
+    if (!build.sharesSum || build.sharesSum == sum)
+        return;
+    build.findings.error(build.findings.placeOf("shares_sum"),
+        "the shares add up to " + std::to_string(sum) + ", not to " + std::to_string(build.sharesSum),
+        "correct a team's share or shares_sum");
+}
+
+// A team's guaranteed part is fleet_units * share / sum, rounded down. With an upper limit
+// below it the team could never get what its share promises.
+void checkGuarantees(Build& build)
+{
+    const auto sum = sumOfShares(build.result);
+    if (!build.fleetUnits || !sum)
+        return;
+    for (const auto& [id, team] : build.result.teams) {
+        const auto guaranteed = std::uint64_t { build.fleetUnits } * team.share / sum;
+        if (team.upperLimit >= guaranteed)
+            continue;
+        build.findings.error(build.findings.placeOf("teams." + id.text + ".upper_limit"),
+            "upper limit " + std::to_string(team.upperLimit) + " of team '" + id.text
+                + "' is below its guaranteed share of " + std::to_string(guaranteed) + " units",
+            "raise upper_limit or lower share");
+    }
+}
+
+void checkQueue(Build& build, const QueueId& id, const QueueConfig& queue)
+{
+    const auto place = build.findings.placeOf("queues." + id.text + ".teams");
+    for (const auto& team : queue.teams) {
+        if (!build.result.teams.contains(team))
+            build.findings.error(place, "queue '" + id.text + "' names unknown team '" + team.text + "'",
+                "add [teams." + team.text + "] or correct the name");
+    }
+    if (queue.open && queue.teams.size() != 1)
+        build.findings.error(place, "open queue '" + id.text + "' must name exactly one team",
+            "name the one team that its work is charged to");
+    if (!queue.open && queue.teams.empty())
+        build.findings.error(
+            place, "queue '" + id.text + "' names no team", "name the teams that may use the queue");
+}
+
+void checkKeyOwner(Build& build, const KeyEntry& key)
+{
+    const auto place = build.findings.placeOf("keys." + key.id + ".team");
+    if (key.role == KeyRole::Operator && !key.team.empty())
+        build.findings.error(place, "operator key '" + key.id + "' names a team", "remove team or role");
+    if (key.role == KeyRole::Team && key.team.empty())
+        build.findings.error(place, "key '" + key.id + "' names no team", "add team, or role = \"operator\"");
+    if (!key.team.empty() && !build.result.teams.contains(key.team))
+        build.findings.error(place, "key '" + key.id + "' names unknown team '" + key.team.text + "'",
+            "add [teams." + key.team.text + "] or correct the name");
+}
+
+void checkKeys(Build& build)
+{
+    std::map<std::string, std::string> idByHash;
+    for (const auto& [id, key] : build.keys) {
+        checkKeyOwner(build, key);
+        if (key.hash.empty())
+            continue;
+        const auto [other, fresh] = idByHash.emplace(key.hash, id);
+        if (!fresh)
+            build.findings.error(build.findings.placeOf("keys." + id + ".hash"),
+                "keys '" + other->second + "' and '" + id + "' have the same hash",
+                "give each entry a key of its own");
+    }
+}
+
+CompileResult finished(Build build)
+{
+    CompileResult result;
+    std::stable_sort(build.findings.errors.begin(), build.findings.errors.end());
+    result.errors = std::move(build.findings.errors);
+    result.warnings = std::move(build.findings.warnings);
+    if (!result.errors.empty())
+        return result;
+    for (auto& [id, key] : build.keys)
+        build.result.keys.push_back(std::move(key));
+    result.configuration = std::move(build.result);
+    return result;
+}
+
+using Lines = std::vector<std::string>;
+
+std::string shown(std::uint32_t value) { return std::to_string(value); }
+std::string shown(bool value) { return value ? "true" : "false"; }
+std::string shown(const std::string& value) { return value; }
+std::string shown(std::string_view value) { return std::string(value); }
+
+std::string shown(const std::vector<TeamId>& teams)
+{
+    std::string line;
+    for (const auto& team : teams)
+        line.append(line.empty() ? "" : ",").append(team.text);
+    return "[" + line + "]";
+}
+
+template <typename Value>
+void compare(Lines& lines, const std::string& what, const Value& from, const Value& to)
+{
+    if (from != to)
+        lines.push_back(what + " " + shown(from) + " -> " + shown(to));
+}
+
+void compareEntries(Lines& lines, const std::string& what, const TeamConfig& from, const TeamConfig& to)
+{
+    compare(lines, what + ": share", from.share, to.share);
+    compare(lines, what + ": upper_limit", from.upperLimit, to.upperLimit);
+    compare(lines, what + ": max_queued", from.maxQueued, to.maxQueued);
+}
+
+void compareEntries(Lines& lines, const std::string& what, const QueueConfig& from, const QueueConfig& to)
+{
+    compare(lines, what + ": kind", text(from.kind), text(to.kind));
+    compare(lines, what + ": teams", from.teams, to.teams);
+    compare(lines, what + ": open", from.open, to.open);
+    compare(lines, what + ": deadline_ms", from.deadlineMs, to.deadlineMs);
+    compare(lines, what + ": idempotent", from.idempotent, to.idempotent);
+}
+
+void compareEntries(Lines& lines, const std::string& what, const KeyEntry& from, const KeyEntry& to)
+{
+    compare(lines, what + ": role", text(from.role), text(to.role));
+    compare(lines, what + ": team", from.team.text, to.team.text);
+    if (from.hash != to.hash)
+        lines.push_back(what + ": hash changed");
+    compare(lines, what + ": withdrawn", from.withdrawn, to.withdrawn);
+}
+
+template <typename Key, typename Value>
+void compareMaps(
+    Lines& lines, const std::string& noun, const std::map<Key, Value>& from, const std::map<Key, Value>& to)
+{
+    for (const auto& [id, value] : from) {
+        const auto other = to.find(id);
+        if (other == to.end())
+            lines.push_back(noun + " " + id.text + ": removed");
+        else
+            compareEntries(lines, noun + " " + id.text, value, other->second);
+    }
+    for (const auto& [id, value] : to) {
+        if (!from.contains(id))
+            lines.push_back(noun + " " + id.text + ": added");
+    }
+}
+
+using KeyName = Id<struct KeyNameTag>;
+
+std::map<KeyName, KeyEntry> keysById(const Configuration& configuration)
+{
+    std::map<KeyName, KeyEntry> keys;
+    for (const auto& key : configuration.keys)
+        keys.emplace(KeyName { key.id }, key);
+    return keys;
+}
+
+} // namespace
+
+CompileResult compileConfiguration(const ConfigSource& base, const std::vector<ConfigSource>& overlays)
+{
+    Build build;
+    readFile(build, base);
+    build.overlay = true;
+    for (const auto& source : overlays)
+        readFile(build, source);
+    if (build.teamsAreWhole) {
+        checkSharesSum(build);
+        checkGuarantees(build);
+    }
+    for (const auto& [id, queue] : build.result.queues)
+        checkQueue(build, id, queue);
+    checkKeys(build);
+    return finished(std::move(build));
+}
+
+std::vector<std::string> diff(const Configuration& from, const Configuration& to)
+{
+    Lines lines;
+    compareMaps(lines, "team", from.teams, to.teams);
+    compareMaps(lines, "queue", from.queues, to.queues);
+    compareMaps(lines, "key", keysById(from), keysById(to));
+    compare(lines, "policy: retry_percent", from.policy.retryPercent, to.policy.retryPercent);
+    compare(lines, "policy: placement", from.policy.placement, to.policy.placement);
+    compare(lines, "policy: routing", from.policy.routing, to.policy.routing);
+    return lines;
+}
+
+} // namespace quay
