--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -24,6 +24,7 @@
     Duration staleLeadBound = 3s; // a deposed lead sends nothing later than this after the takeover
     Duration stopBound = 2s; // a worker ends a task this long after its lease lapsed, at the latest
     std::int64_t clockRatePermille = 20; // how much slower a worker's clock may run than ours
+    Duration silenceBound = 5s; // the leases of a worker that has not reported for so long are not renewed
     Duration retryBackoff = 1s; // doubled with each failure, up to maxBackoff
     Duration maxBackoff = 60s;
     Duration neverRunnableAfter = 60s; // a job that no listed worker could hold for so long fails
@@ -81,7 +82,7 @@
     std::uint64_t writeId = 0;
     std::uint64_t version = 0;
 };
-/** Someone else wrote the row: this process is no longer lead. */
+/** Someone else wrote the row: this process is no longer lead; `leading` is false after the step. */
 struct WriteConflict {
     std::uint64_t writeId = 0;
 };
@@ -216,7 +217,7 @@
     bool startSent = false; // by this lead
     bool awaitsIntent = false; // the start waits for the durable intent
     bool confirmed = false; // the worker said that it runs it
-    bool recovering = false; // taken over, the worker has not told of it yet
+    bool recovering = false; // taken over, no worker has told of it yet
     bool inherited = false; // the token was taken by a former lead
     bool stopping = false;
     bool endedWell = false; // a gang member that waits for the others; recorded with them
@@ -253,9 +254,11 @@
     std::vector<TaskLive> tasks;
     std::uint32_t occupying = 0; // tasks that hold capacity
     std::uint32_t unfinished = 0; // tasks in no final state
+    std::vector<std::uint32_t> awaitingIntent; // tasks to be started once the intent is durable
     std::vector<PendingAck> acks;
     bool unwinding = false; // a gang whose members are being stopped
-    std::string unwindReason;
+    bool unwindByFailure = false; // a member ran and failed, as against a refused start
+    std::optional<Instant> recoversUntil; // taken over: tasks may run unrecorded until then
     bool ended = false; // JobEnded was emitted
     std::optional<Instant> unrunnableSince;
 
@@ -272,7 +275,8 @@
     std::string incarnation;
     Resources held; // by tasks that may run there
     Resources reportedUsage;
-    Resources foreign; // of tasks that it runs and that this ledger doesn't know
+    bool foreign = false; // it runs tasks that this ledger doesn't know; closed until they are stopped
+    Instant heardAt; // request time of the latest report
     std::set<TaskRef> tasks; // that may run there
     Instant renewAt;
     std::uint64_t startFailures = 0; // refused, unknown or failed, since listed
@@ -294,11 +298,14 @@
     std::uint64_t epoch = 0;
     Instant takenOverAt;
     std::uint64_t nextWriteId = 1;
+    Instant runnableCheckAt;
     std::map<JobId, JobEntry> jobs;
     std::map<ServerId, WorkerEntry> workers;
     std::set<std::pair<Instant, TaskRef>> timers; // lease lapses and backoff ends, one a task
     std::set<TaskRef> ready; // Pending, backoff over
-    std::set<JobId> unwritten; // changed, no write in flight
+    std::set<JobId> unwritten; // changed, to be written at the end of the step
+    std::map<std::uint64_t, JobId> writes; // in flight
+    std::set<JobId> failedWrites; // to be written again with the next tick
     std::vector<JobId> finished; // final record durable, not taken yet
 };
 
