--- a/src/core/JobLedgerParts.cpp
+++ b/src/core/JobLedgerParts.cpp
@@ -110,7 +110,11 @@
     std::erase(task.entry->awaitingIntent, task.ref.index);
     --task.entry->occupying;
     // Only the counters and what later attempts must wait for outlive the attempt.
-    live = TaskLive { .startBy = live.startBy, .failures = live.failures, .refusals = live.refusals };
+    TaskLive fresh;
+    fresh.startBy = live.startBy;
+    fresh.failures = live.failures;
+    fresh.refusals = live.refusals;
+    live = fresh;
 }
 
 bool takesWork(const WorkerEntry& worker)
--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+WorkerEntry forgotten(const WorkerEntry& worker, Instant now)
+{
+    WorkerEntry fresh;
+    fresh.info = worker.info;
+    fresh.listed = true;
+    fresh.leaving = worker.leaving;
+    fresh.heardAt = now;
+    return fresh;
+}
+
 // Jobs and what workers hold are forgotten; the platform's list stays.
 void reset(Turn& turn)
 {
@@ -19,9 +29,7 @@
     ledger.finished.clear();
     std::erase_if(ledger.workers, [](const auto& item) { return !item.second.listed; });
     for (auto& [id, worker] : ledger.workers)
-        worker = WorkerEntry {
-            .info = worker.info, .listed = true, .leaving = worker.leaving, .heardAt = turn.now
-        };
+        worker = forgotten(worker, turn.now);
 }
 
 // A former lead's last start has arrived by then, or never will.
