--- /dev/null
+++ b/tests/cores/JobLedgerSeededTest.cpp
@@ -0,0 +1,73 @@
+#include "JobLedgerSimulation.h"
+
+namespace quay::test {
+
+namespace {
+
+constexpr std::uint64_t seedCount = 150;
+
+struct PlantedFault {
+    const char* name;
+    LedgerRules rules;
+    const char* violation; // what the checker must say
+};
+
+LedgerRules broken(bool LedgerRules::*rule)
+{
+    LedgerRules rules;
+    rules.*rule = false;
+    return rules;
+}
+
+bool findsViolation(const PlantedFault& fault, std::uint64_t seed)
+{
+    LedgerSimulation simulation(seed, fault.rules);
+    simulation.run();
+    return simulation.violation().find(fault.violation) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("job ledger: the workers' books stay right through faults and failovers")
+{
+    std::size_t starts = 0;
+    std::size_t succeeded = 0;
+    std::size_t takeovers = 0;
+    forEachSeed(seedCount, [&](std::uint64_t seed) {
+        LedgerSimulation simulation(seed, LedgerRules {});
+        simulation.run();
+        CHECK(simulation.violation() == "");
+        starts += simulation.acceptedStarts();
+        succeeded += simulation.ended(JobState::Succeeded);
+        takeovers += simulation.takeovers();
+    });
+    // The runs did work and met failovers: the checks above are not empty.
+    CHECK(starts > 0);
+    CHECK(succeeded > 0);
+    CHECK(takeovers > 1);
+    MESSAGE("starts " << starts << ", jobs succeeded " << succeeded << ", takeovers " << takeovers);
+}
+
+TEST_CASE("job ledger: the checker finds planted faults")
+{
+    const PlantedFault faults[] = {
+        { "start before the durable intent", broken(&LedgerRules::intentBeforeStart),
+            "second start of non-idempotent" },
+        { "lapse without bounds", broken(&LedgerRules::boundedLapse), "two places" },
+        { "lapse without bounds frees capacity", broken(&LedgerRules::boundedLapse), "capacity exceeded" },
+        { "acknowledged before durable", broken(&LedgerRules::ackAfterDurable),
+            "acknowledged before it was durable" },
+        { "retry after unknown", broken(&LedgerRules::neverRetryUnknown), "second start of non-idempotent" },
+    };
+    constexpr std::uint64_t mostSeeds = 400;
+    for (const PlantedFault& fault : faults) {
+        CAPTURE(fault.name);
+        std::uint64_t seed = 1;
+        while (seed <= mostSeeds && !findsViolation(fault, seed))
+            ++seed;
+        CHECK(seed <= mostSeeds);
+        MESSAGE(fault.name << " found with seed " << seed);
+    }
+}
+
+} // namespace quay::test
--- /dev/null
+++ b/tests/cores/JobLedgerSimulation.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "Seeded.h"
+#include "quay/core/JobLedger.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quay::test {
+
+/** A domain in virtual time: a store, workers with their own books, and leads that succeed each other. */
+class LedgerSimulation {
+public:
+    LedgerSimulation(std::uint64_t seed, LedgerRules rules);
+
+    /** Runs with faults, then without until every job has ended. Stops at the first violation. */
+    void run();
+
+    /** What was violated first; empty: nothing. */
+    const std::string& violation() const { return m_violation; }
+    std::size_t acceptedStarts() const { return m_acceptedStarts; }
+    std::size_t takeovers() const { return m_epoch; }
+    std::size_t ended(JobState state) const;
+
+private:
+    struct Row {
+        JobRecord record;
+        std::uint64_t version = 0;
+        std::pair<std::size_t, std::uint64_t> writer; // process and write id of the latest write
+    };
+    struct Process {
+        JobLedger ledger;
+        bool alive = true;
+        Instant pausedUntil;
+        Instant maySendUntil;
+        std::vector<LedgerEvent> inbox;
+        Instant pollAt;
+        Instant placeAt;
+    };
+    struct Running {
+        std::uint64_t epoch = 0;
+        Instant leaseEnds; // by the worker's clock, in true time
+        Instant killedAt; // when a task whose lease lapsed is really gone
+        Instant endsAt;
+        bool ok = true;
+        Resources size;
+    };
+    struct Worker {
+        ServerInfo info;
+        std::uint64_t incarnation = 1;
+        bool alive = true;
+        Instant downUntil;
+        Instant partitionedUntil;
+        std::int64_t ratePermille = 1000; // its clock against true time
+        std::uint64_t epoch = 0;
+        std::map<TaskAttempt, Running> running;
+        std::map<TaskAttempt, EndedTask> ended;
+        std::map<TaskAttempt, bool> answers; // remembered: accepted or refused
+        std::set<TaskAttempt> stopped;
+    };
+    using Message = std::function<void()>;
+
+    void violate(std::string text);
+    void advance();
+    void injectFaults();
+    void deliverDue();
+    void later(Duration delay, Message message);
+    Duration flight();
+    void sendToWorker(std::size_t from, const ServerId& to, std::function<void(Worker&)> message);
+    void sendToProcess(std::size_t to, LedgerEvent event);
+
+    void takeOver(std::size_t index);
+    void runProcess(std::size_t index);
+    void feed(std::size_t index, const LedgerEvent& event);
+    void perform(std::size_t index, const LedgerAction& action);
+    void poll(std::size_t index);
+    void place(std::size_t index);
+    void placeJob(std::size_t index, const std::vector<PendingTask>& tasks);
+
+    void submit();
+    void cancelSome();
+    void write(std::size_t index, const WriteRecord& action);
+    void applyWrite(std::size_t index, const WriteRecord& action, bool answerLost);
+    void checkWrite(const JobRecord& before, const JobRecord& after);
+    bool allEnded() const;
+
+    void startTask(std::size_t from, Worker& worker, const SendStart& start);
+    bool acceptStart(Worker& worker, const SendStart& start);
+    void checkStart(const Worker& worker, const SendStart& start);
+    void runWorker(Worker& worker);
+    void endTask(Worker& worker, const TaskAttempt& attempt, bool ok, const std::string& result);
+    void renew(Worker& worker, const SendRenew& renewal);
+    void acknowledge(Worker& worker, const SendAck& ack);
+    void crash(Worker& worker);
+    Resources usage(const Worker& worker) const;
+    WorkerReport report(const Worker& worker, Instant requestedAt) const;
+
+    Choices m_choices;
+    LedgerRules m_rules;
+    Instant m_now;
+    bool m_faults = true;
+    Instant m_storeDownUntil;
+    std::uint64_t m_epoch = 0;
+    std::size_t m_lead = 0;
+    std::uint64_t m_version = 0;
+    std::map<JobId, Row> m_rows;
+    std::vector<Process> m_processes;
+    std::map<ServerId, Worker> m_workers;
+    std::multimap<Instant, Message> m_messages;
+    std::map<TaskId, std::size_t> m_starts; // accepted, by task
+    std::set<TaskId> m_endedWell;
+    std::set<JobId> m_cancelled;
+    std::size_t m_acceptedStarts = 0;
+    std::string m_violation;
+};
+
+} // namespace quay::test
--- /dev/null
+++ b/tests/cores/JobLedgerSimulationWorkers.cpp
@@ -0,0 +1,151 @@
+#include "JobLedgerSimulation.h"
+
+#include <algorithm>
+
+// The workers' side of the simulation: their own books, and the checks against them.
+namespace quay::test {
+
+namespace {
+
+JobId jobOf(const TaskId& task, std::uint32_t& index)
+{
+    JobId job;
+    splitTaskId(task, job, index);
+    return job;
+}
+
+} // namespace
+
+Resources LedgerSimulation::usage(const Worker& worker) const
+{
+    Resources sum;
+    for (const auto& [attempt, running] : worker.running)
+        sum += running.size;
+    return sum;
+}
+
+void LedgerSimulation::startTask(std::size_t from, Worker& worker, const SendStart& start)
+{
+    worker.epoch = std::max(worker.epoch, start.epoch);
+    if (!worker.answers.contains(start.attempt))
+        worker.answers[start.attempt] = acceptStart(worker, start);
+    StartAnswer answer { start.worker, start.attempt, StartOutcome::Refused, "busy" };
+    if (worker.answers[start.attempt])
+        answer.outcome = StartOutcome::Accepted;
+    if (m_faults && m_choices.percent(10))
+        answer.outcome = StartOutcome::Unknown;
+    sendToProcess(from, answer);
+}
+
+bool LedgerSimulation::acceptStart(Worker& worker, const SendStart& start)
+{
+    if (worker.stopped.contains(start.attempt) || (m_faults && m_choices.percent(8)))
+        return false;
+    checkStart(worker, start);
+    Running running;
+    running.epoch = start.epoch;
+    running.size = start.size;
+    running.leaseEnds = m_now + Duration(start.leaseMs * 1ms) * 1000 / worker.ratePermille;
+    running.killedAt = running.leaseEnds + Duration(m_choices.between(0, 1900) * 1ms);
+    running.endsAt = m_now + Duration(m_choices.between(200, 40000) * 1ms);
+    running.ok = !m_faults || m_choices.percent(80);
+    worker.running[start.attempt] = running;
+    ++m_acceptedStarts;
+    ++m_starts[start.attempt.task];
+    return true;
+}
+
+void LedgerSimulation::checkStart(const Worker& worker, const SendStart& start)
+{
+    const std::string name = start.attempt.task.text + " at " + worker.info.id.text;
+    if (!(usage(worker) + start.size).fitsIn(worker.info.capacity))
+        violate("capacity exceeded by " + name);
+    for (const auto& [id, other] : m_workers)
+        for (const auto& [attempt, running] : other.running)
+            if (attempt.task == start.attempt.task)
+                violate("task runs in two places: " + name + " and " + id.text);
+    std::uint32_t index = 0;
+    const JobSpec& spec = m_rows.at(jobOf(start.attempt.task, index)).record.spec;
+    const bool mayRunTwice = spec.idempotent || spec.kind == JobKind::Service;
+    if (!mayRunTwice && m_starts[start.attempt.task] > 0)
+        violate("second start of non-idempotent " + name);
+}
+
+void LedgerSimulation::endTask(Worker& worker, const TaskAttempt& attempt, bool ok, const std::string& result)
+{
+    worker.running.erase(attempt);
+    worker.ended[attempt] = { attempt, ok, result };
+    if (ok)
+        m_endedWell.insert(attempt.task);
+}
+
+void LedgerSimulation::runWorker(Worker& worker)
+{
+    if (!worker.alive) {
+        worker.alive = m_now >= worker.downUntil;
+        return;
+    }
+    const std::map<TaskAttempt, Running> before = worker.running;
+    for (const auto& [attempt, running] : before) {
+        if (m_now >= running.endsAt && m_now < running.leaseEnds)
+            endTask(worker, attempt, running.ok, running.ok ? "done" : "broken");
+        else if (m_now >= running.killedAt)
+            endTask(worker, attempt, false, "lease lapsed");
+    }
+}
+
+void LedgerSimulation::renew(Worker& worker, const SendRenew& renewal)
+{
+    worker.epoch = std::max(worker.epoch, renewal.epoch);
+    for (const TaskAttempt& attempt : renewal.tasks) {
+        const auto found = worker.running.find(attempt);
+        if (found == worker.running.end() || m_now >= found->second.leaseEnds)
+            continue;
+        Running& running = found->second;
+        running.epoch = std::max(running.epoch, renewal.epoch);
+        running.leaseEnds = m_now + Duration(renewal.leaseMs * 1ms) * 1000 / worker.ratePermille;
+        running.killedAt = running.leaseEnds + Duration(m_choices.between(0, 1900) * 1ms);
+    }
+}
+
+void LedgerSimulation::acknowledge(Worker& worker, const SendAck& ack)
+{
+    for (const TaskAttempt& attempt : ack.tasks) {
+        std::uint32_t index = 0;
+        const JobRecord& record = m_rows.at(jobOf(attempt.task, index)).record;
+        const TaskRecord& task = record.tasks[index];
+        const bool open = task.state == TaskState::Starting || task.state == TaskState::Running;
+        const bool same = task.attempt == attempt.attempt && task.worker == worker.info.id;
+        if (open && same && worker.ended.contains(attempt))
+            violate("end of " + attempt.task.text + " acknowledged before it was durable");
+        worker.ended.erase(attempt);
+    }
+}
+
+void LedgerSimulation::crash(Worker& worker)
+{
+    worker.alive = false;
+    worker.downUntil = m_now + Duration(m_choices.between(500, 20000) * 1ms);
+    ++worker.incarnation;
+    worker.running.clear();
+    worker.ended.clear();
+    worker.answers.clear();
+    worker.stopped.clear();
+}
+
+WorkerReport LedgerSimulation::report(const Worker& worker, Instant requestedAt) const
+{
+    WorkerReport report;
+    report.worker = worker.info.id;
+    report.incarnation = std::to_string(worker.incarnation);
+    report.requestedAt = requestedAt;
+    report.epoch = worker.epoch;
+    report.usage = usage(worker);
+    for (const auto& [attempt, running] : worker.running)
+        report.running.push_back({ attempt, running.epoch });
+    for (const auto& [attempt, ended] : worker.ended)
+        report.ended.push_back(ended);
+    return report;
+}
+
+} // namespace quay::test
