--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -104,7 +104,7 @@
     std::string incarnation;
     Instant requestedAt; // when the request was sent, by our clock
     std::uint64_t epoch = 0; // highest that the worker has seen
-    std::vector<RunningTask> running;
+    std::vector<ReportedTask> running;
     std::vector<EndedTask> ended;
     Resources usage;
 };
@@ -221,7 +221,8 @@
     bool inherited = false; // the token was taken by a former lead
     bool stopping = false;
     bool endedWell = false; // a gang member that waits for the others; recorded with them
-    std::uint64_t intentSequence = 0; // the change of the record that holds the intent
+    std::uint64_t intentSequence = 0; // the start waits for this change of the record to be durable
+    std::uint64_t attemptSequence = 0; // the change that holds the latest attempt's number
     std::string incarnation; // the worker's, as known when the start was sent
     Instant startBy; // a start of this attempt has arrived by then, or never will
     Instant lapsesAt; // the worker has surely ended it by then
@@ -331,7 +332,7 @@
 std::vector<PendingTask> pendingWork(const JobLedger& ledger, std::size_t limit);
 
 /** A worker as the placement policy sees it. */
-struct WorkerView {
+struct LedgerWorker {
     ServerId id;
     std::string rack;
     Resources capacity;
@@ -341,10 +342,10 @@
     std::uint64_t startFailures = 0; // for outlier ejection
     std::vector<TaskRef> tasks;
 
-    bool operator==(const WorkerView&) const = default;
+    bool operator==(const LedgerWorker&) const = default;
 };
 
-std::vector<WorkerView> workerViews(const JobLedger& ledger);
+std::vector<LedgerWorker> workerViews(const JobLedger& ledger);
 
 /** The record with all changes so far; nullptr if the ledger doesn't hold the job. */
 const JobRecord* findJob(const JobLedger& ledger, const JobId& job);
--- a/include/quay/core/WorkerProtocol.h
+++ b/include/quay/core/WorkerProtocol.h
@@ -18,11 +18,11 @@
 };
 
 /** An attempt that a worker runs now. */
-struct RunningTask {
+struct ReportedTask {
     TaskAttempt attempt;
     std::uint64_t epoch = 0; // of the lead that started or last renewed it
 
-    bool operator==(const RunningTask&) const = default;
+    bool operator==(const ReportedTask&) const = default;
 };
 
 /** An attempt that ended; the worker keeps it until acknowledged. */
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -140,9 +140,9 @@
     return tasks;
 }
 
-std::vector<WorkerView> workerViews(const JobLedger& ledger)
+std::vector<LedgerWorker> workerViews(const JobLedger& ledger)
 {
-    std::vector<WorkerView> views;
+    std::vector<LedgerWorker> views;
     for (const auto& [id, worker] : ledger.workers) {
         views.push_back({
             .id = id,
--- a/src/core/JobLedgerParts.cpp
+++ b/src/core/JobLedgerParts.cpp
@@ -112,6 +112,7 @@
     // Only the counters and what later attempts must wait for outlive the attempt.
     TaskLive fresh;
     fresh.startBy = live.startBy;
+    fresh.attemptSequence = live.attemptSequence;
     fresh.failures = live.failures;
     fresh.refusals = live.refusals;
     live = fresh;
--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -174,6 +174,7 @@
     task.record().attempt = attempt.attempt;
     task.record().state = TaskState::Running;
     touch(turn, *task.entry);
+    task.live().attemptSequence = task.entry->changed;
 }
 
 void onKnownRunning(Turn& turn, const Found& task, WorkerEntry& worker)
@@ -187,7 +188,7 @@
 }
 
 // False if the worker runs something that it should not.
-bool onRunning(Turn& turn, const WorkerReport& event, const RunningTask& running)
+bool onRunning(Turn& turn, const WorkerReport& event, const ReportedTask& running)
 {
     const Found task = find(turn.ledger, running.attempt.task);
     if (task && isUnrecorded(turn, task, running.attempt)) {
@@ -203,6 +204,13 @@
     return false;
 }
 
+bool showsOpen(const Found& task, const ServerId& worker, const TaskAttempt& attempt)
+{
+    const TaskRecord& record = task.record();
+    const bool open = record.state == TaskState::Starting || record.state == TaskState::Running;
+    return open && record.worker == worker && record.attempt == attempt.attempt;
+}
+
 void onEnded(Turn& turn, const WorkerReport& event, const EndedTask& ended)
 {
     const Found task = find(turn.ledger, ended.attempt.task);
@@ -212,8 +220,8 @@
         adopt(turn, task, event.worker, ended.attempt);
     if (isCurrent(task, event.worker, ended.attempt))
         settle(turn, task, ended.ok ? AttemptEnd::Well : AttemptEnd::Badly, ended.result);
-    const bool same = task.record().worker == event.worker && task.record().attempt == ended.attempt.attempt;
-    if (task.live().endedWell && same)
+    // The end of a gang member is recorded together with the others; the worker reports it again.
+    if (showsOpen(task, event.worker, ended.attempt))
         return;
     acknowledge(turn, *task.entry, event.worker, ended.attempt);
 }
@@ -235,7 +243,7 @@
 void findAbsent(Turn& turn, const WorkerReport& event)
 {
     std::set<TaskId> running;
-    for (const RunningTask& task : event.running)
+    for (const ReportedTask& task : event.running)
         running.insert(task.attempt.task);
     const std::set<TaskRef> held = turn.ledger.workers[event.worker].tasks;
     for (const TaskRef& ref : held) {
@@ -273,7 +281,7 @@
     for (const EndedTask& ended : event.ended)
         onEnded(turn, event, ended);
     bool foreign = false;
-    for (const RunningTask& running : event.running)
+    for (const ReportedTask& running : event.running)
         foreign |= !onRunning(turn, event, running);
     findAbsent(turn, event);
     if (workers.contains(event.worker))
--- a/src/core/JobLedgerStart.cpp
+++ b/src/core/JobLedgerStart.cpp
@@ -38,24 +38,33 @@
     task.record().result.clear();
 }
 
-bool waitsForIntent(const JobLedger& ledger, const JobSpec& spec)
+// The change that must be durable before the start is sent. Idempotent work may run one attempt
+// ahead of its record, never two: a new lead skips that one number (see skipUnrecorded), so that
+// a number names one attempt only, whichever lead gave it.
+std::uint64_t requiredChange(const JobLedger& ledger, const Found& task, std::uint64_t formerAttempt)
 {
-    return !mayRerun(spec) && ledger.rules.intentBeforeStart;
+    if (mayRerun(task.entry->record.spec) || !ledger.rules.intentBeforeStart)
+        return formerAttempt;
+    return task.entry->changed;
+}
+
+void launchTask(Turn& turn, const Found& task)
+{
+    TaskLive& live = task.live();
+    live.intentSequence = requiredChange(turn.ledger, task, live.attemptSequence);
+    live.attemptSequence = task.entry->changed;
+    if (live.intentSequence <= task.entry->durable)
+        return sendStart(turn, task);
+    live.awaitsIntent = true;
+    task.entry->awaitingIntent.push_back(task.ref.index);
 }
 
 // Starts tasks that were decided together; their intents share one write.
 void launch(Turn& turn, JobEntry& entry, const std::vector<Found>& tasks)
 {
     touch(turn, entry);
-    for (const Found& task : tasks) {
-        if (!waitsForIntent(turn.ledger, entry.record.spec)) {
-            sendStart(turn, task);
-            continue;
-        }
-        task.live().awaitsIntent = true;
-        task.live().intentSequence = entry.changed;
-        entry.awaitingIntent.push_back(task.ref.index);
-    }
+    for (const Found& task : tasks)
+        launchTask(turn, task);
 }
 
 bool mayPlace(const JobLedger& ledger, const Found& task, const ServerId& worker)
--- a/src/core/JobLedgerSubmit.cpp
+++ b/src/core/JobLedgerSubmit.cpp
@@ -54,10 +54,21 @@
         entry.tasks.begin(), entry.tasks.end(), [](const TaskLive& live) { return live.endedWell; });
 }
 
+// A former lead may have sent one attempt more than it recorded, whose late messages may still name it.
+void skipUnrecorded(Turn& turn, const Found& task)
+{
+    if (!task.live().recovering)
+        return;
+    task.live().recovering = false;
+    ++task.record().attempt;
+    touch(turn, *task.entry);
+    task.live().attemptSequence = task.entry->changed;
+}
+
 void backoffOver(Turn& turn, const Found& task)
 {
     JobEntry& entry = *task.entry;
-    task.live().recovering = false;
+    skipUnrecorded(turn, task);
     if (entry.record.cancelRequested) {
         makeFinal(turn, task, TaskState::Cancelled, "cancelled before its start");
         touch(turn, entry);
--- a/tests/cores/JobLedgerSimulation.cpp
+++ b/tests/cores/JobLedgerSimulation.cpp
@@ -249,12 +249,12 @@
 void LedgerSimulation::placeJob(std::size_t index, const std::vector<PendingTask>& tasks)
 {
     PlacementsChosen chosen;
-    std::vector<WorkerView> views = workerViews(m_processes[index].ledger);
+    std::vector<LedgerWorker> views = workerViews(m_processes[index].ledger);
     const bool careless = m_choices.percent(5);
     const std::size_t first = m_choices.below(views.size());
     for (const PendingTask& task : tasks) {
         for (std::size_t offset = 0; offset < views.size(); ++offset) {
-            WorkerView& view = views[(first + offset) % views.size()];
+            LedgerWorker& view = views[(first + offset) % views.size()];
             if (!careless && (!view.open || !task.size.fitsIn(view.free)))
                 continue;
             view.free -= task.size;
