--- a/include/quay/core/Reason.h
+++ b/include/quay/core/Reason.h
@@ -42,6 +42,7 @@
     MissingRequestId = 25,
     NotOperator = 26,
     Overloaded = 27,
+    SubmissionUnknown = 28,
 };
 
 /** One row of the error table. */
--- a/src/core/Reason.cpp
+++ b/src/core/Reason.cpp
@@ -70,6 +70,9 @@
         NotOperator, "not_operator", 403, NotRun, "this needs an operator's key", "use an operator's key" },
     ErrorEntry { Overloaded, "overloaded", 503, NotRun, "this entry VM is overloaded",
         "retry after the time in Retry-After" },
+    ErrorEntry { SubmissionUnknown, "submission_unknown", 504, Unknown,
+        "it is not known whether the request was accepted",
+        "send it again with the same request id; it is never done twice" },
 };
 
 } // namespace
--- /dev/null
+++ b/src/service/BackendLink.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "net/HttpClient.h"
+#include "quay/core/JobLedger.h"
+#include "quay/kernel/Duty.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace quay {
+
+/** One interactive request as an executor gets it. */
+struct ExecuteRequest {
+    TeamId team;
+    std::string requestId; // of the caller; empty if it gave none
+    std::string traceparent;
+    std::string body;
+};
+
+/** The adapter to workers and executors, on its own thread. docs/contracts/ says what it speaks. */
+class BackendLink : public Duty {
+public:
+    using ExecuteDone = std::function<void(HttpResult)>;
+    using StartDone = std::function<void(StartAnswer)>;
+    using ReportDone = std::function<void(std::optional<WorkerReport>)>;
+
+    BackendLink();
+
+    /** Sends an interactive request to an executor. `done` runs on this link's thread, exactly once. */
+    void execute(const std::string& address, ExecuteRequest request, Duration timeout, ExecuteDone done);
+
+    /** Starts a task; Unknown unless the worker answered or no byte was sent. */
+    void start(const std::string& address, SendStart message, StartDone done);
+
+    void renew(const std::string& address, const SendRenew& message);
+    void stopTask(const std::string& address, const SendStop& message);
+    void acknowledge(const std::string& address, const SendAck& message);
+
+    /** Asks a worker what it runs and what ended; nullopt if it doesn't answer. */
+    void report(const std::string& address, const ServerId& worker, ReportDone done);
+
+private:
+    void sendOnly(const std::string& address, std::string target, std::string body);
+
+    HttpClient m_executors;
+    HttpClient m_workers;
+};
+
+} // namespace quay
--- /dev/null
+++ b/src/service/CallerService.cpp
@@ -0,0 +1,344 @@
+#include "service/CallerService.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace quay {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t ringCapacity = 1024;
+constexpr std::uint32_t maxDeadlineMs = 300'000;
+constexpr std::size_t maxRequestIdBytes = 128;
+constexpr std::string_view bearer = "Bearer ";
+
+HttpLimits limitsOf(const Settings& settings)
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = settings.limits.maxBodyBytes;
+    limits.maxHeaderBytes = settings.limits.maxHeaderBytes;
+    limits.idleTimeoutMs = static_cast<int>(settings.limits.idleTimeoutMs);
+    return limits;
+}
+
+HttpResponse jsonResponse(const json::object& object)
+{
+    HttpResponse response;
+    response.body = json::serialize(object);
+    return response;
+}
+
+bool isOperatorPath(const std::string& path) { return path == "/v1/fleet" || path == "/v1/config"; }
+
+bool takesKind(QueueKind queue, JobKind job) { return queue == QueueKind::Any || text(queue) == text(job); }
+
+// Reads a header that must be a whole number in a range; the fallback if it is absent.
+std::optional<std::uint32_t> numberHeader(const HttpRequest& request, const std::string& name,
+    std::uint32_t fallback, std::uint32_t max, Reason& reason)
+{
+    const auto value = request.header(name);
+    if (value.empty())
+        return fallback;
+    std::uint32_t number = 0;
+    const auto [rest, ec] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (ec != std::errc() || rest != value.data() + value.size() || !number || number > max)
+        return fail(reason, ErrorKind::MalformedRequest, name + " must be from 1 to " + std::to_string(max));
+    return number;
+}
+
+std::optional<bool> booleanHeader(
+    const HttpRequest& request, const std::string& name, bool fallback, Reason& reason)
+{
+    const auto value = request.header(name);
+    if (value.empty())
+        return fallback;
+    if (value != "true" && value != "false")
+        return fail(reason, ErrorKind::MalformedRequest, name + " must be true or false");
+    return value == "true";
+}
+
+// A request id becomes part of a row's key, so its characters are limited.
+bool isRequestId(const std::string& id)
+{
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; };
+    return !id.empty() && id.size() <= maxRequestIdBytes && std::all_of(id.begin(), id.end(), allowed);
+}
+
+// Job ids begin with the failure domain that holds the job: "d1.18c2...".
+std::optional<DomainId> domainOf(const std::string& job)
+{
+    const auto dot = job.rfind('.');
+    if (dot == std::string::npos || !dot)
+        return std::nullopt;
+    return DomainId { job.substr(0, dot) };
+}
+
+} // namespace
+
+CallerService::CallerService(const Settings& settings, MembershipService& membership,
+    ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs)
+    : Duty("callers", ringCapacity)
+    , m_membership(membership)
+    , m_configuration(configuration)
+    , m_interactive(interactive)
+    , m_jobs(jobs)
+    , m_server(context(), settings.listen, limitsOf(settings),
+          [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
+{
+}
+
+void CallerService::handle(HttpRequest request, Respond respond)
+{
+    const auto path = request.path();
+    if (path == "/healthz")
+        health(respond);
+    else if (path == "/v1/ask" && request.method == "POST")
+        ask(request, respond);
+    else if (path == "/v1/jobs" && request.method == "POST")
+        submit(request, respond);
+    else if (path == "/v1/jobs" || path.starts_with("/v1/jobs/"))
+        jobCall(request, respond);
+    else if (!handleOperator(request, respond))
+        respond(errorResponse(Reason { ErrorKind::NotFound, request.method + " " + path }));
+}
+
+bool CallerService::handleOperator(const HttpRequest& request, const Respond& respond)
+{
+    const auto path = request.path();
+    if (!isOperatorPath(path))
+        return false;
+    Reason reason;
+    if (!operatorKey(request, reason))
+        respond(errorResponse(reason));
+    else if (path == "/v1/fleet")
+        showFleet(respond);
+    else if (request.method == "POST")
+        applyConfiguration(request, respond);
+    else
+        showConfiguration(respond);
+    return true;
+}
+
+std::optional<KeyMatch> CallerService::key(const HttpRequest& request, Reason& reason) const
+{
+    const auto header = request.header("authorization");
+    if (!header.starts_with(bearer))
+        return fail(reason, ErrorKind::MissingKey);
+    const auto active = m_configuration.active().get();
+    if (!active->mayServeKeyedWork(std::chrono::steady_clock::now()))
+        return fail(reason, ErrorKind::StaleConfiguration);
+    auto match = matchKey(active->configuration, header.substr(bearer.size()));
+    if (!match)
+        return fail(reason, ErrorKind::InvalidKey);
+    return match;
+}
+
+std::optional<KeyMatch> CallerService::operatorKey(const HttpRequest& request, Reason& reason) const
+{
+    const auto active = m_configuration.active().get();
+    // The very first configuration has to come from somebody: without one there is no key to show.
+    if (active->known && !active->configuration.version)
+        return KeyMatch { "bootstrap", KeyRole::Operator, {} };
+    auto match = key(request, reason);
+    if (match && match->role != KeyRole::Operator)
+        return fail(reason, ErrorKind::NotOperator, match->id);
+    return match;
+}
+
+std::optional<CallerService::Admission> CallerService::admit(
+    const HttpRequest& request, const QueueId& queue, Reason& reason) const
+{
+    const auto active = m_configuration.active().get();
+    if (!active->known)
+        return fail(reason, ErrorKind::StaleConfiguration);
+    auto it = active->configuration.queues.find(queue);
+    if (it == active->configuration.queues.end())
+        return fail(reason, ErrorKind::UnknownQueue, queue.text);
+    const auto& config = it->second;
+    if (config.open && request.header("authorization").empty())
+        return Admission { KeyMatch { "open", KeyRole::Team, config.teams.front() }, config };
+    auto match = key(request, reason);
+    if (!match)
+        return std::nullopt;
+    if (match->role != KeyRole::Team || !mayUse(config, match->team))
+        return fail(reason, ErrorKind::WrongTeam, "queue " + queue.text);
+    return Admission { *match, config };
+}
+
+void CallerService::ask(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    const QueueId queue { request.query("queue") };
+    const auto admission = admit(request, queue, reason);
+    if (!admission) {
+        respond(errorResponse(reason));
+        return;
+    }
+    const auto& config = admission->queue;
+    const bool rightKind = config.kind == QueueKind::Interactive || config.kind == QueueKind::Any;
+    const auto deadlineMs = numberHeader(request, "deadline-ms", config.deadlineMs, maxDeadlineMs, reason);
+    const auto idempotent = booleanHeader(request, "idempotent", config.idempotent, reason);
+    if (!rightKind || !deadlineMs || !idempotent) {
+        if (!rightKind)
+            reason = Reason { ErrorKind::UnknownQueue, queue.text + " takes no interactive requests" };
+        respond(errorResponse(reason));
+        return;
+    }
+    AskCall call;
+    call.team = admission->key.team;
+    call.queue = queue;
+    call.requestId = request.header("request-id");
+    call.traceparent = request.header("traceparent");
+    call.body = request.body;
+    call.idempotent = *idempotent;
+    call.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(*deadlineMs);
+    m_interactive.ask(std::move(call), [respond](AskReply reply) {
+        if (reply.reason.kind != ErrorKind::None) {
+            respond(errorResponse(reply.reason, reply.retryAfterMs));
+            return;
+        }
+        HttpResponse response;
+        response.contentType = "application/octet-stream";
+        response.body = std::move(reply.body);
+        respond(std::move(response));
+    });
+}
+
+void CallerService::submit(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    auto spec = parseJobSpec(request.body, reason);
+    if (!spec) {
+        respond(errorResponse(reason));
+        return;
+    }
+    const auto admission = admit(request, spec->queue, reason);
+    if (!admission) {
+        respond(errorResponse(reason));
+        return;
+    }
+    if (!takesKind(admission->queue.kind, spec->kind)) {
+        respond(errorResponse(Reason { ErrorKind::UnknownQueue, spec->queue.text + " takes no such work" }));
+        return;
+    }
+    JobCall call;
+    call.operation = JobOperation::Submit;
+    call.requestId = request.header("request-id");
+    if (!isRequestId(call.requestId)) {
+        respond(errorResponse(
+            Reason { ErrorKind::MissingRequestId, "letters, digits, '-', '_', '.'; at most 128" }));
+        return;
+    }
+    const auto domain = request.query("domain");
+    call.domain = domain.empty() ? m_membership.self().domain : DomainId { domain };
+    call.team = admission->key.team;
+    spec->team = call.team;
+    spec->requestId = call.requestId;
+    call.spec = std::move(*spec);
+    m_jobs.call(std::move(call), [respond](JobReply reply) {
+        HttpResponse response;
+        response.status = reply.status;
+        response.body = std::move(reply.body);
+        respond(std::move(response));
+    });
+}
+
+void CallerService::jobCall(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    const auto match = key(request, reason);
+    if (!match) {
+        respond(errorResponse(reason));
+        return;
+    }
+    JobCall call;
+    call.team = match->team;
+    const auto path = request.path();
+    const std::string prefix = "/v1/jobs/";
+    std::string rest = path.size() > prefix.size() ? path.substr(prefix.size()) : std::string();
+    if (rest.empty()) {
+        call.operation = JobOperation::List;
+        call.job = JobId { request.query("after") };
+        const auto domain = request.query("domain");
+        call.domain = domain.empty() ? m_membership.self().domain : DomainId { domain };
+    } else {
+        if (rest.ends_with("/cancel") && request.method == "POST")
+            call.operation = JobOperation::Cancel;
+        else if (rest.ends_with("/explain"))
+            call.operation = JobOperation::Explain;
+        call.job = JobId { rest.substr(0, rest.find('/')) };
+        const auto domain = domainOf(call.job.text);
+        if (!domain) {
+            respond(errorResponse(Reason { ErrorKind::UnknownJob, call.job.text }));
+            return;
+        }
+        call.domain = *domain;
+    }
+    m_jobs.call(std::move(call), [respond](JobReply reply) {
+        HttpResponse response;
+        response.status = reply.status;
+        response.body = std::move(reply.body);
+        respond(std::move(response));
+    });
+}
+
+void CallerService::health(const Respond& respond)
+{
+    if (m_leaving)
+        respond(errorResponse(Reason { ErrorKind::ShuttingDown, {} }));
+    else
+        respond(jsonResponse({ { "status", "ok" } }));
+}
+
+void CallerService::showFleet(const Respond& respond)
+{
+    const auto topology = m_membership.topology().get();
+    json::array members;
+    for (const auto& member : topology->members) {
+        const auto* lead = topology->leadOf(member.domain);
+        members.push_back(json::object { { "id", member.id.text }, { "domain", member.domain.text },
+            { "peer_address", member.peerAddress }, { "leads", lead && lead->id == member.id } });
+    }
+    const auto fleet = m_membership.fleet().get();
+    json::object counts;
+    for (const auto& server : fleet->servers) {
+        auto& count = counts[server.domain.text];
+        count = count.is_null() ? 1 : count.as_int64() + 1;
+    }
+    const auto ownership = m_membership.ownership().get();
+    respond(jsonResponse(
+        { { "self", m_membership.self().id.text }, { "epoch", ownership->epoch }, { "members", members },
+            { "servers_by_domain", counts }, { "executors_owned", ownership->executors.size() },
+            { "configuration_version", m_configuration.active().get()->configuration.version } }));
+}
+
+void CallerService::showConfiguration(const Respond& respond)
+{
+    HttpResponse response;
+    response.body = toJson(m_configuration.active().get()->configuration);
+    respond(std::move(response));
+}
+
+void CallerService::applyConfiguration(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    auto next = parseConfiguration(request.body, reason);
+    if (!next) {
+        respond(errorResponse(reason));
+        return;
+    }
+    // The document's own version names the version that the change builds on.
+    const auto base = next->version;
+    m_configuration.apply(
+        base, std::move(*next), [respond](std::optional<std::uint64_t> version, Reason why) {
+            if (version)
+                respond(jsonResponse({ { "version", *version } }));
+            else
+                respond(errorResponse(why));
+        });
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/service/CallerService.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "net/HttpServer.h"
+#include "quay/core/Settings.h"
+#include "quay/kernel/Duty.h"
+#include "service/ConfigurationService.h"
+#include "service/InteractiveService.h"
+#include "service/JobService.h"
+#include "service/MembershipService.h"
+
+#include <atomic>
+#include <optional>
+#include <string>
+
+namespace quay {
+
+/**
+ * The callers' and operators' HTTP interface, versioned under /v1. It checks keys and queues,
+ * turns requests into typed calls, and answers each request whole to the connection it came from.
+ */
+class CallerService : public Duty {
+public:
+    CallerService(const Settings& settings, MembershipService& membership,
+        ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs);
+
+    /** The bound address as "ip:port". */
+    std::string address() const { return m_server.address(); }
+
+    /** Begins to accept connections. */
+    void open() { m_server.start(); }
+
+    /** The health check fails from now on; requests are still answered. */
+    void leaveBalancer() { m_leaving = true; }
+
+    /** From now on each connection is closed after its answer. */
+    void drain() { m_server.drain(); }
+
+    /** Requests taken and not yet answered in full. */
+    std::size_t inFlight() const { return m_server.inFlight(); }
+
+private:
+    /** Whom a request speaks for, and the queue it names. */
+    struct Admission {
+        KeyMatch key;
+        QueueConfig queue;
+    };
+
+    void handle(HttpRequest request, Respond respond);
+    bool handleOperator(const HttpRequest& request, const Respond& respond);
+    void ask(const HttpRequest& request, const Respond& respond);
+    void submit(const HttpRequest& request, const Respond& respond);
+    void jobCall(const HttpRequest& request, const Respond& respond);
+    void health(const Respond& respond);
+    void showFleet(const Respond& respond);
+    void showConfiguration(const Respond& respond);
+    void applyConfiguration(const HttpRequest& request, const Respond& respond);
+    std::optional<KeyMatch> key(const HttpRequest& request, Reason& reason) const;
+    std::optional<KeyMatch> operatorKey(const HttpRequest& request, Reason& reason) const;
+    std::optional<Admission> admit(const HttpRequest& request, const QueueId& queue, Reason& reason) const;
+    Respond reply(const Respond& respond) const;
+
+    MembershipService& m_membership;
+    ConfigurationService& m_configuration;
+    InteractiveService& m_interactive;
+    JobService& m_jobs;
+    std::atomic<bool> m_leaving = false;
+    HttpServer m_server;
+};
+
+} // namespace quay
--- /dev/null
+++ b/src/service/JobService.cpp
@@ -0,0 +1,289 @@
+#include "service/JobService.h"
+
+#include "service/JobJson.h"
+
+#include <algorithm>
+#include <random>
+
+namespace quay {
+
+namespace {
+
+constexpr std::size_t ringCapacity = 32 * 1024;
+constexpr auto tickPeriod = std::chrono::milliseconds(50);
+constexpr auto pollPeriod = std::chrono::milliseconds(250);
+constexpr auto reconcilePeriod = std::chrono::seconds(10);
+constexpr auto loadTimeout = std::chrono::seconds(10);
+constexpr auto recordWriteTimeout = std::chrono::hours(24); // the store client goes on until it knows
+constexpr auto archiveTimeout = std::chrono::seconds(30);
+constexpr std::size_t placementsPerTick = 200;
+constexpr std::size_t explanationLines = 32;
+constexpr std::size_t maxFinishedShown = 2000;
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+std::vector<VersionedRecord> recordsOf(const std::vector<TableRow>& rows)
+{
+    std::vector<VersionedRecord> records;
+    for (const auto& row : rows) {
+        Reason reason;
+        if (auto record = parseJobRecord(row.value, reason))
+            records.push_back({ std::move(*record), row.version });
+    }
+    return records;
+}
+
+} // namespace
+
+JobService::JobService(MembershipService& membership, StoreService& store, BackendLink& backend,
+    PeerLink& peers, TeamTokens& tokens)
+    : Duty("jobs", ringCapacity)
+    , m_membership(membership)
+    , m_store(store)
+    , m_backend(backend)
+    , m_peers(peers)
+    , m_tokens(tokens)
+    , m_nextJob(std::random_device {}())
+{
+    m_ledger.domain = membership.self().domain;
+    every(tickPeriod, [this] { tick(); });
+    every(pollPeriod, [this] { pollWorkers(); });
+    every(reconcilePeriod, [this] { reconcile(); });
+    m_peers.onMessage(jobForwardCase(), [this](const wire::Envelope& envelope) { onForward(envelope); });
+}
+
+bool JobService::mayLead() const
+{
+    return m_ledger.leading && m_membership.ownership().get()->mayLead(monotonicNow());
+}
+
+void JobService::tick()
+{
+    followLead(monotonicNow());
+    if (!m_ledger.leading)
+        return;
+    feed(WorkerList { m_membership.fleet().get()->servers });
+    feed(LedgerTick {});
+    placePending();
+    archiveFinished();
+}
+
+void JobService::followLead(Instant now)
+{
+    const auto ownership = m_membership.ownership().get();
+    const bool leads = ownership->mayLead(now);
+    if (m_ledger.leading && (!leads || ownership->epoch != m_ledger.epoch))
+        feed(LostLead {});
+    if (leads && !m_ledger.leading && !m_loading)
+        load(ownership->epoch);
+}
+
+void JobService::load(std::uint64_t epoch)
+{
+    m_loading = true;
+    m_store.scan(jobPrefix(m_ledger.domain), loadTimeout, [this, epoch](auto rows) {
+        (void)post([this, epoch, rows = std::move(rows)] { onLoaded(epoch, rows); });
+    });
+}
+
+void JobService::onLoaded(std::uint64_t epoch, const std::optional<std::vector<TableRow>>& rows)
+{
+    m_loading = false;
+    const auto ownership = m_membership.ownership().get();
+    if (!rows || ownership->epoch != epoch || !ownership->mayLead(monotonicNow()))
+        return;
+    feed(BecameLead { epoch, recordsOf(*rows) });
+}
+
+void JobService::reconcile()
+{
+    if (!m_ledger.leading)
+        return;
+    // Finds rows whose insert was reported as unknown to the caller and took effect after all.
+    m_store.scan(jobPrefix(m_ledger.domain), loadTimeout, [this](auto rows) {
+        if (rows)
+            (void)post([this, rows = std::move(*rows)] { onReconciled(rows); });
+    });
+}
+
+void JobService::onReconciled(const std::vector<TableRow>& rows)
+{
+    if (!m_ledger.leading)
+        return;
+    for (auto& found : recordsOf(rows)) {
+        // A row read before its job ended must not bring the job back.
+        const bool known = m_ledger.jobs.count(found.record.id) || m_finished.count(found.record.id);
+        if (!known)
+            feed(JobAccepted { std::move(found.record), found.version });
+    }
+}
+
+void JobService::feed(const LedgerEvent& event)
+{
+    for (const auto& action : step(m_ledger, event, monotonicNow()))
+        perform(action);
+}
+
+void JobService::perform(const LedgerAction& action)
+{
+    std::visit([this](const auto& one) { perform(one); }, action);
+}
+
+void JobService::perform(const WriteRecord& action)
+{
+    const auto key = jobKey(action.record);
+    Transaction transaction;
+    transaction.checks.push_back({ key, action.expectedVersion });
+    transaction.puts.push_back({ key, toJson(action.record) });
+    const auto id = action.writeId;
+    m_store.commit(std::move(transaction), recordWriteTimeout, [this, id](TransactionOutcome outcome) {
+        LedgerEvent event = WriteFailed { id };
+        if (outcome.status == TransactionStatus::Done)
+            event = WriteDone { id, outcome.version };
+        else if (outcome.status == TransactionStatus::Conflict)
+            event = WriteConflict { id };
+        else if (outcome.status == TransactionStatus::Unknown)
+            event = WriteUnknown { id };
+        (void)post([this, event] { feed(event); });
+    });
+}
+
+std::string JobService::addressOf(const ServerId& worker) const
+{
+    auto it = m_ledger.workers.find(worker);
+    return it == m_ledger.workers.end() ? std::string() : it->second.info.address;
+}
+
+void JobService::perform(const SendStart& action)
+{
+    if (!mayLead()) {
+        // Not sent at all, so it is proven not to run. The ledger takes the answer after this step.
+        const StartAnswer refused { action.worker, action.attempt, StartOutcome::Refused, "lease lapsed" };
+        (void)post([this, refused] { feed(refused); });
+        return;
+    }
+    m_backend.start(addressOf(action.worker), action,
+        [this](StartAnswer answer) { (void)post([this, answer] { feed(answer); }); });
+}
+
+void JobService::perform(const SendRenew& action)
+{
+    if (mayLead())
+        m_backend.renew(addressOf(action.worker), action);
+}
+
+void JobService::perform(const SendStop& action)
+{
+    if (mayLead())
+        m_backend.stopTask(addressOf(action.worker), action);
+}
+
+void JobService::perform(const SendAck& action)
+{
+    if (mayLead())
+        m_backend.acknowledge(addressOf(action.worker), action);
+}
+
+void JobService::perform(const JobEnded& action)
+{
+    perform(Explain { action.job, "the job ended and its final record is stored" });
+}
+
+void JobService::perform(const Explain& action)
+{
+    auto& lines = m_explanations[action.job];
+    if (!lines.empty() && lines.back() == action.text)
+        return;
+    lines.push_back(action.text);
+    if (lines.size() > explanationLines)
+        lines.pop_front();
+}
+
+void JobService::perform(const ReleaseTokens& action)
+{
+    if (!action.inherited)
+        m_tokens.release(action.team, action.count);
+}
+
+void JobService::placePending()
+{
+    const auto pending = pendingWork(m_ledger, placementsPerTick);
+    if (pending.empty() || !mayLead())
+        return;
+    auto views = workerViews(m_ledger);
+    PlacementsChosen chosen;
+    for (std::size_t i = 0; i < pending.size();) {
+        const auto count = std::max<std::size_t>(pending[i].gangSize, 1);
+        std::vector<TaskPlacement> group;
+        auto trial = views;
+        for (std::size_t k = i; k < i + count && k < pending.size(); ++k) {
+            auto it = std::find_if(trial.begin(), trial.end(),
+                [&](const auto& view) { return view.open && pending[k].size.fitsIn(view.free); });
+            if (it == trial.end())
+                break;
+            it->free -= pending[k].size;
+            group.push_back({ pending[k].job, pending[k].index, it->id });
+        }
+        const auto& first = pending[i];
+        i += count;
+        if (group.size() < count) {
+            perform(Explain { first.job, "waits: no worker has room for its size" });
+            continue;
+        }
+        if (!m_tokens.tryAcquire(first.team, static_cast<std::int64_t>(count), monotonicNow())) {
+            perform(Explain { first.job, "waits: the team's upper limit is in use" });
+            continue;
+        }
+        views = std::move(trial);
+        chosen.placements.insert(chosen.placements.end(), group.begin(), group.end());
+    }
+    if (!chosen.placements.empty())
+        feed(chosen);
+}
+
+void JobService::archiveFinished()
+{
+    for (auto& finished : takeFinished(m_ledger)) {
+        const auto& id = finished.record.id;
+        m_finished[id] = finished.record;
+        m_finishedOrder.push_back(id);
+        if (m_finishedOrder.size() > maxFinishedShown) {
+            m_finished.erase(m_finishedOrder.front());
+            m_explanations.erase(m_finishedOrder.front());
+            m_finishedOrder.pop_front();
+        }
+        const auto key = jobKey(finished.record);
+        const auto version = finished.version;
+        const auto object = finished.record.domain.text + "/" + id.text;
+        m_store.putObject(
+            object, toJson(finished.record), archiveTimeout, [this, key, version](HttpResult result) {
+                if (!result.response || result.response->status != 200)
+                    return; // the row stays; the next lead archives it
+                Transaction transaction;
+                transaction.checks.push_back({ key, version });
+                transaction.deletes.push_back(key);
+                m_store.commit(std::move(transaction), archiveTimeout, [](TransactionOutcome) {});
+            });
+    }
+}
+
+void JobService::pollWorkers()
+{
+    if (!m_ledger.leading)
+        return;
+    for (const auto& [id, worker] : m_ledger.workers) {
+        if (!worker.listed || !m_polling.insert(id).second)
+            continue;
+        m_backend.report(worker.info.address, id, [this, id = id](std::optional<WorkerReport> report) {
+            (void)post([this, id, report = std::move(report)] {
+                m_polling.erase(id);
+                if (report)
+                    feed(*report);
+                else
+                    feed(WorkerLost { id });
+            });
+        });
+    }
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/service/JobService.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "net/PeerLink.h"
+#include "quay/core/JobLedger.h"
+#include "quay/core/TeamTokens.h"
+#include "quay/kernel/Duty.h"
+#include "service/BackendLink.h"
+#include "service/MembershipService.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace quay {
+
+/** What a caller can do with durable jobs. The numbers are part of the peer protocol. */
+enum class JobOperation : unsigned {
+    Submit = 1,
+    Status = 2,
+    Cancel = 3,
+    List = 4,
+    Explain = 5,
+};
+
+/** One call about durable jobs, bound for the lead of a failure domain. */
+struct JobCall {
+    JobOperation operation = JobOperation::Status;
+    DomainId domain;
+    TeamId team; // of the key
+    std::string requestId; // Submit
+    JobSpec spec; // Submit
+    JobId job; // Status, Cancel, Explain; List: the last job of the page before
+};
+
+/** The answer to a JobCall: an HTTP status and a JSON body. */
+struct JobReply {
+    unsigned status = 200;
+    std::string body;
+    int retryAfterMs = 0;
+};
+
+/**
+ * The durable path. On the lead of the domain it holds the job ledger and performs its actions;
+ * on every process it passes calls on to the lead that they are meant for.
+ */
+class JobService : public Duty {
+public:
+    using Done = std::function<void(JobReply)>;
+
+    JobService(MembershipService& membership, StoreService& store, BackendLink& backend, PeerLink& peers,
+        TeamTokens& tokens);
+
+    /** Takes a call from any thread; `done` is called exactly once, on any thread. */
+    void call(JobCall call, Done done);
+
+private:
+    // Lead changes and the ledger.
+    void tick();
+    void followLead(Instant now);
+    void load(std::uint64_t epoch);
+    void onLoaded(std::uint64_t epoch, const std::optional<std::vector<TableRow>>& rows);
+    void reconcile();
+    void onReconciled(const std::vector<TableRow>& rows);
+    void feed(const LedgerEvent& event);
+    void perform(const LedgerAction& action);
+    void perform(const WriteRecord& action);
+    void perform(const SendStart& action);
+    void perform(const SendRenew& action);
+    void perform(const SendStop& action);
+    void perform(const SendAck& action);
+    void perform(const JobEnded& action);
+    void perform(const Explain& action);
+    void perform(const ReleaseTokens& action);
+    void placePending();
+    void archiveFinished();
+    void pollWorkers();
+    bool mayLead() const;
+    std::string addressOf(const ServerId& worker) const;
+
+    // Calls.
+    void serve(const JobCall& call, const Done& done);
+    void submit(const JobCall& call, const Done& done);
+    void onSubmitted(const JobRecord& record, const TransactionOutcome& outcome, const Done& done);
+    void answerRepeated(const JobCall& call, const Done& done);
+    void status(const JobCall& call, const Done& done);
+    void cancel(const JobCall& call, const Done& done);
+    void list(const JobCall& call, const Done& done);
+    void explain(const JobCall& call, const Done& done);
+    void forward(const JobCall& call, const Done& done);
+    void onForward(const wire::Envelope& envelope);
+
+    MembershipService& m_membership;
+    StoreService& m_store;
+    BackendLink& m_backend;
+    PeerLink& m_peers;
+    TeamTokens& m_tokens;
+    JobLedger m_ledger;
+    bool m_loading = false;
+    bool m_feeding = false;
+    std::uint64_t m_nextJob = 1;
+    std::set<ServerId> m_polling; // workers with a report on its way
+    std::map<JobId, std::deque<std::string>> m_explanations;
+    std::deque<JobId> m_finishedOrder; // oldest first, bounds m_finished
+    std::map<JobId, JobRecord> m_finished; // lately ended, still to be shown
+};
+
+} // namespace quay
--- /dev/null
+++ b/tools/quayctl/OperatorCommands.cpp
@@ -0,0 +1,130 @@
+#include "Command.h"
+
+#include "quay/core/ConfigCompiler.h"
+
+#include <boost/json.hpp>
+#include <iostream>
+
+namespace quay::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+// The files of a command: the base first, then the overlays.
+std::optional<Configuration> compileFiles(const std::vector<std::string>& files)
+{
+    if (files.empty()) {
+        std::cerr << "quayctl: name the base file, then any overlays\n";
+        return std::nullopt;
+    }
+    std::vector<ConfigSource> sources;
+    for (const auto& file : files) {
+        auto text = readFile(file);
+        if (!text)
+            return std::nullopt;
+        sources.push_back({ file, std::move(*text) });
+    }
+    const auto base = sources.front();
+    sources.erase(sources.begin());
+    auto result = compileConfiguration(base, sources);
+    for (const auto& error : result.errors)
+        std::cerr << "error: " << error.explain() << "\n";
+    for (const auto& warning : result.warnings)
+        std::cerr << "warning: " << warning.explain() << "\n";
+    return result.configuration;
+}
+
+std::optional<Configuration> currentConfiguration(const Invocation& invocation, int& code)
+{
+    Reason reason;
+    const auto response = call(invocation.target, getRequest("/v1/config"), reason);
+    code = report(response, reason);
+    if (code != ExitOk)
+        return std::nullopt;
+    auto current = parseConfiguration(response->body, reason);
+    if (!current)
+        code = ExitUnknown;
+    return current;
+}
+
+} // namespace
+
+int runConfigCheck(const Invocation& invocation)
+{
+    const auto configuration = compileFiles(invocation.words);
+    if (!configuration)
+        return ExitUsage;
+    std::cout << "ok: " << configuration->teams.size() << " teams, " << configuration->queues.size()
+              << " queues, " << configuration->keys.size() << " keys\n";
+    return ExitOk;
+}
+
+int runConfigDiff(const Invocation& invocation)
+{
+    const auto next = compileFiles(invocation.words);
+    if (!next)
+        return ExitUsage;
+    int code = ExitOk;
+    const auto current = currentConfiguration(invocation, code);
+    if (!current)
+        return code;
+    std::cout << "against version " << current->version << "\n";
+    for (const auto& line : diff(*current, *next))
+        std::cout << line << "\n";
+    return ExitOk;
+}
+
+int runConfigApply(const Invocation& invocation)
+{
+    auto next = compileFiles(invocation.words);
+    if (!next)
+        return ExitUsage;
+    int code = ExitOk;
+    const auto current = currentConfiguration(invocation, code);
+    if (!current)
+        return code;
+    for (const auto& line : diff(*current, *next))
+        std::cerr << line << "\n";
+    next->version = current->version;
+    Reason reason;
+    const auto response = call(invocation.target, postRequest("/v1/config", toJson(*next)), reason);
+    code = report(response, reason);
+    if (code == ExitOk)
+        print(invocation, response->body);
+    return code;
+}
+
+int runConfigStatus(const Invocation& invocation)
+{
+    Reason reason;
+    const auto response = call(invocation.target, getRequest("/v1/config"), reason);
+    const int code = report(response, reason);
+    if (code == ExitOk)
+        print(invocation, response->body);
+    return code;
+}
+
+int runKeyHash(const Invocation&)
+{
+    // The key comes from the standard input, since arguments are visible to every process of the machine.
+    std::string key;
+    if (!std::getline(std::cin, key) || key.empty()) {
+        std::cerr << "quayctl: give the key on the standard input\n";
+        return ExitUsage;
+    }
+    std::cout << "sha256:" << keyHash(key) << "\n";
+    return ExitOk;
+}
+
+int runFleet(const Invocation& invocation)
+{
+    Reason reason;
+    const auto response = call(invocation.target, getRequest("/v1/fleet"), reason);
+    const int code = report(response, reason);
+    if (code == ExitOk)
+        print(invocation, response->body);
+    return code;
+}
+
+} // namespace quay::ctl
--- /dev/null
+++ b/tools/quayctl/main.cpp
@@ -0,0 +1,149 @@
+#include "Command.h"
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+
+namespace options = boost::program_options;
+
+namespace quay::ctl {
+
+const std::vector<Command>& commands()
+{
+    static const std::vector<Command> all {
+        { "ask", "send one interactive request", "ask lookup --body term", runAsk },
+        { "job submit", "hand in a job", "job submit nightly --tasks 4 --request-id r-17", runJobSubmit },
+        { "job status", "show a job and its tasks", "job status d1.18c2-1", runJobStatus },
+        { "job wait", "wait until a job has ended", "job wait d1.18c2-1", runJobWait },
+        { "job cancel", "cancel a job", "job cancel d1.18c2-1", runJobCancel },
+        { "job list", "list the team's jobs that have not ended", "job list", runJobList },
+        { "job explain", "say in words what happened to a job and why", "job explain d1.18c2-1",
+            runJobExplain },
+        { "config check", "check a base file and its overlays", "config check base.toml site.toml",
+            runConfigCheck },
+        { "config diff", "show what would change", "config diff base.toml site.toml", runConfigDiff },
+        { "config apply", "put a configuration in force", "config apply base.toml site.toml",
+            runConfigApply },
+        { "config status", "show the configuration in force", "config status", runConfigStatus },
+        { "key hash", "hash a key read from the standard input", "key hash < key.txt", runKeyHash },
+        { "fleet", "show members, leads and servers", "fleet", runFleet },
+        { "completion", "print the bash completion script", "completion > /etc/bash_completion.d/quayctl",
+            runCompletion },
+    };
+    return all;
+}
+
+int runCompletion(const Invocation&)
+{
+    std::string words;
+    for (const auto& command : commands())
+        words += command.name + " ";
+    std::cout << "complete -W '" << words << "--address --output --help' quayctl\n";
+    return ExitOk;
+}
+
+namespace {
+
+std::string environment(const char* name, const char* fallback)
+{
+    const char* value = std::getenv(name);
+    return value ? value : fallback;
+}
+
+void printHelp(const options::options_description& description)
+{
+    std::cout << "quayctl [OPTIONS] COMMAND ...: the command line of buckthornquay\n\nCommands\n";
+    for (const auto& command : commands()) {
+        const std::string gap(command.name.size() < 16 ? 16 - command.name.size() : 1, ' ');
+        std::cout << "  " << command.name << gap << command.summary << "\n"
+                  << std::string(18, ' ') << "quayctl " << command.example << "\n";
+    }
+    std::cout << "\n"
+              << description
+              << "\nEnvironment: QUAY_ADDRESS, QUAY_KEY, QUAY_KEY_FILE.\n"
+                 "Exit codes: 0 done, 1 refused (not run), 2 usage, 3 outcome unknown, 4 no answer, 5 job "
+                 "ended badly.\n";
+}
+
+const Command* findCommand(std::vector<std::string>& words)
+{
+    for (const auto& command : commands()) {
+        const auto space = command.name.find(' ');
+        const std::size_t count = space == std::string::npos ? 1 : 2;
+        if (words.size() < count)
+            continue;
+        const auto name = count == 1 ? words[0] : words[0] + " " + words[1];
+        if (name != command.name)
+            continue;
+        words.erase(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(count));
+        return &command;
+    }
+    return nullptr;
+}
+
+std::string keyFromEnvironment()
+{
+    const auto file = environment("QUAY_KEY_FILE", "");
+    if (file.empty())
+        return environment("QUAY_KEY", "");
+    auto text = readFile(file).value_or("");
+    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())))
+        text.pop_back();
+    return text;
+}
+
+int run(int argc, char** argv)
+{
+    Invocation invocation;
+    std::string output;
+    options::options_description description("Options");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("address",
+        options::value(&invocation.target.address)
+            ->default_value(environment("QUAY_ADDRESS", "127.0.0.1:8080")),
+        "entry VM or balancer, IP:PORT");
+    add("output", options::value(&output)->default_value("table"), "table or json");
+    // Global options stand before the command; everything from the command on is the command's own.
+    int globals = 1;
+    while (globals < argc && std::string(argv[globals]).starts_with("--"))
+        globals += std::string(argv[globals]).find('=') == std::string::npos
+                && std::string(argv[globals]) != "--help"
+            ? 2
+            : 1;
+    globals = std::min(globals, argc);
+    options::variables_map values;
+    options::store(options::command_line_parser(globals, argv).options(description).run(), values);
+    options::notify(values);
+    invocation.words.assign(argv + globals, argv + argc);
+    if (values.count("help") || invocation.words.empty()) {
+        printHelp(description);
+        return values.count("help") ? ExitOk : ExitUsage;
+    }
+    if (output != "table" && output != "json") {
+        std::cerr << "quayctl: --output is table or json\n";
+        return ExitUsage;
+    }
+    invocation.output = output == "json" ? Output::Json : Output::Table;
+    invocation.target.key = keyFromEnvironment();
+    const auto* command = findCommand(invocation.words);
+    if (!command) {
+        std::cerr << "quayctl: no command '" << invocation.words.front() << "'; see 'quayctl --help'\n";
+        return ExitUsage;
+    }
+    return command->run(invocation);
+}
+
+} // namespace
+
+} // namespace quay::ctl
+
+int main(int argc, char** argv)
+{
+    try {
+        return quay::ctl::run(argc, argv);
+    } catch (const std::exception& error) {
+        std::cerr << "quayctl: " << error.what() << "; see 'quayctl --help'\n";
+        return quay::ctl::ExitUsage;
+    }
+}
