--- /dev/null
+++ b/include/quay/core/Placement.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "quay/core/FairShare.h"
+#include "quay/core/Job.h"
+#include "quay/core/Reason.h"
+#include "quay/core/Time.h"
+#include "quay/core/WorkerIndex.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace quay {
+
+/** The tasks of one job that wait for a worker. */
+struct PendingWork {
+    JobId job;
+    TeamId team;
+    JobKind kind = JobKind::Batch;
+    Resources perTask;
+    std::uint32_t taskCount = 0; // pending tasks; for a gang all of them
+    std::int64_t submittedAtMs = 0; // only orders jobs against each other
+    std::int64_t declaredRunTimeMs = 0; // declared or learned; 0: not known
+    std::vector<ServerId> avoid; // workers where it failed
+
+    bool operator==(const PendingWork&) const = default;
+};
+
+/** One task goes to one worker. All placements of a gang are in one answer, or none is. */
+struct Placement {
+    JobId job;
+    std::uint32_t nthPending = 0; // counts the job's pending tasks from 0
+    ServerId worker;
+
+    bool operator==(const Placement&) const = default;
+};
+
+/** Why a job was not (wholly) placed this time. */
+struct Hold {
+    JobId job;
+    ErrorKind why = ErrorKind::None; // QuotaExhausted, NoCapacity or NeverRunnable
+    std::string detail;
+
+    bool operator==(const Hold&) const = default;
+};
+
+/** The answer of place(). */
+struct PlacementResult {
+    std::vector<Placement> placements;
+    std::vector<Hold> holds; // none for work that maxPlacements cut off
+
+    bool operator==(const PlacementResult&) const = default;
+};
+
+/** How work is ordered and packed. */
+struct PlacementPolicy {
+    enum class Packing {
+        BestFit,
+        FirstFit,
+        Random,
+    };
+    enum class Sharing {
+        FairShare,
+        Fifo,
+    };
+    // Rules that tests switch off to prove that the checkers notice.
+    struct Rules {
+        bool checkMemory = true;
+        bool gangsAreAtomic = true;
+        bool spendTokens = true;
+        bool reserveForGangs = true;
+
+        bool operator==(const Rules&) const = default;
+    };
+
+    Packing packing = Packing::BestFit;
+    Sharing sharing = Sharing::FairShare;
+    Duration usageHalfLife = std::chrono::minutes(10);
+    Duration gangPatience = std::chrono::seconds(60); // then it reserves draining workers
+    Duration backfillHorizon = std::chrono::minutes(30); // back-fill never delays a gang by more
+    Rules rules;
+
+    bool operator==(const PlacementPolicy&) const = default;
+};
+
+/** Draining workers set aside for one gang. */
+struct GangReservation {
+    JobId job;
+    std::unordered_set<std::uint32_t> workers; // numbers in the WorkerIndex
+    Instant neededAt {}; // back-fill on these workers must have ended by then
+
+    bool operator==(const GangReservation&) const = default;
+};
+
+/**
+ * Everything that placement remembers between calls.
+ *
+ * place() counts its placements as used (worker and team) at once. Whoever carries them out reports
+ * the end, or that a placement was not carried out, with taskEnded().
+ *
+ * Usage:
+ *     PlacementState state(policy, seed);
+ *     state.setWorkers(views, true);
+ *     auto result = place(state, pending, tokensOf, now, 100);
+ */
+class PlacementState {
+public:
+    explicit PlacementState(PlacementPolicy policy = {}, std::uint64_t seed = 1);
+
+    /**
+     * Replaces the list of workers. `complete` says that this is the whole list of the failure domain;
+     * only then may a job be called never runnable.
+     */
+    void setWorkers(const std::vector<WorkerView>& workers, bool complete);
+
+    /** Adds a worker or replaces what is known of it. */
+    void updateWorker(const WorkerView& worker);
+
+    /** Forgets a worker that left. */
+    void removeWorker(const ServerId& worker);
+
+    /** Sets a team's weight (its share); teams start with 1. */
+    void setWeight(const TeamId& team, double weight);
+
+    /** Counts a running task for its team that place() did not start here (after a takeover). */
+    void charge(const TeamId& team, const Resources& amount, Instant now);
+
+    /** Takes an ended task off its team only; see taskEnded() for worker and team together. */
+    void release(const TeamId& team, const Resources& amount, Instant now);
+
+    /** Takes an ended (or never started) task off its worker and its team. */
+    void taskEnded(
+        const TeamId& team, const ServerId& worker, const Resources& amount, JobKind kind, Instant now);
+
+    /** What a team holds and held; a team that is not known holds nothing. */
+    TeamUsage usageOf(const TeamId& team) const;
+
+    const PlacementPolicy& policy() const { return m_policy; }
+    const WorkerIndex& workers() const { return m_index; }
+    WorkerIndex& workers() { return m_index; }
+    FairShare& fairShare() { return m_fairShare; }
+    bool complete() const { return m_complete; }
+    std::mt19937_64& random() { return m_random; }
+    std::optional<GangReservation>& reservation() { return m_reservation; }
+    std::unordered_map<JobId, Instant>& gangsWaitingSince() { return m_gangsWaitingSince; }
+    std::unordered_map<JobId, RackCounts>& serviceRacks() { return m_serviceRacks; }
+
+private:
+    PlacementPolicy m_policy;
+    WorkerIndex m_index;
+    FairShare m_fairShare;
+    bool m_complete = false;
+    std::mt19937_64 m_random;
+    std::optional<GangReservation> m_reservation;
+    std::unordered_map<JobId, Instant> m_gangsWaitingSince;
+    std::unordered_map<JobId, RackCounts> m_serviceRacks; // for spreading
+};
+
+/** How many tasks a team may still start: its unused quota grant. */
+using AvailableTokens = std::function<std::uint32_t(const TeamId&)>;
+
+/**
+ * Decides which pending tasks start now, and where.
+ *
+ * @param state what is remembered between calls; changed by the placements made
+ * @param pending all pending work, each job once
+ * @param availableTokens asked once for each team; never more placements for the team than this
+ * @param now of the monotonic clock, not falling between calls
+ * @param maxPlacements the call stops when it has made this many; a gang is still placed whole
+ */
+PlacementResult place(PlacementState& state, const std::vector<PendingWork>& pending,
+    const AvailableTokens& availableTokens, Instant now, std::uint32_t maxPlacements);
+
+/**
+ * What to count for a task: the declared size is the floor, what was counted before is kept,
+ * and a lagging report may only raise it.
+ */
+Resources countedUsage(const Resources& declared, const Resources& countedBefore, const Resources& reported);
+
+} // namespace quay
