Placement, fair share, worker index and preemption as pure cores

Starts and ends go through taskStarted and taskEnded, so that a takeover counts running tasks the same way as place() does.

--- a/include/quay/core/Placement.h
+++ b/include/quay/core/Placement.h
@@ -73,7 +73,7 @@
         bool checkMemory = true;
         bool gangsAreAtomic = true;
         bool spendTokens = true;
-        bool reserveForGangs = true;
+        bool reserveCapacity = true;
 
         bool operator==(const Rules&) const = default;
     };
@@ -81,20 +81,33 @@
     Packing packing = Packing::BestFit;
     Sharing sharing = Sharing::FairShare;
     Duration usageHalfLife = std::chrono::minutes(10);
-    Duration gangPatience = std::chrono::seconds(60); // then it reserves draining workers
-    Duration backfillHorizon = std::chrono::minutes(30); // back-fill never delays a gang by more
+    Duration holdPatience = std::chrono::seconds(60); // then held work reserves draining workers
+    Duration backfillHorizon = std::chrono::minutes(30); // back-fill never delays reserved work by more
     Rules rules;
 
     bool operator==(const PlacementPolicy&) const = default;
 };
 
-/** Draining workers set aside for one gang. */
-struct GangReservation {
+/** A task that holds room on a worker. */
+struct RunningTask {
+    JobId job;
+    TeamId team;
+    JobKind kind = JobKind::Batch;
+    ServerId worker;
+    Resources amount; // what is counted for it, see countedUsage()
+    std::int64_t declaredRunTimeMs = 0; // what remains of it; 0: not known
+
+    bool operator==(const RunningTask&) const = default;
+};
+
+/** Draining workers set aside for work that waited too long: a gang, or a task too large for any gap. */
+struct CapacityReservation {
     JobId job;
     std::unordered_set<std::uint32_t> workers; // numbers in the WorkerIndex
     Instant neededAt {}; // back-fill on these workers must have ended by then
+    Instant expiresAt {}; // if they haven't drained by then, others are chosen
 
-    bool operator==(const GangReservation&) const = default;
+    bool operator==(const CapacityReservation&) const = default;
 };
 
 /**
@@ -118,7 +131,10 @@
      */
     void setWorkers(const std::vector<WorkerView>& workers, bool complete);
 
-    /** Adds a worker or replaces what is known of it. */
+    /**
+     * Adds a worker or replaces what is known of it. Only `pinned` and `drainsAt` of a known worker,
+     * which placements and ends keep current, can't be lowered this way.
+     */
     void updateWorker(const WorkerView& worker);
 
     /** Forgets a worker that left. */
@@ -127,16 +143,19 @@
     /** Sets a team's weight (its share); teams start with 1. */
     void setWeight(const TeamId& team, double weight);
 
-    /** Counts a running task for its team that place() did not start here (after a takeover). */
+    /** Counts a task on its worker and its team; for tasks that place() did not start here (after a
+     * takeover). */
+    void taskStarted(const RunningTask& task, Instant now);
+
+    /** Takes an ended (or never started) task off its worker and its team. */
+    void taskEnded(const RunningTask& task, Instant now);
+
+    /** Counts a running task for its team only, if the worker's view has it in `used` already. */
     void charge(const TeamId& team, const Resources& amount, Instant now);
 
-    /** Takes an ended task off its team only; see taskEnded() for worker and team together. */
+    /** Takes an ended task off its team only, if the worker's view has been updated without it. */
     void release(const TeamId& team, const Resources& amount, Instant now);
 
-    /** Takes an ended (or never started) task off its worker and its team. */
-    void taskEnded(
-        const TeamId& team, const ServerId& worker, const Resources& amount, JobKind kind, Instant now);
-
     /** What a team holds and held; a team that is not known holds nothing. */
     TeamUsage usageOf(const TeamId& team) const;
 
@@ -146,9 +165,9 @@
     FairShare& fairShare() { return m_fairShare; }
     bool complete() const { return m_complete; }
     std::mt19937_64& random() { return m_random; }
-    std::optional<GangReservation>& reservation() { return m_reservation; }
-    std::unordered_map<JobId, Instant>& gangsWaitingSince() { return m_gangsWaitingSince; }
-    std::unordered_map<JobId, RackCounts>& serviceRacks() { return m_serviceRacks; }
+    std::optional<CapacityReservation>& reservation() { return m_reservation; }
+    std::unordered_map<JobId, Instant>& heldSince() { return m_heldSince; }
+    const RackCounts* racksOfService(const JobId& job) const;
 
 private:
     PlacementPolicy m_policy;
@@ -156,8 +175,8 @@
     FairShare m_fairShare;
     bool m_complete = false;
     std::mt19937_64 m_random;
-    std::optional<GangReservation> m_reservation;
-    std::unordered_map<JobId, Instant> m_gangsWaitingSince;
+    std::optional<CapacityReservation> m_reservation;
+    std::unordered_map<JobId, Instant> m_heldSince; // work that found no room or tokens at all
     std::unordered_map<JobId, RackCounts> m_serviceRacks; // for spreading
 };
 
--- a/include/quay/core/Resources.h
+++ b/include/quay/core/Resources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -39,4 +40,13 @@
 inline Resources operator+(Resources a, const Resources& b) { return a += b; }
 inline Resources operator-(Resources a, const Resources& b) { return a -= b; }
 
+/** The amount with every dimension below zero raised to zero. */
+inline Resources atLeastZero(Resources amount)
+{
+    amount.cpuMilli = std::max<std::int64_t>(amount.cpuMilli, 0);
+    amount.memoryMb = std::max<std::int64_t>(amount.memoryMb, 0);
+    amount.accelerators = std::max<std::int64_t>(amount.accelerators, 0);
+    return amount;
+}
+
 } // namespace quay
--- a/include/quay/core/WorkerIndex.h
+++ b/include/quay/core/WorkerIndex.h
@@ -76,12 +76,12 @@
     {
         return m_racks[rack].workers;
     }
-    /** Sum of what is free on the usable workers of a rack. */
+    /** Sum of what is free (at least zero each) on the usable workers of a rack. */
     const Resources& rackFree(std::uint32_t rack) const { return m_racks[rack].free; }
     /** Sum of the capacity of all usable workers. */
     const Resources& totalCapacity() const { return m_totalCapacity; }
-    /** True if some worker's whole capacity holds the size, usable now or not. */
-    bool everFits(const Resources& need) const;
+    /** How many tasks of the size all workers could hold if they were empty, usable now or not. */
+    std::uint64_t everFits(const Resources& need) const;
 
     /** The tightest worker that has room and is accepted: fewest free accelerators, then cpu, then memory. */
     std::optional<std::uint32_t> bestFit(const Resources& need, const Accept& accept) const;
@@ -100,10 +100,15 @@
     struct Entry {
         WorkerView view;
         std::uint32_t rack = 0;
-        bool listed = false;
+        bool known = false; // not removed
+        bool listed = false; // has a cell
         std::uint32_t cell = 0; // valid while listed
         std::uint32_t position = 0; // within the cell's vector
     };
+    struct Shape {
+        Resources capacity;
+        std::uint32_t workers = 0;
+    };
     struct Rack {
         std::string name;
         std::vector<std::uint32_t> workers;
@@ -118,6 +123,7 @@
     void list(std::uint32_t worker);
     void unlist(std::uint32_t worker);
     void noteShape(const Resources& capacity);
+    void forgetShape(const Resources& capacity);
     bool takes(std::uint32_t worker, const Resources& need, const Accept& accept) const;
     std::optional<std::uint32_t> searchPlane(
         std::size_t plane, const Resources& need, const Accept& accept) const;
@@ -131,7 +137,7 @@
     std::array<Plane, planeCount> m_planes {};
     std::vector<std::vector<std::uint32_t>> m_cells { planeCount * bucketCount * bucketCount };
     Resources m_totalCapacity;
-    std::vector<Resources> m_shapes; // the distinct capacities, few
+    std::vector<Shape> m_shapes; // the distinct capacities, few
 };
 
 } // namespace quay
--- /dev/null
+++ b/src/core/FairShare.cpp
@@ -0,0 +1,76 @@
+#include "quay/core/FairShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quay {
+
+namespace {
+
+double blend(double average, std::int64_t running, double kept)
+{
+    return average * kept + static_cast<double>(running) * (1 - kept);
+}
+
+double fraction(double amount, std::int64_t total)
+{
+    return total > 0 ? amount / static_cast<double>(total) : 0;
+}
+
+// The average must be brought forward before `running` changes: up to `now` the old amount was held.
+TeamUsage broughtForward(TeamUsage usage, Duration halfLife, Instant now)
+{
+    usage.average = averageAt(usage, halfLife, now);
+    usage.averagedAt = std::max(usage.averagedAt, now);
+    return usage;
+}
+
+} // namespace
+
+AverageResources averageAt(const TeamUsage& usage, Duration halfLife, Instant now)
+{
+    if (now <= usage.averagedAt || halfLife <= Duration::zero())
+        return usage.average;
+    const std::chrono::duration<double> passed = now - usage.averagedAt;
+    const std::chrono::duration<double> half = halfLife;
+    // Example: after one half-life, half of the average comes from before and half from what runs.
+    const double kept = std::exp2(-(passed / half));
+    return { blend(usage.average.cpuMilli, usage.running.cpuMilli, kept),
+        blend(usage.average.memoryMb, usage.running.memoryMb, kept),
+        blend(usage.average.accelerators, usage.running.accelerators, kept) };
+}
+
+TeamUsage charged(
+    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
+{
+    usage = broughtForward(usage, halfLife, now);
+    usage.running += amount;
+    usage.runningTasks += tasks;
+    return usage;
+}
+
+TeamUsage released(
+    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
+{
+    usage = broughtForward(usage, halfLife, now);
+    usage.running = atLeastZero(usage.running - amount);
+    usage.runningTasks -= std::min(usage.runningTasks, tasks);
+    return usage;
+}
+
+double dominantShare(const AverageResources& amount, const Resources& total)
+{
+    return std::max({ fraction(amount.cpuMilli, total.cpuMilli), fraction(amount.memoryMb, total.memoryMb),
+        fraction(amount.accelerators, total.accelerators) });
+}
+
+double shareScore(const TeamUsage& usage, const Resources& total, Duration halfLife, Instant now)
+{
+    auto held = averageAt(usage, halfLife, now);
+    held.cpuMilli += static_cast<double>(usage.running.cpuMilli);
+    held.memoryMb += static_cast<double>(usage.running.memoryMb);
+    held.accelerators += static_cast<double>(usage.running.accelerators);
+    return dominantShare(held, total) / usage.weight;
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/core/GangPlacement.cpp
@@ -0,0 +1,141 @@
+#include "core/GangPlacement.h"
+
+#include <algorithm>
+
+namespace quay::internal {
+
+namespace {
+
+struct WorkerFit {
+    std::uint32_t worker;
+    std::uint32_t count;
+};
+
+struct RackFit {
+    std::uint32_t rack;
+    std::uint64_t count;
+};
+
+class RackChooser {
+public:
+    RackChooser(const WorkerIndex& index, const GangNeed& need, const RoomOf& roomOf,
+        const WorkerIndex::Accept& accept)
+        : m_index(index)
+        , m_need(need)
+        , m_roomOf(roomOf)
+        , m_accept(accept)
+    {
+        for (std::uint32_t rack = 0; rack < index.rackCount(); ++rack) {
+            const auto count = rackCount(rack);
+            if (count > 0)
+                m_racks.push_back({ rack, count });
+        }
+        std::sort(m_racks.begin(), m_racks.end(), [this](const RackFit& a, const RackFit& b) {
+            return a.count != b.count ? a.count < b.count : prefer(idleOfRack(a), idleOfRack(b));
+        });
+    }
+
+    std::optional<std::vector<std::uint32_t>> choose()
+    {
+        std::uint64_t total = 0;
+        for (const auto& rack : m_racks)
+            total += rack.count;
+        if (total < m_need.taskCount)
+            return std::nullopt;
+        while (m_chosen.size() < m_need.taskCount)
+            fill(takeRack(m_need.taskCount - m_chosen.size()));
+        return std::move(m_chosen);
+    }
+
+private:
+    std::int64_t idleOfRack(const RackFit& fit) const { return m_index.rackFree(fit.rack).cpuMilli; }
+    std::int64_t idleOfWorker(const WorkerFit& fit) const { return m_index.at(fit.worker).free().cpuMilli; }
+    bool prefer(std::int64_t a, std::int64_t b) const { return m_need.preferIdle ? a > b : a < b; }
+
+    // The smallest rack that holds all that remains; if there is none, the largest one.
+    std::uint32_t takeRack(std::uint64_t remaining)
+    {
+        auto it = std::lower_bound(m_racks.begin(), m_racks.end(), remaining,
+            [](const RackFit& rack, std::uint64_t count) { return rack.count < count; });
+        if (it == m_racks.end())
+            --it;
+        const auto rack = it->rack;
+        m_racks.erase(it);
+        return rack;
+    }
+
+    std::vector<WorkerFit> fitsOf(std::uint32_t rack) const
+    {
+        std::vector<WorkerFit> fits;
+        for (const auto worker : m_index.workersOfRack(rack)) {
+            if (!m_index.at(worker).usable || !m_accept(worker))
+                continue;
+            const auto count = fitCount(m_need.perTask, m_roomOf(worker));
+            if (count > 0)
+                fits.push_back({ worker, count });
+        }
+        return fits;
+    }
+
+    std::uint64_t rackCount(std::uint32_t rack) const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& fit : fitsOf(rack))
+            sum += fit.count;
+        return sum;
+    }
+
+    // Roomiest workers first, so that the gang touches few workers.
+    void fill(std::uint32_t rack)
+    {
+        auto fits = fitsOf(rack);
+        std::stable_sort(fits.begin(), fits.end(), [this](const WorkerFit& a, const WorkerFit& b) {
+            return a.count != b.count ? a.count > b.count : prefer(idleOfWorker(a), idleOfWorker(b));
+        });
+        for (const auto& fit : fits) {
+            const auto remaining = m_need.taskCount - m_chosen.size();
+            m_chosen.insert(m_chosen.end(), std::min<std::size_t>(fit.count, remaining), fit.worker);
+        }
+    }
+
+    const WorkerIndex& m_index;
+    const GangNeed& m_need;
+    const RoomOf& m_roomOf;
+    const WorkerIndex::Accept& m_accept;
+    std::vector<RackFit> m_racks; // not taken yet, ascending by count
+    std::vector<std::uint32_t> m_chosen;
+};
+
+// A cheap upper bound from the racks' sums: most gangs that can't be placed are turned away here.
+bool mayFit(const WorkerIndex& index, const GangNeed& need)
+{
+    std::uint64_t bound = 0;
+    for (std::uint32_t rack = 0; rack < index.rackCount(); ++rack)
+        bound += fitCount(need.perTask, index.rackFree(rack));
+    return bound >= need.taskCount;
+}
+
+} // namespace
+
+std::optional<std::vector<std::uint32_t>> placeTogether(
+    const WorkerIndex& index, const GangNeed& need, const RoomOf& roomOf, const WorkerIndex::Accept& accept)
+{
+    return RackChooser(index, need, roomOf, accept).choose();
+}
+
+std::optional<std::vector<std::uint32_t>> placeGangNow(
+    const WorkerIndex& index, const GangNeed& need, const WorkerIndex::Accept& accept)
+{
+    if (!mayFit(index, need))
+        return std::nullopt;
+    const RoomOf freeNow = [&](std::uint32_t worker) { return index.at(worker).free(); };
+    if (need.perTask.accelerators > 0)
+        return placeTogether(index, need, freeNow, accept);
+    const WorkerIndex::Accept plainOnly
+        = [&](std::uint32_t worker) { return index.at(worker).capacity.accelerators == 0 && accept(worker); };
+    if (auto chosen = placeTogether(index, need, freeNow, plainOnly))
+        return chosen;
+    return placeTogether(index, need, freeNow, accept);
+}
+
+} // namespace quay::internal
--- /dev/null
+++ b/src/core/GangPlacement.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "quay/core/WorkerIndex.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace quay::internal {
+
+// What may be used of a worker: its free room now, or its room once it has drained.
+using RoomOf = std::function<Resources(std::uint32_t)>;
+
+// What a gang asks for.
+struct GangNeed {
+    Resources perTask;
+    std::uint32_t taskCount = 0;
+    bool preferIdle = false; // among equals, what has most free now (it drains first); else the least free
+};
+
+// A worker for each task, on as few racks as the greedy choice finds; nullopt if they don't all fit.
+// Only usable and accepted workers count. Neither the index nor anything else changes.
+std::optional<std::vector<std::uint32_t>> placeTogether(
+    const WorkerIndex& index, const GangNeed& need, const RoomOf& roomOf, const WorkerIndex::Accept& accept);
+
+// The same on what is free now; workers with accelerators are a last resort for work without.
+std::optional<std::vector<std::uint32_t>> placeGangNow(
+    const WorkerIndex& index, const GangNeed& need, const WorkerIndex::Accept& accept);
+
+} // namespace quay::internal
--- /dev/null
+++ b/src/core/Placement.cpp
@@ -0,0 +1,467 @@
+#include "quay/core/Placement.h"
+
+#include "core/GangPlacement.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace quay {
+
+namespace {
+
+using internal::GangNeed;
+
+constexpr std::size_t maxRememberedFailures = 16;
+
+// The jobs that are served one after the other: those of one team, or all of them (FIFO).
+struct Line {
+    TeamUsage* usage = nullptr; // of the team; null under FIFO
+    std::vector<std::uint32_t> jobs; // numbers in `pending`, oldest first
+    std::size_t next = 0;
+    std::uint32_t placedOfNext = 0;
+};
+
+struct LineRank {
+    double score;
+    std::size_t line;
+};
+
+// A size that found no worker in this call: whatever is as large and runs as long finds none either.
+struct FailedSize {
+    Resources size;
+    std::int64_t runTimeMs;
+};
+
+// Held work that may get a reservation.
+struct Starved {
+    Instant since;
+    std::int64_t submittedAtMs;
+    const PendingWork* work;
+};
+
+std::uint32_t tasksAtOnce(const PendingWork& work) { return work.kind == JobKind::Gang ? work.taskCount : 1; }
+
+std::int64_t comparableRunTime(const PendingWork& work)
+{
+    if (work.kind == JobKind::Service || work.declaredRunTimeMs <= 0)
+        return std::numeric_limits<std::int64_t>::max();
+    return work.declaredRunTimeMs;
+}
+
+class Pass {
+public:
+    Pass(PlacementState& state, const std::vector<PendingWork>& pending, const AvailableTokens& tokensOf,
+        Instant now, std::uint32_t maxPlacements)
+        : m_state(state)
+        , m_index(state.workers())
+        , m_policy(state.policy())
+        , m_pending(pending)
+        , m_tokensOf(tokensOf)
+        , m_now(now)
+        , m_maxPlacements(maxPlacements)
+    {
+    }
+
+    PlacementResult run()
+    {
+        serveReservation();
+        makeLines();
+        serveLines();
+        rememberHeld();
+        reserveForStarved();
+        return std::move(m_result);
+    }
+
+private:
+    // --- order ---
+
+    void makeLines()
+    {
+        std::unordered_map<TeamId, std::size_t> lineOf;
+        for (std::uint32_t job = 0; job < m_pending.size(); ++job) {
+            if (m_pending[job].taskCount == 0 || job == m_servedFirst)
+                continue;
+            const bool fair = m_policy.sharing == PlacementPolicy::Sharing::FairShare;
+            const auto& key = fair ? m_pending[job].team : TeamId {};
+            const auto [it, added] = lineOf.try_emplace(key, m_lines.size());
+            if (added)
+                m_lines.push_back({ fair ? &m_state.fairShare().teams[key] : nullptr, {}, 0, 0 });
+            m_lines[it->second].jobs.push_back(job);
+        }
+        for (auto& line : m_lines)
+            sortBySubmission(line.jobs);
+    }
+
+    void sortBySubmission(std::vector<std::uint32_t>& jobs) const
+    {
+        const auto older = [this](std::uint32_t a, std::uint32_t b) {
+            return std::tie(m_pending[a].submittedAtMs, a) < std::tie(m_pending[b].submittedAtMs, b);
+        };
+        if (!std::is_sorted(jobs.begin(), jobs.end(), older))
+            std::sort(jobs.begin(), jobs.end(), older);
+    }
+
+    double scoreOf(const Line& line) const
+    {
+        if (!line.usage)
+            return 0;
+        return shareScore(*line.usage, m_index.totalCapacity(), m_state.fairShare().halfLife, m_now);
+    }
+
+    // Only the line that was served changes its score, so only it moves within the heap.
+    void serveLines()
+    {
+        const auto later = [](const LineRank& a, const LineRank& b) {
+            return std::tie(a.score, a.line) > std::tie(b.score, b.line);
+        };
+        std::vector<LineRank> heap;
+        for (std::size_t line = 0; line < m_lines.size(); ++line)
+            heap.push_back({ scoreOf(m_lines[line]), line });
+        std::make_heap(heap.begin(), heap.end(), later);
+        while (!heap.empty() && !full()) {
+            std::pop_heap(heap.begin(), heap.end(), later);
+            auto& line = m_lines[heap.back().line];
+            if (serveNext(line))
+                heap.back().score = scoreOf(line);
+            if (line.next == line.jobs.size())
+                heap.pop_back();
+            else
+                std::push_heap(heap.begin(), heap.end(), later);
+        }
+        m_allSeen = heap.empty();
+    }
+
+    bool full() const { return m_result.placements.size() >= m_maxPlacements; }
+
+    // True if something was placed. Work that can't be placed is held and the line moves on.
+    bool serveNext(Line& line)
+    {
+        const auto& work = m_pending[line.jobs[line.next]];
+        const auto placed = placeSome(work, line.placedOfNext);
+        line.placedOfNext += placed;
+        if (placed == 0 || line.placedOfNext == work.taskCount) {
+            ++line.next;
+            line.placedOfNext = 0;
+        }
+        return placed > 0;
+    }
+
+    // --- placing ---
+
+    std::uint32_t placeSome(const PendingWork& work, std::uint32_t alreadyPlaced)
+    {
+        const bool atOnce = work.kind == JobKind::Gang && m_policy.rules.gangsAreAtomic;
+        const std::uint32_t count = atOnce ? work.taskCount : 1;
+        if (!enoughTokens(work, count))
+            return 0;
+        const auto workers = atOnce ? findForGang(work) : findForTask(work);
+        if (workers.empty()) {
+            holdForRoom(work, alreadyPlaced);
+            return 0;
+        }
+        for (std::uint32_t i = 0; i < workers.size(); ++i)
+            start(work, alreadyPlaced + i, workers[i]);
+        if (m_state.reservation() && m_state.reservation()->job == work.job)
+            m_state.reservation().reset();
+        m_state.heldSince().erase(work.job);
+        return count;
+    }
+
+    void start(const PendingWork& work, std::uint32_t nth, std::uint32_t worker)
+    {
+        const auto& server = m_index.at(worker).id;
+        m_result.placements.push_back({ work.job, nth, server });
+        m_state.taskStarted(
+            { work.job, work.team, work.kind, server, work.perTask, work.declaredRunTimeMs }, m_now);
+        --tokensLeft(work.team);
+    }
+
+    Resources countedSize(const PendingWork& work) const
+    {
+        auto size = work.perTask;
+        if (!m_policy.rules.checkMemory)
+            size.memoryMb = std::numeric_limits<std::int64_t>::min() / 2;
+        return size;
+    }
+
+    bool mayUse(const PendingWork& work, std::uint32_t worker) const
+    {
+        if (!work.avoid.empty()
+            && std::find(work.avoid.begin(), work.avoid.end(), m_index.at(worker).id) != work.avoid.end())
+            return false;
+        const auto& reservation = m_state.reservation();
+        if (!reservation || reservation->job == work.job || !reservation->workers.contains(worker))
+            return true;
+        return endsBefore(work, reservation->neededAt);
+    }
+
+    // Back-fill: only work whose end is known, and before the reservation wants the worker.
+    bool endsBefore(const PendingWork& work, Instant limit) const
+    {
+        if (work.kind == JobKind::Service || work.declaredRunTimeMs <= 0)
+            return false;
+        return m_now + std::chrono::milliseconds(work.declaredRunTimeMs) <= limit;
+    }
+
+    std::optional<std::uint32_t> findWorker(const PendingWork& work, const WorkerIndex::Accept& accept)
+    {
+        switch (m_policy.packing) {
+        case PlacementPolicy::Packing::FirstFit:
+            return m_index.firstFit(countedSize(work), accept);
+        case PlacementPolicy::Packing::Random:
+            return m_index.randomFit(countedSize(work), accept, m_state.random());
+        case PlacementPolicy::Packing::BestFit:
+            break;
+        }
+        return m_index.bestFit(countedSize(work), accept);
+    }
+
+    std::vector<std::uint32_t> findForTask(const PendingWork& work)
+    {
+        if (failedBefore(work))
+            return {};
+        auto worker = findOnNewRack(work);
+        if (!worker)
+            worker = findWorker(work, [&](std::uint32_t it) { return mayUse(work, it); });
+        if (worker)
+            return { *worker };
+        if (work.avoid.empty() && m_failures.size() < maxRememberedFailures)
+            m_failures.push_back({ work.perTask, comparableRunTime(work) });
+        return {};
+    }
+
+    bool failedBefore(const PendingWork& work) const
+    {
+        // The reservation's own work may use workers that the others were refused.
+        if (m_state.reservation() && m_state.reservation()->job == work.job)
+            return false;
+        return std::any_of(m_failures.begin(), m_failures.end(), [&](const FailedSize& failed) {
+            return failed.size.fitsIn(work.perTask) && failed.runTimeMs <= comparableRunTime(work);
+        });
+    }
+
+    // A service's task prefers racks that hold the fewest tasks of this service.
+    std::optional<std::uint32_t> findOnNewRack(const PendingWork& work)
+    {
+        const auto* racks = work.kind == JobKind::Service ? m_state.racksOfService(work.job) : nullptr;
+        if (!racks || m_policy.packing != PlacementPolicy::Packing::BestFit)
+            return std::nullopt;
+        const auto [fewest, most] = std::minmax_element(racks->begin(), racks->end(),
+            [](const auto& one, const auto& other) { return one.second < other.second; });
+        const bool allRacksHoldIt = racks->size() == m_index.rackCount();
+        for (auto level = allRacksHoldIt ? fewest->second : 0; level <= most->second; ++level) {
+            const auto worker = m_index.bestFit(countedSize(work), [&](std::uint32_t it) {
+                const auto rack = racks->find(m_index.rackOf(it));
+                return (rack == racks->end() || rack->second <= level) && mayUse(work, it);
+            });
+            if (worker)
+                return worker;
+        }
+        return std::nullopt;
+    }
+
+    std::vector<std::uint32_t> findForGang(const PendingWork& work)
+    {
+        const GangNeed need { countedSize(work), work.taskCount, false };
+        const WorkerIndex::Accept accept = [&](std::uint32_t worker) { return mayUse(work, worker); };
+        if (m_policy.packing == PlacementPolicy::Packing::BestFit)
+            return internal::placeGangNow(m_index, need, accept).value_or(std::vector<std::uint32_t> {});
+        return findOneByOne(work, accept);
+    }
+
+    // Tries the tasks on the index itself and takes all of them off again.
+    std::vector<std::uint32_t> findOneByOne(const PendingWork& work, const WorkerIndex::Accept& accept)
+    {
+        std::vector<std::uint32_t> chosen;
+        while (chosen.size() < work.taskCount) {
+            const auto worker = findWorker(work, accept);
+            if (!worker)
+                break;
+            m_index.addUsed(*worker, work.perTask);
+            chosen.push_back(*worker);
+        }
+        for (const auto worker : chosen)
+            m_index.removeUsed(worker, work.perTask);
+        if (chosen.size() < work.taskCount)
+            chosen.clear();
+        return chosen;
+    }
+
+    // --- tokens ---
+
+    std::uint32_t& tokensLeft(const TeamId& team)
+    {
+        const auto it = m_tokens.find(team);
+        if (it != m_tokens.end())
+            return it->second;
+        const bool spend = m_policy.rules.spendTokens;
+        const auto tokens = spend ? m_tokensOf(team) : std::numeric_limits<std::uint32_t>::max();
+        return m_tokens.emplace(team, tokens).first->second;
+    }
+
+    // Tokens that are being saved up for starved work are not there for the team's other work.
+    bool enoughTokens(const PendingWork& work, std::uint32_t count)
+    {
+        const auto left = tokensLeft(work.team);
+        const auto saved = m_savedTokens.find(work.team);
+        const auto kept
+            = saved == m_savedTokens.end() || saved->second.work == &work ? 0 : saved->second.count;
+        if (left >= kept && left - kept >= count)
+            return true;
+        const auto why = kept > 0 ? "quota is kept for older work of the team: " : "unused quota: ";
+        hold(work, ErrorKind::QuotaExhausted,
+            why + std::to_string(left) + " tasks, needed " + std::to_string(count + kept));
+        noteStarved(work);
+        saveTokens(work, count);
+        return false;
+    }
+
+    // A gang would starve on tokens if smaller work of its team took each one that comes back.
+    // Saving starts only if what the team's own running tasks give back can be enough.
+    void saveTokens(const PendingWork& work, std::uint32_t count)
+    {
+        if (!m_policy.rules.reserveCapacity || !outOfPatience(work) || m_savedTokens.contains(work.team))
+            return;
+        const auto reachable
+            = std::uint64_t { tokensLeft(work.team) } + m_state.usageOf(work.team).runningTasks;
+        if (reachable >= count)
+            m_savedTokens.emplace(work.team, SavedTokens { &work, count });
+    }
+
+    // --- work that is held ---
+
+    void hold(const PendingWork& work, ErrorKind why, std::string detail)
+    {
+        m_result.holds.push_back({ work.job, why, std::move(detail) });
+    }
+
+    void holdForRoom(const PendingWork& work, std::uint32_t alreadyPlaced)
+    {
+        if (m_state.complete() && m_index.everFits(work.perTask) < tasksAtOnce(work)) {
+            hold(work, ErrorKind::NeverRunnable,
+                work.kind == JobKind::Gang ? "the empty fleet has no room for all tasks at once"
+                                           : "larger than every worker");
+            return;
+        }
+        const auto& reservation = m_state.reservation();
+        const bool waitsReserved = reservation && reservation->job == work.job;
+        hold(work, ErrorKind::NoCapacity,
+            waitsReserved ? "workers are reserved for it and drain" : "no worker that it may use has room");
+        if (alreadyPlaced > 0)
+            return;
+        noteStarved(work);
+        saveTokens(work, tasksAtOnce(work));
+        if (outOfPatience(work))
+            m_starved.push_back({ m_stillHeld[work.job], work.submittedAtMs, &work });
+    }
+
+    void noteStarved(const PendingWork& work)
+    {
+        const auto it = m_state.heldSince().try_emplace(work.job, m_now).first;
+        m_stillHeld.emplace(work.job, it->second);
+    }
+
+    bool outOfPatience(const PendingWork& work) const
+    {
+        const auto it = m_state.heldSince().find(work.job);
+        return it != m_state.heldSince().end() && m_now - it->second >= m_policy.holdPatience;
+    }
+
+    void rememberHeld()
+    {
+        // A call that was cut short has not seen all work, so it forgets none.
+        if (m_allSeen)
+            m_state.heldSince() = std::move(m_stillHeld);
+    }
+
+    // --- reservation ---
+
+    // The reserved work is tried before any other, so that nothing takes its room in the same call.
+    void serveReservation()
+    {
+        auto& reservation = m_state.reservation();
+        if (!reservation || full())
+            return;
+        const auto it = std::find_if(m_pending.begin(), m_pending.end(),
+            [&](const PendingWork& work) { return work.job == reservation->job && work.taskCount > 0; });
+        if (it == m_pending.end() || !worthKeeping(*reservation) || tokensLeft(it->team) < tasksAtOnce(*it)) {
+            reservation.reset();
+            return;
+        }
+        placeSome(*it, 0);
+        m_servedFirst = static_cast<std::uint32_t>(it - m_pending.begin());
+    }
+
+    bool worthKeeping(const CapacityReservation& reservation) const
+    {
+        return m_now < reservation.expiresAt
+            && std::all_of(reservation.workers.begin(), reservation.workers.end(),
+                [&](std::uint32_t worker) { return m_index.at(worker).usable; });
+    }
+
+    // One reservation at a time, for what waited longest: reservations never wait for each other.
+    void reserveForStarved()
+    {
+        if (!m_policy.rules.reserveCapacity || m_state.reservation())
+            return;
+        std::sort(m_starved.begin(), m_starved.end(), [](const Starved& a, const Starved& b) {
+            return std::tie(a.since, a.submittedAtMs, a.work->job)
+                < std::tie(b.since, b.submittedAtMs, b.work->job);
+        });
+        for (const auto& starved : m_starved) {
+            if (reserve(*starved.work))
+                return;
+        }
+    }
+
+    bool reserve(const PendingWork& work)
+    {
+        const GangNeed need { work.perTask, tasksAtOnce(work), true };
+        const internal::RoomOf drained
+            = [&](std::uint32_t worker) { return m_index.at(worker).capacity - m_index.at(worker).pinned; };
+        const WorkerIndex::Accept accept = [&](std::uint32_t worker) { return mayUse(work, worker); };
+        const auto workers = internal::placeTogether(m_index, need, drained, accept);
+        if (!workers)
+            return false;
+        CapacityReservation reservation { work.job, { workers->begin(), workers->end() }, m_now, {} };
+        for (const auto worker : reservation.workers)
+            reservation.neededAt = std::max(reservation.neededAt, m_index.at(worker).drainsAt);
+        reservation.neededAt = std::min(reservation.neededAt, m_now + m_policy.backfillHorizon);
+        reservation.expiresAt = reservation.neededAt + m_policy.backfillHorizon;
+        m_state.reservation() = std::move(reservation);
+        return true;
+    }
+
+    struct SavedTokens {
+        const PendingWork* work;
+        std::uint32_t count;
+    };
+
+    PlacementState& m_state;
+    WorkerIndex& m_index;
+    const PlacementPolicy& m_policy;
+    const std::vector<PendingWork>& m_pending;
+    const AvailableTokens& m_tokensOf;
+    Instant m_now;
+    std::uint32_t m_maxPlacements;
+    PlacementResult m_result;
+    std::vector<Line> m_lines;
+    std::unordered_map<TeamId, std::uint32_t> m_tokens;
+    std::unordered_map<TeamId, SavedTokens> m_savedTokens;
+    std::vector<FailedSize> m_failures;
+    std::vector<Starved> m_starved;
+    std::unordered_map<JobId, Instant> m_stillHeld;
+    std::uint32_t m_servedFirst = std::numeric_limits<std::uint32_t>::max();
+    bool m_allSeen = false;
+};
+
+} // namespace
+
+PlacementResult place(PlacementState& state, const std::vector<PendingWork>& pending,
+    const AvailableTokens& availableTokens, Instant now, std::uint32_t maxPlacements)
+{
+    return Pass(state, pending, availableTokens, now, maxPlacements).run();
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/core/Preemption.cpp
@@ -0,0 +1,150 @@
+#include "quay/core/Preemption.h"
+
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+
+namespace quay {
+
+namespace {
+
+Resources missing(const Resources& need, const Resources& room) { return atLeastZero(need - room); }
+
+bool allowed(const RunningTaskView& task, PreemptionStep step)
+{
+    if (task.kind == JobKind::Gang)
+        return false;
+    if (step == PreemptionStep::Throttle)
+        return task.throttledCpuMilli < task.size.cpuMilli;
+    if (task.kind == JobKind::Service)
+        return false;
+    return step == PreemptionStep::Checkpoint ? task.canCheckpoint : task.idempotent;
+}
+
+PreemptionAction actionFor(const RunningTaskView& task, PreemptionStep step)
+{
+    PreemptionAction action { task.task, task.worker, step, task.size, 0 };
+    if (step == PreemptionStep::Throttle)
+        action.freed = { task.size.cpuMilli - task.throttledCpuMilli, 0, 0 };
+    if (step == PreemptionStep::Stop)
+        action.lostWorkMs = task.unsavedWorkMs;
+    return action;
+}
+
+// Does the action free anything that is still missing?
+bool helps(const PreemptionAction& action, const Resources& gap)
+{
+    return (gap.cpuMilli > 0 && action.freed.cpuMilli > 0) || (gap.memoryMb > 0 && action.freed.memoryMb > 0)
+        || (gap.accelerators > 0 && action.freed.accelerators > 0);
+}
+
+std::vector<PreemptionAction> candidates(
+    const std::vector<const RunningTaskView*>& tasks, PreemptionStep harshest)
+{
+    std::vector<PreemptionAction> actions;
+    for (const auto* task : tasks) {
+        // A task is met at its mildest step first; a harsher one frees more and replaces it later.
+        for (int step = 0; step <= static_cast<int>(harshest); ++step) {
+            if (allowed(*task, static_cast<PreemptionStep>(step)))
+                actions.push_back(actionFor(*task, static_cast<PreemptionStep>(step)));
+        }
+    }
+    std::sort(actions.begin(), actions.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.step, a.lostWorkMs, b.freed.cpuMilli, a.task)
+            < std::tie(b.step, b.lostWorkMs, a.freed.cpuMilli, b.task);
+    });
+    return actions;
+}
+
+Resources freedBy(const std::vector<PreemptionAction>& actions)
+{
+    Resources sum;
+    for (const auto& action : actions)
+        sum += action.freed;
+    return sum;
+}
+
+// Takes back actions that the others make needless, the harshest first.
+void dropNeedless(std::vector<PreemptionAction>& actions, const Resources& need, const Resources& room)
+{
+    for (std::size_t i = actions.size(); i-- > 0;) {
+        if (need.fitsIn(room + freedBy(actions) - actions[i].freed))
+            actions.erase(actions.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+}
+
+std::optional<PreemptionPlan> planOn(const Resources& need, const Resources& room,
+    const std::vector<const RunningTaskView*>& tasks, PreemptionStep harshest)
+{
+    PreemptionPlan plan;
+    for (const auto& action : candidates(tasks, harshest)) {
+        if (need.fitsIn(room + freedBy(plan.actions)))
+            break;
+        const auto sameTask = std::find_if(plan.actions.begin(), plan.actions.end(),
+            [&](const auto& chosen) { return chosen.task == action.task; });
+        const auto chosenFreed
+            = freedBy(plan.actions) - (sameTask == plan.actions.end() ? Resources {} : sameTask->freed);
+        if (sameTask != plan.actions.end() && sameTask->freed == action.freed)
+            continue; // stopping frees no more than the checkpoint that is planned already
+        if (!helps(action, missing(need, room + chosenFreed)))
+            continue;
+        if (sameTask != plan.actions.end())
+            plan.actions.erase(sameTask);
+        plan.actions.push_back(action);
+    }
+    if (!need.fitsIn(room + freedBy(plan.actions)))
+        return std::nullopt;
+    dropNeedless(plan.actions, need, room);
+    return plan;
+}
+
+std::optional<PreemptionPlan> mildestOn(
+    const Resources& need, const Resources& room, const std::vector<const RunningTaskView*>& tasks)
+{
+    for (const auto step : { PreemptionStep::Throttle, PreemptionStep::Checkpoint, PreemptionStep::Stop }) {
+        if (auto plan = planOn(need, room, tasks, step))
+            return plan;
+    }
+    return std::nullopt;
+}
+
+bool milder(const PreemptionPlan& a, const PreemptionPlan& b)
+{
+    return std::tuple(a.harshestStep(), a.lostWorkMs(), a.actions.size())
+        < std::tuple(b.harshestStep(), b.lostWorkMs(), b.actions.size());
+}
+
+} // namespace
+
+PreemptionStep PreemptionPlan::harshestStep() const
+{
+    auto harshest = PreemptionStep::Throttle;
+    for (const auto& action : actions)
+        harshest = std::max(harshest, action.step);
+    return harshest;
+}
+
+std::int64_t PreemptionPlan::lostWorkMs() const
+{
+    std::int64_t sum = 0;
+    for (const auto& action : actions)
+        sum += action.lostWorkMs;
+    return sum;
+}
+
+std::optional<PreemptionPlan> choosePreemption(const Resources& need, const std::vector<ServerId>& workers,
+    const std::vector<Resources>& freeOf, const std::vector<RunningTaskView>& running)
+{
+    std::unordered_map<ServerId, std::vector<const RunningTaskView*>> tasksOf;
+    for (const auto& task : running)
+        tasksOf[task.worker].push_back(&task);
+    std::optional<PreemptionPlan> best;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        auto plan = mildestOn(need, freeOf[i], tasksOf[workers[i]]);
+        if (plan && (!best || milder(*plan, *best)))
+            best = std::move(plan);
+    }
+    return best;
+}
+
+} // namespace quay
