--- /dev/null
+++ b/tests/cores/FairShareTest.cpp
@@ -0,0 +1,143 @@
+#include "PlacementChecker.h"
+
+#include <cmath>
+
+using namespace quay;
+using namespace quay::test;
+
+namespace {
+
+constexpr Instant start {};
+constexpr std::size_t teamCount = 6;
+constexpr double weights[teamCount] = { 30, 25, 15, 15, 10, 5 };
+
+TeamId teamName(std::size_t team) { return TeamId { "team" + std::to_string(team) }; }
+
+// An evening on a full fleet: six teams each hand in more than their share; returns the largest
+// difference, over the teams, between declared share and mean part of what all teams held together.
+double shareErrorOfEvening(std::uint64_t seed, PlacementPolicy policy)
+{
+    Choices choices(seed);
+    PlacementState state(policy, seed);
+    const auto fleet = makeFleet(50);
+    state.setWorkers(fleet, true);
+    for (std::size_t team = 0; team < teamCount; ++team)
+        state.setWeight(teamName(team), weights[team]);
+    constexpr int rounds = 400;
+    constexpr int warmUpRounds = 60;
+    std::multimap<int, RunningTask> ends;
+    std::vector<PendingWork> pending;
+    double held[teamCount] = {};
+    auto now = start;
+    for (int round = 0; round < rounds; ++round, now += 10s) {
+        for (auto it = ends.begin(); it != ends.end() && it->first <= round; it = ends.erase(it))
+            state.taskEnded(it->second, now);
+        for (std::size_t team = 0; team < teamCount; ++team) {
+            // The team with the smallest share hands in the most jobs, as a crowd of late arrivals would.
+            for (std::size_t job = 0; job <= team && pending.size() < 300; ++job) {
+                auto work
+                    = makeWork(std::to_string(round) + "-" + std::to_string(team) + "-" + std::to_string(job),
+                        JobKind::Batch, { choices.between(1, 8) * 1000, choices.between(1, 8) * 1024, 0 },
+                        static_cast<std::uint32_t>(choices.between(20, 40)));
+                work.team = teamName(team);
+                work.submittedAtMs = round;
+                pending.push_back(work);
+            }
+        }
+        for (const auto& placement : place(state, pending, tokensForAll(10'000), now, 10'000).placements) {
+            auto& work = *std::find_if(pending.begin(), pending.end(),
+                [&](const PendingWork& it) { return it.job == placement.job; });
+            --work.taskCount;
+            ends.emplace(round + static_cast<int>(choices.between(3, 30)),
+                RunningTask { work.job, work.team, work.kind, placement.worker, work.perTask, 0 });
+        }
+        std::erase_if(pending, [](const PendingWork& work) { return work.taskCount == 0; });
+        for (std::size_t team = 0; team < teamCount && round >= warmUpRounds; ++team) {
+            const auto running = state.usageOf(teamName(team)).running;
+            held[team] += dominantShare(
+                { static_cast<double>(running.cpuMilli), static_cast<double>(running.memoryMb), 0 },
+                state.workers().totalCapacity());
+        }
+    }
+    double total = 0;
+    for (const auto part : held)
+        total += part;
+    double worst = 0;
+    for (std::size_t team = 0; team < teamCount; ++team)
+        worst = std::max(worst, std::abs(held[team] / total - weights[team] / 100));
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE("an evening's share of each of six teams is near its declared share")
+{
+    forEachSeed(3, [](std::uint64_t seed) {
+        PlacementPolicy policy;
+        const auto fair = shareErrorOfEvening(seed, policy);
+        policy.sharing = PlacementPolicy::Sharing::Fifo;
+        const auto fifo = shareErrorOfEvening(seed, policy);
+        MESSAGE("seed " << seed << ": largest share error " << fair << ", FIFO " << fifo);
+        CHECK(fair < 0.05);
+        CHECK(fifo > 0.05); // the measure notices unfairness
+    });
+}
+
+TEST_CASE("the average of usage halves with each half-life")
+{
+    struct Row {
+        int halfLives;
+        double expected;
+    };
+    const Row rows[] = { { 0, 0 }, { 1, 500 }, { 2, 750 }, { 3, 875 } };
+    for (const auto& row : rows) {
+        const auto usage = charged({}, { 1'000, 0, 0 }, 1, 10s, start);
+        CHECK(averageAt(usage, 10s, start + row.halfLives * 10s).cpuMilli == doctest::Approx(row.expected));
+        const auto ended = released(charged({}, { 1'000, 0, 0 }, 1, 10s, start), { 1'000, 0, 0 }, 1, 10s,
+            start + row.halfLives * 10s);
+        CHECK(averageAt(ended, 10s, start + row.halfLives * 10s + 10s).cpuMilli
+            == doctest::Approx(row.expected / 2));
+        CHECK(ended.runningTasks == 0);
+    }
+}
+
+TEST_CASE("the team furthest below its share is served first")
+{
+    struct Row {
+        const char* what;
+        Resources heldByA, heldByB;
+        double weightA;
+        const char* first;
+    };
+    const Row rows[] = {
+        { "less cpu", { 1'000, 0, 0 }, { 2'000, 0, 0 }, 1, "a" },
+        { "more memory than the other has cpu", { 0, 60'000, 0 }, { 8'000, 0, 0 }, 1, "b" },
+        { "twice the weight", { 3'000, 0, 0 }, { 2'000, 0, 0 }, 2, "a" },
+        { "one of few accelerators", { 0, 0, 1 }, { 8'000, 0, 0 }, 1, "b" },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        PlacementState state;
+        state.setWorkers(makeFleet(2, 2), true);
+        state.setWeight(TeamId { "a" }, row.weightA);
+        state.charge(TeamId { "a" }, row.heldByA, start);
+        state.charge(TeamId { "b" }, row.heldByB, start);
+        auto a = makeWork("a", JobKind::Batch, { 1, 1, 0 }, 1);
+        auto b = makeWork("b", JobKind::Batch, { 1, 1, 0 }, 1);
+        a.team = TeamId { "a" };
+        b.team = TeamId { "b" };
+        const auto result = place(state, { a, b }, tokensForAll(9), start, 1);
+        REQUIRE(result.placements.size() == 1);
+        CHECK(result.placements.front().job.text == row.first);
+    }
+}
+
+TEST_CASE("a team alone may use the whole fleet")
+{
+    PlacementState state;
+    state.setWorkers(makeFleet(2), true);
+    state.setWeight(TeamId { "t" }, 0.01);
+    const auto result
+        = place(state, { makeWork("j", JobKind::Batch, { 8'000, 1, 0 }, 8) }, tokensForAll(99), start, 99);
+    CHECK(result.placements.size() == 8);
+}
--- /dev/null
+++ b/tests/cores/PlacementChecker.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Seeded.h"
+#include "quay/core/Placement.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quay::test {
+
+/** Counts by itself, apart from the index, what placement did and reports each broken rule. */
+class PlacementChecker {
+public:
+    explicit PlacementChecker(const std::vector<WorkerView>& workers)
+    {
+        for (const auto& worker : workers)
+            m_workers[worker.id] = worker;
+    }
+
+    /** What a result breaks, in plain words; empty if it keeps all rules. Counts it as started. */
+    std::vector<std::string> check(const PlacementResult& result, const std::vector<PendingWork>& pending,
+        const std::map<TeamId, std::uint32_t>& tokens)
+    {
+        std::vector<std::string> broken;
+        std::map<TeamId, std::uint32_t> spent;
+        std::map<JobId, std::set<std::uint32_t>> placedOf;
+        for (const auto& placement : result.placements) {
+            const auto it = std::find_if(pending.begin(), pending.end(),
+                [&](const PendingWork& work) { return work.job == placement.job; });
+            if (it == pending.end() || placement.nthPending >= it->taskCount) {
+                broken.push_back("not pending: " + placement.job.text);
+                continue;
+            }
+            if (!placedOf[it->job].insert(placement.nthPending).second)
+                broken.push_back("placed twice: " + placement.job.text);
+            ++spent[it->team];
+            put(*it, placement.worker, broken);
+        }
+        for (const auto& [team, count] : spent) {
+            if (count > tokens.at(team))
+                broken.push_back("tokens: " + team.text);
+        }
+        for (const auto& work : pending) {
+            const auto count = placedOf[work.job].size();
+            if (work.kind == JobKind::Gang && count != 0 && count != work.taskCount)
+                broken.push_back("gang in part: " + work.job.text);
+        }
+        return broken;
+    }
+
+    void ended(const ServerId& worker, const Resources& amount) { m_workers.at(worker).used -= amount; }
+
+private:
+    void put(const PendingWork& work, const ServerId& server, std::vector<std::string>& broken)
+    {
+        auto& worker = m_workers.at(server);
+        if (!worker.usable)
+            broken.push_back("unusable: " + server.text);
+        if (std::find(work.avoid.begin(), work.avoid.end(), server) != work.avoid.end())
+            broken.push_back("avoided: " + server.text);
+        worker.used += work.perTask;
+        if (worker.used.cpuMilli > worker.capacity.cpuMilli)
+            broken.push_back("cpu: " + server.text);
+        if (worker.used.memoryMb > worker.capacity.memoryMb)
+            broken.push_back("memory: " + server.text);
+        if (worker.used.accelerators > worker.capacity.accelerators)
+            broken.push_back("accelerators: " + server.text);
+    }
+
+    std::map<ServerId, WorkerView> m_workers;
+};
+
+/** `count` workers of 32 cores and 64 GB, six to a rack; every `acceleratorEvery`th has four accelerators. */
+inline std::vector<WorkerView> makeFleet(std::size_t count, std::size_t acceleratorEvery = 0)
+{
+    std::vector<WorkerView> workers;
+    for (std::size_t i = 0; i < count; ++i) {
+        WorkerView worker;
+        worker.id = ServerId { "w" + std::to_string(i) };
+        worker.rack = "r" + std::to_string(i / 6);
+        worker.capacity = { 32'000, 65'536, 0 };
+        if (acceleratorEvery != 0 && i % acceleratorEvery == 0)
+            worker.capacity.accelerators = 4;
+        workers.push_back(worker);
+    }
+    return workers;
+}
+
+/** A job of one team; the name tells it apart. */
+inline PendingWork makeWork(
+    const std::string& name, JobKind kind, const Resources& perTask, std::uint32_t taskCount)
+{
+    PendingWork work;
+    work.job = JobId { name };
+    work.team = TeamId { "t" };
+    work.kind = kind;
+    work.perTask = perTask;
+    work.taskCount = taskCount;
+    return work;
+}
+
+/** The same number of tokens for every team. */
+inline AvailableTokens tokensForAll(std::uint32_t tokens)
+{
+    return [tokens](const TeamId&) { return tokens; };
+}
+
+} // namespace quay::test
--- /dev/null
+++ b/tests/cores/PlacementTest.cpp
@@ -0,0 +1,391 @@
+#include "PlacementChecker.h"
+
+using namespace quay;
+using namespace quay::test;
+
+namespace {
+
+constexpr Instant start {};
+
+RunningTask runningOf(const PendingWork& work, const ServerId& worker)
+{
+    return { work.job, work.team, work.kind, worker, work.perTask, work.declaredRunTimeMs };
+}
+
+// A fleet under a random stream of work: rounds of arrivals, placements, ends and workers that come and go.
+class RandomFleet {
+public:
+    RandomFleet(std::uint64_t seed, PlacementPolicy policy)
+        : m_choices(seed)
+        , m_state(policy, seed)
+        , m_workers(makeFleet(24, 4))
+        , m_checker(m_workers)
+    {
+        m_state.setWorkers(m_workers, true);
+    }
+
+    std::vector<std::string> round()
+    {
+        m_now += 5s;
+        endSome();
+        arrive();
+        std::map<TeamId, std::uint32_t> tokens;
+        for (const auto* team : { "a", "b", "c" })
+            tokens[TeamId { team }] = static_cast<std::uint32_t>(m_choices.below(30));
+        const auto most = static_cast<std::uint32_t>(m_choices.between(1, 60));
+        const auto result = place(
+            m_state, m_pending, [&](const TeamId& team) { return tokens.at(team); }, m_now, most);
+        const auto broken = m_checker.check(result, m_pending, tokens);
+        apply(result);
+        return broken;
+    }
+
+    std::size_t started = 0;
+
+private:
+    void arrive()
+    {
+        for (auto i = m_choices.below(6); i > 0; --i) {
+            auto work = makeWork("j" + std::to_string(m_nextJob++), static_cast<JobKind>(m_choices.below(3)),
+                { m_choices.between(0, 20'000), m_choices.between(0, 40'000),
+                    m_choices.percent(20) ? m_choices.between(1, 4) : 0 },
+                static_cast<std::uint32_t>(m_choices.between(1, 12)));
+            work.team = TeamId { std::string(1, static_cast<char>('a' + m_choices.below(3))) };
+            work.submittedAtMs = m_choices.between(0, 1000);
+            work.declaredRunTimeMs = m_choices.between(0, 60'000);
+            if (m_choices.percent(20))
+                work.avoid.push_back(m_workers[m_choices.below(m_workers.size())].id);
+            m_pending.push_back(work);
+        }
+    }
+
+    void apply(const PlacementResult& result)
+    {
+        std::map<JobId, std::uint32_t> placed;
+        for (const auto& placement : result.placements) {
+            const auto it = std::find_if(m_pending.begin(), m_pending.end(),
+                [&](const PendingWork& work) { return work.job == placement.job; });
+            if (it == m_pending.end())
+                continue;
+            m_running.push_back(runningOf(*it, placement.worker));
+            ++placed[it->job];
+            ++started;
+        }
+        for (auto& work : m_pending)
+            work.taskCount -= std::min(work.taskCount, placed[work.job]);
+        std::erase_if(m_pending, [](const PendingWork& work) { return work.taskCount == 0; });
+    }
+
+    void endSome()
+    {
+        for (auto i = m_running.size() / 4; i > 0; --i) {
+            const auto nth = m_choices.below(m_running.size());
+            m_state.taskEnded(m_running[nth], m_now);
+            m_checker.ended(m_running[nth].worker, m_running[nth].amount);
+            m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(nth));
+        }
+    }
+
+    Choices m_choices;
+    PlacementState m_state;
+    std::vector<WorkerView> m_workers;
+    PlacementChecker m_checker;
+    std::vector<PendingWork> m_pending;
+    std::vector<RunningTask> m_running;
+    Instant m_now = start;
+    std::uint64_t m_nextJob = 0;
+};
+
+// Counts rounds until a gang of all workers starts while each round brings more small work than fits.
+std::optional<unsigned> roundsUntilGangStarts(
+    std::uint64_t seed, PlacementPolicy policy, const PendingWork& gang, unsigned rounds)
+{
+    Choices choices(seed);
+    PlacementState state(policy, seed);
+    state.setWorkers(makeFleet(12), true);
+    std::multimap<unsigned, RunningTask> ends;
+    auto now = start;
+    for (unsigned round = 0; round < rounds; ++round, now += 1s) {
+        for (auto it = ends.begin(); it != ends.end() && it->first <= round; it = ends.erase(it))
+            state.taskEnded(it->second, now);
+        // Every round offers enough to fill the whole fleet, so that the gang never meets it idle.
+        auto small = makeWork("s" + std::to_string(round), JobKind::Batch, { 4'000, 4'096, 0 }, 200);
+        small.team = TeamId { "small" };
+        small.declaredRunTimeMs = choices.between(0, 1) * 5'000;
+        small.submittedAtMs = round;
+        std::vector<PendingWork> pending { small };
+        if (round > 0)
+            pending.push_back(gang);
+        for (const auto& placement : place(state, pending, tokensForAll(1000), now, 1000).placements) {
+            if (placement.job == gang.job)
+                return round;
+            const auto lasts = static_cast<unsigned>(choices.between(3, 8));
+            ends.emplace(round + lasts, runningOf(small, placement.worker));
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a job is placed, or held with the exact kind")
+{
+    struct Row {
+        const char* what;
+        JobKind kind;
+        Resources perTask;
+        std::uint32_t taskCount;
+        std::uint32_t tokens;
+        bool complete;
+        std::size_t placed;
+        ErrorKind hold;
+    };
+    using enum JobKind;
+    using enum ErrorKind;
+    // Six workers of 32 cores, 64 GB; two of them with four accelerators.
+    const Row rows[] = {
+        { "fits", Batch, { 1'000, 1'024, 0 }, 3, 9, true, 3, None },
+        { "exactly one worker", Batch, { 32'000, 65'536, 4 }, 1, 9, true, 1, None },
+        { "one core too many", Batch, { 32'001, 1, 0 }, 1, 9, true, 0, NeverRunnable },
+        { "one megabyte too many", Batch, { 1, 65'537, 0 }, 1, 9, true, 0, NeverRunnable },
+        { "one accelerator too many", Batch, { 1, 1, 5 }, 1, 9, true, 0, NeverRunnable },
+        { "list incomplete", Batch, { 32'001, 1, 0 }, 1, 9, false, 0, NoCapacity },
+        { "batch in part", Batch, { 32'000, 1, 0 }, 7, 9, true, 6, NoCapacity },
+        { "gang of all", Gang, { 32'000, 1, 0 }, 6, 9, true, 6, None },
+        { "gang too large", Gang, { 32'000, 1, 0 }, 7, 9, true, 0, NeverRunnable },
+        { "gang of accelerators", Gang, { 1, 1, 3 }, 3, 9, true, 0, NeverRunnable },
+        { "too few tokens", Batch, { 1, 1, 0 }, 4, 3, true, 3, QuotaExhausted },
+        { "gang with too few tokens", Gang, { 1, 1, 0 }, 4, 3, true, 0, QuotaExhausted },
+        { "no tokens", Service, { 1, 1, 0 }, 1, 0, true, 0, QuotaExhausted },
+        { "asks for nothing", Gang, { 0, 0, 0 }, 4, 9, true, 4, None },
+    };
+    for (const auto packing : { PlacementPolicy::Packing::BestFit, PlacementPolicy::Packing::FirstFit,
+             PlacementPolicy::Packing::Random }) {
+        for (const auto& row : rows) {
+            CAPTURE(row.what);
+            PlacementPolicy policy;
+            policy.packing = packing;
+            PlacementState state(policy);
+            state.setWorkers(makeFleet(6, 3), row.complete);
+            const auto result = place(state, { makeWork("j", row.kind, row.perTask, row.taskCount) },
+                tokensForAll(row.tokens), start, 100);
+            CHECK(result.placements.size() == row.placed);
+            CHECK((result.holds.empty() ? None : result.holds.front().why) == row.hold);
+        }
+    }
+}
+
+TEST_CASE("random fleets keep every rule")
+{
+    for (const auto packing : { PlacementPolicy::Packing::BestFit, PlacementPolicy::Packing::FirstFit,
+             PlacementPolicy::Packing::Random }) {
+        forEachSeed(20, [&](std::uint64_t seed) {
+            PlacementPolicy policy;
+            policy.packing = packing;
+            policy.holdPatience = 20s;
+            RandomFleet fleet(seed, policy);
+            for (int round = 0; round < 60; ++round)
+                REQUIRE(fleet.round() == std::vector<std::string> {});
+            CHECK(fleet.started > 50);
+        });
+    }
+}
+
+TEST_CASE("the checker notices each rule that is switched off")
+{
+    struct Row {
+        bool PlacementPolicy::Rules::*rule;
+        const char* finding;
+    };
+    const Row rows[] = {
+        { &PlacementPolicy::Rules::checkMemory, "memory: " },
+        { &PlacementPolicy::Rules::gangsAreAtomic, "gang in part: " },
+        { &PlacementPolicy::Rules::spendTokens, "tokens: " },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.finding);
+        PlacementPolicy policy;
+        policy.rules.*row.rule = false;
+        RandomFleet fleet(1, policy);
+        bool found = false;
+        for (int round = 0; round < 60 && !found; ++round) {
+            for (const auto& broken : fleet.round())
+                found = found || broken.starts_with(row.finding);
+        }
+        CHECK(found);
+    }
+}
+
+TEST_CASE("a gang starts within a bounded time under a stream of small work")
+{
+    struct Row {
+        const char* what;
+        JobKind kind;
+        Resources perTask;
+        std::uint32_t taskCount;
+    };
+    const Row rows[] = {
+        { "gang of whole workers", JobKind::Gang, { 32'000, 65'536, 0 }, 8 },
+        { "gang of halves", JobKind::Gang, { 16'000, 1'024, 0 }, 20 },
+        { "one large task", JobKind::Batch, { 32'000, 65'536, 0 }, 1 },
+    };
+    constexpr unsigned patienceRounds = 10;
+    constexpr unsigned longestSmallTask = 8;
+    PlacementPolicy policy;
+    policy.holdPatience = std::chrono::seconds(patienceRounds);
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        const auto gang = makeWork("large", row.kind, row.perTask, row.taskCount);
+        forEachSeed(10, [&](std::uint64_t seed) {
+            const auto rounds = roundsUntilGangStarts(seed, policy, gang, 200);
+            REQUIRE(rounds);
+            // Patience, then at most one back-fill and the small tasks that ran at its time.
+            CHECK(*rounds <= patienceRounds + 3 * longestSmallTask);
+        });
+        auto without = policy;
+        without.rules.reserveCapacity = false;
+        CHECK_FALSE(roundsUntilGangStarts(1, without, gang, 200));
+    }
+}
+
+TEST_CASE("back-fill ends before the reservation needs the worker")
+{
+    struct Row {
+        const char* what;
+        JobKind kind;
+        std::int64_t runTimeMs;
+        bool placed;
+    };
+    const Row rows[] = {
+        { "ends in time", JobKind::Batch, 50'000, true },
+        { "ends too late", JobKind::Batch, 150'000, false },
+        { "end not known", JobKind::Batch, 0, false },
+        { "service", JobKind::Service, 10, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        PlacementPolicy policy;
+        policy.holdPatience = 0s;
+        PlacementState state(policy);
+        state.setWorkers(makeFleet(2), true);
+        auto first = makeWork("first", JobKind::Batch, { 16'000, 1, 0 }, 1);
+        first.declaredRunTimeMs = 100'000;
+        const auto gang = makeWork("gang", JobKind::Gang, { 32'000, 1, 0 }, 2);
+        place(state, { first }, tokensForAll(9), start, 9);
+        place(state, { gang }, tokensForAll(9), start, 9);
+        REQUIRE(state.reservation());
+        auto filler = makeWork("filler", row.kind, { 1'000, 1, 0 }, 1);
+        filler.declaredRunTimeMs = row.runTimeMs;
+        const auto result = place(state, { gang, filler }, tokensForAll(9), start + 10s, 9);
+        CHECK(result.placements.size() == (row.placed ? 1 : 0));
+    }
+}
+
+TEST_CASE("a team's tokens are saved for its gang when small work would take each one")
+{
+    PlacementPolicy policy;
+    policy.holdPatience = 5s;
+    PlacementState state(policy);
+    state.setWorkers(makeFleet(6), true);
+    const auto gang = makeWork("gang", JobKind::Gang, { 1'000, 1, 0 }, 4);
+    std::vector<RunningTask> running;
+    auto now = start;
+    for (int i = 0; i < 4; ++i) {
+        running.push_back(runningOf(makeWork("old", JobKind::Batch, { 1'000, 1, 0 }, 1), ServerId { "w0" }));
+        state.taskStarted(running.back(), now);
+    }
+    for (int round = 0; round < 30; ++round, now += 1s) {
+        if (!running.empty() && round % 3 == 0) {
+            state.taskEnded(running.front(), now);
+            running.erase(running.begin());
+        }
+        auto small = makeWork("s" + std::to_string(round), JobKind::Batch, { 1'000, 1, 0 }, 4);
+        small.submittedAtMs = 1 + round;
+        const auto tokens = static_cast<std::uint32_t>(4 - running.size());
+        for (const auto& placement : place(state, { small, gang }, tokensForAll(tokens), now, 9).placements) {
+            if (placement.job == gang.job)
+                return;
+            running.push_back(runningOf(small, placement.worker));
+        }
+    }
+    FAIL("the gang never got its tokens");
+}
+
+TEST_CASE("work goes where its kind wants it")
+{
+    PlacementState state;
+    state.setWorkers(makeFleet(24, 6), true);
+    std::set<std::string> racks;
+    const auto rackOf = [&](const Placement& placement) {
+        return state.workers().at(*state.workers().find(placement.worker));
+    };
+
+    SUBCASE("a gang stays on one rack")
+    {
+        const auto result
+            = place(state, { makeWork("g", JobKind::Gang, { 32'000, 1, 0 }, 5) }, tokensForAll(9), start, 9);
+        REQUIRE(result.placements.size() == 5);
+        for (const auto& placement : result.placements)
+            racks.insert(rackOf(placement).rack);
+        CHECK(racks.size() == 1);
+    }
+    SUBCASE("a service is spread over racks")
+    {
+        for (int i = 0; i < 2; ++i) {
+            const auto result = place(
+                state, { makeWork("s", JobKind::Service, { 1'000, 1, 0 }, 2) }, tokensForAll(9), start, 9);
+            for (const auto& placement : result.placements)
+                racks.insert(rackOf(placement).rack);
+        }
+        CHECK(racks.size() == 4);
+    }
+    SUBCASE("batch is packed onto one worker, away from accelerators")
+    {
+        std::set<ServerId> workers;
+        const auto result
+            = place(state, { makeWork("b", JobKind::Batch, { 4'000, 1, 0 }, 8) }, tokensForAll(9), start, 9);
+        for (const auto& placement : result.placements) {
+            workers.insert(placement.worker);
+            CHECK(rackOf(placement).capacity.accelerators == 0);
+        }
+        CHECK(workers.size() == 1);
+    }
+    SUBCASE("work that needs no accelerator uses such a worker when all others are full")
+    {
+        const auto result = place(
+            state, { makeWork("b", JobKind::Batch, { 32'000, 1, 0 }, 24) }, tokensForAll(99), start, 99);
+        CHECK(result.placements.size() == 24);
+    }
+}
+
+TEST_CASE("a worker that is unusable, avoided or removed gets nothing")
+{
+    PlacementState state;
+    auto fleet = makeFleet(2);
+    fleet[0].usable = false;
+    state.setWorkers(fleet, true);
+    auto work = makeWork("j", JobKind::Batch, { 1, 1, 0 }, 1);
+    work.avoid = { fleet[1].id };
+    CHECK(place(state, { work }, tokensForAll(9), start, 9).holds.front().why == ErrorKind::NoCapacity);
+    work.avoid.clear();
+    CHECK(place(state, { work }, tokensForAll(9), start, 9).placements.front().worker == fleet[1].id);
+    state.removeWorker(fleet[1].id);
+    CHECK(place(state, { work }, tokensForAll(9), start, 9).placements.empty());
+    fleet[0].usable = true;
+    state.updateWorker(fleet[0]);
+    CHECK(place(state, { work }, tokensForAll(9), start, 9).placements.front().worker == fleet[0].id);
+}
+
+TEST_CASE("reports of usage may only raise what is counted")
+{
+    struct Row {
+        Resources declared, before, reported, counted;
+    };
+    const Row rows[] = {
+        { { 100, 200, 1 }, { 100, 200, 1 }, { 50, 300, 0 }, { 100, 300, 1 } },
+        { { 100, 200, 1 }, { 100, 300, 1 }, { 50, 250, 0 }, { 100, 300, 1 } },
+        { { 100, 200, 0 }, {}, {}, { 100, 200, 0 } },
+    };
+    for (const auto& row : rows)
+        CHECK(countedUsage(row.declared, row.before, row.reported) == row.counted);
+}
