--- /dev/null
+++ b/bench/PlacementBench.cpp
@@ -0,0 +1,229 @@
+#include "quay/core/Placement.h"
+
+#include <algorithm>
+#include <array>
+#include <benchmark/benchmark.h>
+#include <cmath>
+#include <random>
+#include <set>
+
+using namespace quay;
+
+namespace {
+
+constexpr std::size_t teamCount = 100;
+constexpr std::size_t heavyTeamCount = 5;
+constexpr std::size_t runningAtDesignSize = 11'000; // tasks on designWorkers
+constexpr std::int64_t designWorkers = 1'900;
+constexpr std::size_t workersPerRack = 6;
+constexpr std::size_t acceleratorEvery = 10; // one worker in ten has accelerators
+constexpr std::int64_t acceleratorsPerWorker = 4;
+constexpr std::size_t endsPerRound = 50;
+
+struct Policies {
+    const char* name;
+    PlacementPolicy::Sharing sharing;
+    PlacementPolicy::Packing packing;
+};
+
+constexpr Policies policies[] = {
+    { "FairShare+BestFit", PlacementPolicy::Sharing::FairShare, PlacementPolicy::Packing::BestFit },
+    { "Fifo+FirstFit", PlacementPolicy::Sharing::Fifo, PlacementPolicy::Packing::FirstFit },
+    { "Fifo+Random", PlacementPolicy::Sharing::Fifo, PlacementPolicy::Packing::Random },
+};
+
+PlacementPolicy policyOf(const Policies& chosen)
+{
+    PlacementPolicy policy;
+    policy.packing = chosen.packing;
+    policy.sharing = chosen.sharing;
+    return policy;
+}
+
+std::vector<WorkerView> makeFleet(std::size_t count)
+{
+    std::vector<WorkerView> workers(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        workers[i].id = ServerId { "w" + std::to_string(i) };
+        workers[i].rack = "r" + std::to_string(i / workersPerRack);
+        workers[i].capacity = { 32'000, 65'536, i % acceleratorEvery == 0 ? acceleratorsPerWorker : 0 };
+    }
+    return workers;
+}
+
+// A domain in use: a backlog of batch work of 100 teams, a fixed number of running tasks, and rounds in which
+// some tasks end, new work comes in and one call to place() refills what ended.
+class Domain {
+public:
+    Domain(const Policies& chosen, std::size_t workerCount, bool saturated)
+        : m_random(workerCount)
+        , m_state(policyOf(chosen), workerCount)
+        , m_target(saturated ? SIZE_MAX : runningAtDesignSize * workerCount / designWorkers)
+    {
+        m_state.setWorkers(makeFleet(workerCount), true);
+        refill();
+        fill();
+    }
+
+    std::size_t running() const { return m_running.size(); }
+
+    void endSome()
+    {
+        m_now += std::chrono::milliseconds(500);
+        for (std::size_t i = 0; i < endsPerRound && !m_running.empty(); ++i) {
+            const auto nth = m_random() % m_running.size();
+            std::swap(m_running[nth], m_running.back());
+            m_state.taskEnded(m_running.back(), m_now);
+            m_running.pop_back();
+        }
+    }
+
+    PlacementResult decide()
+    {
+        const auto most = std::min<std::size_t>(m_target - std::min(m_target, m_running.size()), 1'000);
+        return place(
+            m_state, m_pending, [](const TeamId&) { return 1'000U; }, m_now,
+            static_cast<std::uint32_t>(most));
+    }
+
+    void apply(const PlacementResult& result)
+    {
+        for (const auto& placement : result.placements) {
+            auto& work = *std::find_if(m_pending.begin(), m_pending.end(),
+                [&](const PendingWork& it) { return it.job == placement.job; });
+            m_running.push_back({ work.job, work.team, work.kind, placement.worker, work.perTask, 0 });
+            --work.taskCount;
+        }
+        std::erase_if(m_pending, [](const PendingWork& work) { return work.taskCount == 0; });
+        refill();
+    }
+
+    void report(benchmark::State& bench) const
+    {
+        const auto& index = m_state.workers();
+        std::size_t inUse = 0;
+        std::int64_t stranded = 0;
+        for (std::uint32_t worker = 0; worker < index.size(); ++worker) {
+            const auto& view = index.at(worker);
+            inUse += view.used == Resources {} ? 0 : 1;
+            // A free accelerator is stranded if the worker lacks the cpu or memory that a task needs beside
+            // it.
+            const auto room = view.free();
+            if (room.cpuMilli < 2'000 || room.memoryMb < 4'096)
+                stranded += room.accelerators;
+        }
+        bench.counters["workersUsed"] = static_cast<double>(inUse);
+        bench.counters["strandedAccel"] = static_cast<double>(stranded);
+        bench.counters["running"] = static_cast<double>(m_running.size());
+    }
+
+    // Adds what each team holds now to its sum over the rounds.
+    void sampleShares()
+    {
+        for (std::size_t team = 0; team < teamCount; ++team) {
+            const auto held = m_state.usageOf(teamName(team)).running;
+            m_shares[team]
+                += dominantShare({ static_cast<double>(held.cpuMilli), static_cast<double>(held.memoryMb),
+                                     static_cast<double>(held.accelerators) },
+                    m_state.workers().totalCapacity());
+        }
+    }
+
+    // Half the sum of differences between each team's part over time and an equal part:
+    // the fraction of what was held that went to the wrong team.
+    double shareError() const
+    {
+        double total = 0;
+        for (const auto share : m_shares)
+            total += share;
+        double error = 0;
+        for (const auto share : m_shares)
+            error += std::abs(share / total - 1.0 / teamCount) / 2;
+        return error;
+    }
+
+private:
+    static TeamId teamName(std::size_t team) { return TeamId { "team" + std::to_string(team) }; }
+
+    // Every team always has a job waiting, so equal shares are possible; a few teams hand in far more.
+    void refill()
+    {
+        std::set<std::string> waiting;
+        for (const auto& work : m_pending)
+            waiting.insert(work.team.text);
+        for (std::size_t team = 0; team < teamCount; ++team) {
+            if (!waiting.contains(teamName(team).text))
+                addWork(team);
+        }
+        while (m_pending.size() < 2 * teamCount)
+            addWork(m_random() % heavyTeamCount);
+    }
+
+    void addWork(std::size_t team)
+    {
+        PendingWork work;
+        work.team = teamName(team);
+        work.job = JobId { "j" + std::to_string(m_nextJob++) };
+        work.taskCount = 1 + static_cast<std::uint32_t>(m_random() % 20);
+        work.submittedAtMs = static_cast<std::int64_t>(m_nextJob);
+        const auto scale = static_cast<std::int64_t>(1 + m_random() % 4);
+        work.perTask = { scale * 1'000, static_cast<std::int64_t>(1 + m_random() % 6) * 1'024, 0 };
+        if (m_random() % 20 == 0)
+            work.perTask.accelerators = 1;
+        m_pending.push_back(std::move(work));
+    }
+
+    void fill()
+    {
+        for (int round = 0; round < 400 && m_running.size() < m_target; ++round) {
+            const auto result = decide();
+            apply(result);
+            if (result.placements.empty())
+                break;
+        }
+    }
+
+    std::mt19937_64 m_random;
+    PlacementState m_state;
+    std::size_t m_target;
+    std::vector<PendingWork> m_pending;
+    std::vector<RunningTask> m_running;
+    std::uint64_t m_nextJob = 0;
+    std::array<double, teamCount> m_shares {};
+    Instant m_now {};
+};
+
+// Arguments: policies, workers, 1 if the fleet is full (else the running tasks of the design size).
+// Only place() is timed; the counter `decisions` is placements a second of that time.
+void placeInDomain(benchmark::State& bench)
+{
+    const auto& chosen = policies[bench.range(0)];
+    Domain domain(chosen, static_cast<std::size_t>(bench.range(1)), bench.range(2) == 1);
+    std::int64_t placements = 0;
+    for (auto step : bench) {
+        (void)step;
+        bench.PauseTiming();
+        domain.endSome();
+        bench.ResumeTiming();
+        auto result = domain.decide();
+        benchmark::DoNotOptimize(result);
+        bench.PauseTiming();
+        placements += static_cast<std::int64_t>(result.placements.size());
+        domain.apply(result);
+        domain.sampleShares();
+        bench.ResumeTiming();
+    }
+    bench.SetLabel(chosen.name);
+    bench.counters["decisions"]
+        = benchmark::Counter(static_cast<double>(placements), benchmark::Counter::kIsRate);
+    bench.counters["shareError"] = domain.shareError();
+    domain.report(bench);
+}
+
+BENCHMARK(placeInDomain)
+    ->ArgsProduct({ { 0, 1, 2 }, { 80, 475, 950, 1'900 }, { 0, 1 } })
+    ->ArgNames({ "policy", "workers", "full" })
+    ->Iterations(500)
+    ->Unit(benchmark::kMicrosecond);
+
+} // namespace
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -406,8 +406,8 @@
         if (!m_policy.rules.reserveCapacity || m_state.reservation())
             return;
         std::sort(m_starved.begin(), m_starved.end(), [](const Starved& a, const Starved& b) {
-            return std::tie(a.since, a.submittedAtMs, a.work->job)
-                < std::tie(b.since, b.submittedAtMs, b.work->job);
+            return std::tie(a.since, a.submittedAtMs, a.work->job.text)
+                < std::tie(b.since, b.submittedAtMs, b.work->job.text);
         });
         for (const auto& starved : m_starved) {
             if (reserve(*starved.work))
--- a/src/core/Preemption.cpp
+++ b/src/core/Preemption.cpp
@@ -50,8 +50,8 @@
         }
     }
     std::sort(actions.begin(), actions.end(), [](const auto& a, const auto& b) {
-        return std::tie(a.step, a.lostWorkMs, b.freed.cpuMilli, a.task)
-            < std::tie(b.step, b.lostWorkMs, a.freed.cpuMilli, b.task);
+        return std::tie(a.step, a.lostWorkMs, b.freed.cpuMilli, a.task.text)
+            < std::tie(b.step, b.lostWorkMs, a.freed.cpuMilli, b.task.text);
     });
     return actions;
 }
--- a/tests/cores/PlacementChecker.h
+++ b/tests/cores/PlacementChecker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace quay::test {
@@ -22,11 +23,11 @@
 
     /** What a result breaks, in plain words; empty if it keeps all rules. Counts it as started. */
     std::vector<std::string> check(const PlacementResult& result, const std::vector<PendingWork>& pending,
-        const std::map<TeamId, std::uint32_t>& tokens)
+        const std::unordered_map<TeamId, std::uint32_t>& tokens)
     {
         std::vector<std::string> broken;
-        std::map<TeamId, std::uint32_t> spent;
-        std::map<JobId, std::set<std::uint32_t>> placedOf;
+        std::unordered_map<TeamId, std::uint32_t> spent;
+        std::unordered_map<JobId, std::set<std::uint32_t>> placedOf;
         for (const auto& placement : result.placements) {
             const auto it = std::find_if(pending.begin(), pending.end(),
                 [&](const PendingWork& work) { return work.job == placement.job; });
@@ -70,7 +71,7 @@
             broken.push_back("accelerators: " + server.text);
     }
 
-    std::map<ServerId, WorkerView> m_workers;
+    std::unordered_map<ServerId, WorkerView> m_workers;
 };
 
 /** `count` workers of 32 cores and 64 GB, six to a rack; every `acceleratorEvery`th has four accelerators. */
--- a/tests/cores/PlacementTest.cpp
+++ b/tests/cores/PlacementTest.cpp
@@ -1,5 +1,7 @@
 #include "PlacementChecker.h"
 
+#include <unordered_set>
+
 using namespace quay;
 using namespace quay::test;
 
@@ -29,13 +31,13 @@
         m_now += 5s;
         endSome();
         arrive();
-        std::map<TeamId, std::uint32_t> tokens;
+        std::unordered_map<TeamId, std::uint32_t> tokens;
         for (const auto* team : { "a", "b", "c" })
             tokens[TeamId { team }] = static_cast<std::uint32_t>(m_choices.below(30));
         const auto most = static_cast<std::uint32_t>(m_choices.between(1, 60));
         const auto result = place(
             m_state, m_pending, [&](const TeamId& team) { return tokens.at(team); }, m_now, most);
-        const auto broken = m_checker.check(result, m_pending, tokens);
+        auto broken = m_checker.check(result, m_pending, tokens);
         apply(result);
         return broken;
     }
@@ -61,7 +63,7 @@
 
     void apply(const PlacementResult& result)
     {
-        std::map<JobId, std::uint32_t> placed;
+        std::unordered_map<JobId, std::uint32_t> placed;
         for (const auto& placement : result.placements) {
             const auto it = std::find_if(m_pending.begin(), m_pending.end(),
                 [&](const PendingWork& work) { return work.job == placement.job; });
@@ -341,7 +343,7 @@
     }
     SUBCASE("batch is packed onto one worker, away from accelerators")
     {
-        std::set<ServerId> workers;
+        std::unordered_set<ServerId> workers;
         const auto result
             = place(state, { makeWork("b", JobKind::Batch, { 4'000, 1, 0 }, 8) }, tokensForAll(9), start, 9);
         for (const auto& placement : result.placements) {
--- a/tests/cores/PreemptionTest.cpp
+++ b/tests/cores/PreemptionTest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <unordered_map>
 
 using namespace quay;
 using namespace quay::test;
@@ -21,7 +22,7 @@
 
 // What a plan breaks by the rules for victims; empty if nothing.
 std::string checkPlan(const PreemptionPlan& plan, const Resources& need,
-    const std::map<ServerId, Resources>& freeOf, const std::vector<RunningTaskView>& running)
+    const std::unordered_map<ServerId, Resources>& freeOf, const std::vector<RunningTaskView>& running)
 {
     if (plan.actions.empty())
         return {};
@@ -110,7 +111,7 @@
         std::vector<RunningTaskView> running;
         std::vector<ServerId> workers;
         std::vector<Resources> freeOf;
-        std::map<ServerId, Resources> most, room;
+        std::unordered_map<ServerId, Resources> most, room;
         for (int worker = 0; worker < 3; ++worker) {
             workers.emplace_back("w" + std::to_string(worker));
             freeOf.push_back(
@@ -146,7 +147,7 @@
 TEST_CASE("the plan checker notices planted faults")
 {
     auto task = makeTask("t", "w1");
-    const std::map<ServerId, Resources> room { { ServerId { "w1" }, {} } };
+    const std::unordered_map<ServerId, Resources> room { { ServerId { "w1" }, {} } };
     PreemptionPlan plan { { { task.task, task.worker, PreemptionStep::Stop, task.size, 0 } } };
     CHECK(checkPlan(plan, { 1, 1, 0 }, room, { task }) == "non-idempotent task stopped");
     task.idempotent = true;
