--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -226,4 +226,61 @@
     ->Iterations(500)
     ->Unit(benchmark::kMicrosecond);
 
+// One call over a backlog that can't be placed: the fleet is full and every job is held.
+void holdBacklog(benchmark::State& bench)
+{
+    PlacementState state;
+    state.setWorkers(makeFleet(static_cast<std::size_t>(bench.range(0))), true);
+    std::vector<PendingWork> pending;
+    for (std::int64_t i = 0; i < bench.range(1); ++i) {
+        PendingWork work;
+        work.job = JobId { "j" + std::to_string(i) };
+        work.team = TeamId { "team" + std::to_string(static_cast<std::size_t>(i) % teamCount) };
+        work.kind = i % 100 == 99 ? JobKind::Gang : JobKind::Batch;
+        work.perTask = { 32'000, 1'024, 0 };
+        work.taskCount = work.kind == JobKind::Gang ? 20 : 1;
+        work.submittedAtMs = i;
+        pending.push_back(std::move(work));
+    }
+    const auto tokens = [](const TeamId&) { return 100'000U; };
+    PendingWork filler;
+    filler.job = JobId { "filler" };
+    filler.perTask = { 16'000, 1'024, 0 };
+    filler.taskCount = static_cast<std::uint32_t>(bench.range(0));
+    place(state, { filler }, tokens, {}, 100'000);
+    place(state, { filler }, tokens, {}, 100'000);
+    for (auto step : bench) {
+        (void)step;
+        auto result = place(state, pending, tokens, {}, 1'000);
+        benchmark::DoNotOptimize(result);
+    }
+}
+
+BENCHMARK(holdBacklog)
+    ->ArgsProduct({ { 80, 1'900 }, { 1'000, 10'000 } })
+    ->ArgNames({ "workers", "jobs" })
+    ->Unit(benchmark::kMicrosecond);
+
+// A gang of whole workers on an idle fleet, placed and taken off again.
+void placeGang(benchmark::State& bench)
+{
+    PlacementState state;
+    state.setWorkers(makeFleet(static_cast<std::size_t>(bench.range(0))), true);
+    PendingWork gang;
+    gang.job = JobId { "gang" };
+    gang.kind = JobKind::Gang;
+    gang.perTask = { 32'000, 1'024, 0 };
+    gang.taskCount = 24;
+    for (auto step : bench) {
+        (void)step;
+        const auto result = place(
+            state, { gang }, [](const TeamId&) { return 100U; }, {}, 100);
+        for (const auto& placement : result.placements)
+            state.taskEnded({ gang.job, gang.team, gang.kind, placement.worker, gang.perTask, 0 }, {});
+    }
+}
+
+BENCHMARK(placeGang)->ArgName("workers")->Arg(80)->Arg(475)->Arg(950)->Arg(1'900)->Unit(
+    benchmark::kMicrosecond);
+
 } // namespace
--- a/tests/cores/PlacementChecker.h
+++ b/tests/cores/PlacementChecker.h
@@ -52,6 +52,33 @@
         return broken;
     }
 
+    /** Held work that a scan of all workers finds room for; only meaningful while nothing is reserved. */
+    std::vector<std::string> checkHolds(
+        const PlacementResult& result, const std::vector<PendingWork>& pending) const
+    {
+        std::vector<std::string> broken;
+        for (const auto& hold : result.holds) {
+            const auto& work = *std::find_if(
+                pending.begin(), pending.end(), [&](const PendingWork& it) { return it.job == hold.job; });
+            if (hold.why == ErrorKind::QuotaExhausted || work.kind == JobKind::Gang)
+                continue;
+            for (const auto& [server, worker] : m_workers) {
+                const bool avoided
+                    = std::find(work.avoid.begin(), work.avoid.end(), server) != work.avoid.end();
+                if (worker.usable && !avoided && work.perTask.fitsIn(worker.capacity - worker.used))
+                    broken.push_back("idle room: " + work.job.text);
+            }
+        }
+        return broken;
+    }
+
+    /** Makes a worker usable or not and returns its view for the state under test. */
+    const WorkerView& setUsable(const ServerId& worker, bool usable)
+    {
+        m_workers.at(worker).usable = usable;
+        return m_workers.at(worker);
+    }
+
     void ended(const ServerId& worker, const Resources& amount) { m_workers.at(worker).used -= amount; }
 
 private:
--- a/tests/cores/PlacementTest.cpp
+++ b/tests/cores/PlacementTest.cpp
@@ -34,10 +34,17 @@
         std::unordered_map<TeamId, std::uint32_t> tokens;
         for (const auto* team : { "a", "b", "c" })
             tokens[TeamId { team }] = static_cast<std::uint32_t>(m_choices.below(30));
+        const auto& changed = m_workers[m_choices.below(m_workers.size())].id;
+        m_state.updateWorker(m_checker.setUsable(changed, m_choices.percent(80)));
         const auto most = static_cast<std::uint32_t>(m_choices.between(1, 60));
+        const bool reservedBefore = m_state.reservation().has_value();
         const auto result = place(
             m_state, m_pending, [&](const TeamId& team) { return tokens.at(team); }, m_now, most);
         auto broken = m_checker.check(result, m_pending, tokens);
+        if (!m_state.reservation() && !reservedBefore) {
+            const auto idle = m_checker.checkHolds(result, m_pending);
+            broken.insert(broken.end(), idle.begin(), idle.end());
+        }
         apply(result);
         return broken;
     }
@@ -218,6 +225,15 @@
     }
 }
 
+TEST_CASE("the checker notices held work that a worker has room for")
+{
+    const auto fleet = makeFleet(1);
+    const auto work = makeWork("j", JobKind::Batch, { 1, 1, 0 }, 1);
+    const PlacementResult result { {}, { { work.job, ErrorKind::NoCapacity, "" } } };
+    CHECK(
+        PlacementChecker(fleet).checkHolds(result, { work }) == std::vector<std::string> { "idle room: j" });
+}
+
 TEST_CASE("a gang starts within a bounded time under a stream of small work")
 {
     struct Row {
