--- a/tests/cores/FairShareTest.cpp
+++ b/tests/cores/FairShareTest.cpp
@@ -15,7 +15,8 @@
 
 // An evening on a full fleet: six teams each hand in more than their share; returns the largest
 // difference, over the teams, between declared share and mean part of what all teams held together.
-double shareErrorOfEvening(std::uint64_t seed, PlacementPolicy policy)
+// With `offRounds`, team 0 hands in nothing in every second stretch of that many rounds.
+double shareErrorOfEvening(std::uint64_t seed, PlacementPolicy policy, int offRounds = 0)
 {
     Choices choices(seed);
     PlacementState state(policy, seed);
@@ -32,7 +33,10 @@
     for (int round = 0; round < rounds; ++round, now += 10s) {
         for (auto it = ends.begin(); it != ends.end() && it->first <= round; it = ends.erase(it))
             state.taskEnded(it->second, now);
-        for (std::size_t team = 0; team < teamCount; ++team) {
+        const bool off = offRounds != 0 && round / offRounds % 2 == 1;
+        if (off)
+            std::erase_if(pending, [](const PendingWork& work) { return work.team == teamName(0); });
+        for (std::size_t team = off ? 1 : 0; team < teamCount; ++team) {
             // The team with the smallest share hands in the most jobs, as a crowd of late arrivals would.
             for (std::size_t job = 0; job <= team && pending.size() < 300; ++job) {
                 auto work
@@ -83,6 +87,19 @@
     });
 }
 
+TEST_CASE("a team that hands in work off and on comes nearer to its share by its past usage")
+{
+    forEachSeed(3, [](std::uint64_t seed) {
+        constexpr int offRounds = 30;
+        PlacementPolicy policy;
+        const auto withPast = shareErrorOfEvening(seed, policy, offRounds);
+        policy.usageHalfLife = 0s;
+        const auto presentOnly = shareErrorOfEvening(seed, policy, offRounds);
+        MESSAGE("seed " << seed << ": share error " << withPast << ", without past usage " << presentOnly);
+        CHECK(withPast < presentOnly);
+    });
+}
+
 TEST_CASE("the average of usage halves with each half-life")
 {
     struct Row {
