Configuration rollout: two phases, freshness lease, promises while the store is out

A prepared version is accepted once every registered VM confirms it or its freshness, counted from before the read, has surely lapsed.

--- a/include/quay/core/ConfigFinding.h
+++ b/include/quay/core/ConfigFinding.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace quay {
 
@@ -14,7 +14,14 @@
     std::string message;
     std::string remedy;
 
-    auto operator<=>(const ConfigFinding&) const = default;
+    bool operator==(const ConfigFinding&) const = default;
+
+    /** In order of file, then of place. */
+    bool operator<(const ConfigFinding& other) const
+    {
+        return std::tie(file, line, column, message)
+            < std::tie(other.file, other.line, other.column, other.message);
+    }
 
     /** "file:line:column: message; remedy". */
     std::string explain() const;
--- /dev/null
+++ b/src/core/ConfigRollout.cpp
@@ -0,0 +1,424 @@
+#include "quay/core/ConfigRollout.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quay {
+
+namespace {
+
+using Actions = std::vector<RolloutAction>;
+
+std::uint64_t acceptedVersion(const RolloutState& state) { return state.view.accepted.row.document.version; }
+std::uint64_t preparedVersion(const RolloutState& state) { return state.view.prepared.row.document.version; }
+
+std::uint64_t newestVersion(const RolloutState& state)
+{
+    return std::max(acceptedVersion(state), preparedVersion(state));
+}
+
+std::uint64_t newRequest(RolloutState& state, Instant now)
+{
+    const auto request = state.nextRequest++;
+    state.sentAt[request] = now;
+    return request;
+}
+
+// The moment before the request was sent; nullopt for an answer that came twice or too late.
+std::optional<Instant> takeSentAt(RolloutState& state, std::uint64_t request)
+{
+    const auto found = state.sentAt.find(request);
+    if (found == state.sentAt.end())
+        return std::nullopt;
+    const auto at = found->second;
+    state.sentAt.erase(found);
+    return at;
+}
+
+void forgetOldRequests(RolloutState& state, Instant now)
+{
+    std::erase_if(
+        state.sentAt, [&](const auto& entry) { return now - entry.second > state.limits.stalenessBound; });
+    std::erase_if(state.confirming, [&](const auto& entry) { return !state.sentAt.contains(entry.first); });
+}
+
+// A row is replaced only by a later one, so that late and repeated answers do no harm.
+void adoptRow(StoredRow& known, const StoredRow& read, bool keepHighest)
+{
+    if (!keepHighest || read.storeVersion > known.storeVersion)
+        known = read;
+}
+
+void adoptView(RolloutState& state, const RolloutView& view, Instant now)
+{
+    const auto before = preparedVersion(state);
+    adoptRow(state.view.accepted, view.accepted, state.rules.keepHighest);
+    adoptRow(state.view.prepared, view.prepared, state.rules.keepHighest);
+    if (preparedVersion(state) != before)
+        state.pendingSeenAt = now; // the commit was earlier, so waiting from here is long enough
+}
+
+// A view from before our row existed never counts: an acceptor whose scan missed the row
+// would not wait for us. Our row exists since registeredAt, so a later view shows all that
+// such an acceptor had prepared.
+void refresh(RolloutState& state, Instant from)
+{
+    if (!state.registeredAt || from < *state.registeredAt)
+        return;
+    state.freshFrom = state.freshFrom ? std::max(*state.freshFrom, from) : from;
+}
+
+void confirm(RolloutState& state, Instant now, Actions& actions)
+{
+    const auto request = newRequest(state, now);
+    state.confirming[request] = newestVersion(state);
+    actions.emplace_back(rollout::Confirm { request, newestVersion(state) });
+}
+
+// The first confirmation makes our row; the others are sent again until one is answered.
+void poll(RolloutState& state, Instant now, Actions& actions)
+{
+    state.lastPollAt = now;
+    if (!state.registeredAt || state.confirmed < newestVersion(state))
+        confirm(state, now, actions);
+    actions.emplace_back(rollout::Read { newRequest(state, now) });
+}
+
+bool isVoter(const RolloutState& state)
+{
+    const bool first = !state.view.accepted.storeVersion; // nothing was ever accepted
+    const auto& row = first ? state.view.prepared.row : state.view.accepted.row;
+    return row.voters.contains(state.vm);
+}
+
+bool everyViewIsNewOrLapsed(const RolloutState& state, Instant now)
+{
+    if (!state.rules.waitForConfirmations || state.confirmedByAll >= preparedVersion(state))
+        return true;
+    return now >= state.pendingSeenAt + state.limits.stalenessBound + state.limits.driftMargin;
+}
+
+bool limitsHold(const RolloutState& state)
+{
+    const auto& next = state.view.prepared.row.document;
+    return !lowersLimits(state.view.accepted.row.document, next) || state.satisfied == next.version;
+}
+
+bool mayAccept(const RolloutState& state, Instant now)
+{
+    return state.view.pending() && isVoter(state) && !state.acceptRequest && now >= state.acceptNothingUntil
+        && limitsHold(state) && everyViewIsNewOrLapsed(state, now);
+}
+
+void tryAccept(RolloutState& state, Instant now, Actions& actions)
+{
+    if (!mayAccept(state, now))
+        return;
+    const auto request = newRequest(state, now);
+    state.acceptRequest = request;
+    state.acceptRow = state.view.prepared.row;
+    state.acceptKnownFrom = now + state.limits.requestLifetime;
+    actions.emplace_back(rollout::Write { request, true, state.view, state.view.prepared.row });
+}
+
+void finishApply(RolloutState& state, ErrorKind kind, Actions& actions)
+{
+    actions.emplace_back(rollout::ApplyDone { state.apply->token, kind, newestVersion(state) });
+    state.apply.reset();
+    state.applyRequest.reset();
+    state.applySent = false;
+}
+
+RolloutRow preparedRow(const RolloutState& state)
+{
+    const auto& apply = *state.apply;
+    RolloutRow row { apply.document, apply.voters, apply.token };
+    row.document.version = newestVersion(state) + 1;
+    if (row.voters.empty())
+        row.voters = state.view.accepted.row.voters;
+    return row;
+}
+
+bool applyIsVisible(const RolloutState& state)
+{
+    return state.view.prepared.row.by == state.apply->token
+        || state.view.accepted.row.by == state.apply->token;
+}
+
+// Our write could only make version base + 1. If that version is the newest and not ours, ours
+// never got in; if still later ones hide it, we can't tell.
+ErrorKind lostRaceKind(const RolloutState& state)
+{
+    const bool hidden = newestVersion(state) > state.apply->base + 1;
+    return state.applySent && hidden ? ErrorKind::OutcomeUnknown : ErrorKind::VersionConflict;
+}
+
+// Called after each read from the store: the view decides whether the operator's change is
+// in, may be tried, or lost the race.
+void advanceApply(RolloutState& state, Instant now, Actions& actions)
+{
+    if (!state.apply || state.applyRequest)
+        return;
+    if (applyIsVisible(state))
+        return finishApply(state, ErrorKind::None, actions);
+    if (state.rules.checkBaseVersion && newestVersion(state) != state.apply->base)
+        return finishApply(state, lostRaceKind(state), actions);
+    const auto request = newRequest(state, now);
+    state.applyRequest = request;
+    state.applySent = true;
+    actions.emplace_back(rollout::Write { request, false, state.view, preparedRow(state) });
+}
+
+// An accepting write whose answer was lost may still take effect until its lifetime is over.
+void resolveAccept(RolloutState& state, Instant readSentAt)
+{
+    if (state.acceptRequest && readSentAt >= state.acceptKnownFrom)
+        state.acceptRequest.reset();
+}
+
+// A promise is worth something only if we know every version that we (or our predecessor on
+// this VM) accepted, and no accepting write of ours can still take effect.
+bool promise(RolloutState& state, Instant now)
+{
+    const bool storeSilent = state.storeHeardAt && now - *state.storeHeardAt > 2 * state.limits.pollPeriod;
+    if (!storeSilent || !state.mayPromise || state.acceptRequest)
+        return false;
+    state.acceptNothingUntil = std::max(state.acceptNothingUntil, now + state.limits.promiseFor);
+    return true;
+}
+
+void onTick(RolloutState& state, Instant now, Actions& actions)
+{
+    forgetOldRequests(state, now);
+    if (state.applyRequest && !state.sentAt.contains(*state.applyRequest))
+        state.applyRequest.reset(); // the answer is lost; the next read tells
+    if (!state.lastPollAt || now - *state.lastPollAt >= state.limits.pollPeriod)
+        poll(state, now, actions);
+    if (state.view.pending() && isVoter(state) && state.confirmedByAll < preparedVersion(state))
+        actions.emplace_back(rollout::Scan { newRequest(state, now) });
+    const auto quiet = 2 * state.limits.pollPeriod;
+    if (!state.freshFrom || now - *state.freshFrom > quiet) {
+        promise(state, now); // to ourselves: it is our voice if we are a voter
+        actions.emplace_back(rollout::AskPeers { newRequest(state, now) });
+    }
+    tryAccept(state, now, actions);
+}
+
+void onEvent(RolloutState& state, const rollout::Tick& /*event*/, Instant now, Actions& actions)
+{
+    onTick(state, now, actions);
+}
+
+void onEvent(RolloutState& state, const rollout::ReadAnswer& event, Instant now, Actions& actions)
+{
+    const auto sent = takeSentAt(state, event.request);
+    if (!sent)
+        return;
+    const auto before = newestVersion(state);
+    adoptView(state, event.view, now);
+    refresh(state, state.rules.countFromRequest ? *sent : now);
+    state.storeHeardAt = now;
+    state.mayPromise = state.mayPromise || *sent >= state.startedAt + state.limits.requestLifetime;
+    resolveAccept(state, *sent);
+    if (newestVersion(state) > before)
+        confirm(state, now, actions);
+    advanceApply(state, now, actions);
+    tryAccept(state, now, actions);
+}
+
+void onEvent(RolloutState& state, const rollout::ScanAnswer& event, Instant now, Actions& actions)
+{
+    if (!takeSentAt(state, event.request))
+        return;
+    state.storeHeardAt = now;
+    if (event.confirmed.empty())
+        return;
+    // The scan was sent after we knew the pending version, or it can't show that version confirmed.
+    const auto lowest = std::min_element(event.confirmed.begin(), event.confirmed.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    state.confirmedByAll = std::max(state.confirmedByAll, lowest->second);
+    tryAccept(state, now, actions);
+}
+
+// A conflict may be that of a repeated message whose first copy took effect: only a read sent
+// from now on tells whether we accepted the version.
+void acceptAnswered(RolloutState& state, const rollout::WriteAnswer& event, Instant now)
+{
+    if (state.acceptRequest != event.request)
+        return;
+    if (!event.ok) {
+        state.acceptKnownFrom = std::min(state.acceptKnownFrom, now);
+        return;
+    }
+    state.acceptRequest.reset();
+    adoptRow(state.view.accepted, { state.acceptRow, event.storeVersion }, state.rules.keepHighest);
+}
+
+void confirmAnswered(RolloutState& state, const rollout::WriteAnswer& event, Instant now)
+{
+    const auto found = state.confirming.find(event.request);
+    if (found == state.confirming.end())
+        return;
+    if (event.ok) {
+        state.confirmed = std::max(state.confirmed, found->second);
+        state.registeredAt = state.registeredAt.value_or(now);
+    }
+    state.confirming.erase(found);
+}
+
+void onEvent(RolloutState& state, const rollout::WriteAnswer& event, Instant now, Actions& actions)
+{
+    acceptAnswered(state, event, now);
+    confirmAnswered(state, event, now);
+    if (state.applyRequest == event.request)
+        state.applyRequest.reset();
+    if (!takeSentAt(state, event.request))
+        return;
+    state.storeHeardAt = now;
+    // Whatever was written, the next read shows what came of it.
+    actions.emplace_back(rollout::Read { newRequest(state, now) });
+}
+
+void onEvent(RolloutState& state, const rollout::Apply& event, Instant now, Actions& actions)
+{
+    if (state.apply) {
+        actions.emplace_back(
+            rollout::ApplyDone { event.request.token, ErrorKind::VersionConflict, newestVersion(state) });
+        return;
+    }
+    state.apply = event.request;
+    actions.emplace_back(rollout::Read { newRequest(state, now) });
+}
+
+void onEvent(RolloutState& state, const rollout::LimitsSatisfied& event, Instant now, Actions& actions)
+{
+    state.satisfied = std::max(state.satisfied, event.version);
+    tryAccept(state, now, actions);
+}
+
+void onEvent(RolloutState& state, const rollout::PeerAsk& event, Instant now, Actions& actions)
+{
+    rollout::PeerAnswer answer { state.vm, event.request, state.view, std::nullopt, promise(state, now) };
+    if (state.freshFrom)
+        answer.age = now - *state.freshFrom;
+    actions.emplace_back(rollout::Reply { event.from, std::move(answer) });
+}
+
+// The peer read at its answer time less `age`, and it answered after we asked: the view is
+// at least as new as (when we asked - age).
+void onEvent(RolloutState& state, const rollout::PeerAnswer& event, Instant now, Actions& actions)
+{
+    const auto asked = state.sentAt.find(event.request);
+    if (asked == state.sentAt.end())
+        return;
+    const auto before = newestVersion(state);
+    adoptView(state, event.view, now);
+    if (event.age)
+        refresh(state, asked->second - *event.age);
+    if (event.promised)
+        state.promises[event.from] = asked->second;
+    if (newestVersion(state) > before)
+        confirm(state, now, actions);
+    tryAccept(state, now, actions);
+}
+
+bool promisedBy(const RolloutState& state, const std::string& voter, Instant now)
+{
+    if (voter == state.vm)
+        return state.mayPromise && now + state.limits.driftMargin <= state.acceptNothingUntil;
+    const auto found = state.promises.find(voter);
+    return found != state.promises.end()
+        && now + state.limits.driftMargin <= found->second + state.limits.promiseFor;
+}
+
+// True while every VM that could accept a version has promised not to. Each of them told its
+// view when it promised, so we know every version accepted so far and none can be added.
+bool nothingCanBeAccepted(const RolloutState& state, Instant now)
+{
+    const auto& voters = state.view.accepted.row.voters;
+    return !voters.empty() && std::all_of(voters.begin(), voters.end(), [&](const auto& voter) {
+        return promisedBy(state, voter, now);
+    });
+}
+
+bool activeIn(const Configuration& configuration, const KeyEntry& key)
+{
+    return std::any_of(configuration.keys.begin(), configuration.keys.end(),
+        [&](const KeyEntry& other) { return other == key && !other.withdrawn; });
+}
+
+QueueConfig intersectQueue(QueueConfig queue, const QueueConfig& next)
+{
+    std::erase_if(queue.teams, [&](const TeamId& team) {
+        return std::find(next.teams.begin(), next.teams.end(), team) == next.teams.end();
+    });
+    queue.open = queue.open && next.open && !queue.teams.empty();
+    return queue;
+}
+
+} // namespace
+
+RolloutState startRollout(
+    std::string vm, Instant now, RolloutLimits limits, RolloutRules rules, RolloutView remembered)
+{
+    RolloutState state;
+    state.vm = std::move(vm);
+    state.startedAt = now;
+    state.limits = limits;
+    state.rules = rules;
+    state.pendingSeenAt = now;
+    // Our predecessor on this VM may have promised just before it ended.
+    state.acceptNothingUntil = now + limits.promiseFor + limits.driftMargin;
+    state.view = std::move(remembered);
+    if (!rules.firstReadBeforeServing)
+        state.freshFrom = now;
+    return state;
+}
+
+RolloutResult step(RolloutState state, const RolloutEvent& event, Instant now)
+{
+    RolloutResult result { std::move(state), {} };
+    std::visit([&](const auto& one) { onEvent(result.state, one, now, result.actions); }, event);
+    return result;
+}
+
+bool servesKeyedWork(const RolloutState& state, Instant now)
+{
+    if (!state.freshFrom)
+        return false;
+    return now < *state.freshFrom + state.limits.stalenessBound || nothingCanBeAccepted(state, now);
+}
+
+Configuration effectiveConfiguration(const RolloutState& state)
+{
+    const auto& accepted = state.view.accepted.row.document;
+    return state.view.pending() ? intersect(accepted, state.view.prepared.row.document) : accepted;
+}
+
+Configuration intersect(const Configuration& current, const Configuration& next)
+{
+    Configuration result = current;
+    for (auto& [id, team] : result.teams) {
+        const auto other = next.teams.find(id);
+        const bool gone = other == next.teams.end();
+        team.upperLimit = gone ? 0 : std::min(team.upperLimit, other->second.upperLimit);
+        team.maxQueued = gone ? 0 : std::min(team.maxQueued, other->second.maxQueued);
+    }
+    for (auto& [id, queue] : result.queues) {
+        const auto other = next.queues.find(id);
+        queue = intersectQueue(queue, other == next.queues.end() ? QueueConfig {} : other->second);
+    }
+    for (auto& key : result.keys)
+        key.withdrawn = key.withdrawn || !activeIn(next, key);
+    return result;
+}
+
+bool lowersLimits(const Configuration& current, const Configuration& next)
+{
+    return std::any_of(current.teams.begin(), current.teams.end(), [&](const auto& entry) {
+        const auto other = next.teams.find(entry.first);
+        return other == next.teams.end() || other->second.upperLimit < entry.second.upperLimit;
+    });
+}
+
+} // namespace quay
--- /dev/null
+++ b/tests/cores/ConfigRolloutTest.cpp
@@ -0,0 +1,435 @@
+#include "Seeded.h"
+
+#include "quay/core/ConfigRollout.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace quay;
+using test::Choices;
+
+namespace {
+
+const std::set<std::string> vms { "a1", "b1", "c1" };
+
+Configuration document(Choices& choices)
+{
+    Configuration configuration;
+    for (const auto* team : { "clinic", "agents" })
+        configuration.teams[TeamId { team }]
+            = { 1, static_cast<std::uint32_t>(choices.between(1, 4) * 5), 100 };
+    for (const auto* key : { "k1", "k2", "k3", "k4" })
+        configuration.keys.push_back({ key, KeyRole::Team, TeamId { "clinic" }, key, choices.percent(30) });
+    return configuration;
+}
+
+// What `serving` lets through that `accepted` forbids; empty: nothing.
+std::string forbidden(const Configuration& serving, const Configuration& accepted)
+{
+    for (const auto& key : serving.keys) {
+        const auto other = std::find_if(accepted.keys.begin(), accepted.keys.end(),
+            [&](const KeyEntry& entry) { return entry.id == key.id; });
+        if (!key.withdrawn && (other == accepted.keys.end() || other->withdrawn))
+            return "serves withdrawn key " + key.id;
+    }
+    for (const auto& [id, team] : serving.teams) {
+        if (team.upperLimit > accepted.teams.at(id).upperLimit)
+            return "works above the limit of " + id.text;
+    }
+    return {};
+}
+
+// Three entry VMs with clocks of their own, a table service, lossy links, pauses and restarts.
+class Fleet {
+public:
+    Fleet(std::uint64_t seed, bool chaos, RolloutRules rules = {})
+        : m_choices(seed)
+        , m_chaos(chaos)
+        , m_rules(rules)
+    {
+        m_store.accepted.row = { document(m_choices), vms, "first" };
+        m_store.accepted.row.document.version = 1;
+        m_store.accepted.storeVersion = ++m_storeVersion;
+        for (const auto& vm : vms) {
+            m_nodes[vm].offset = Duration(m_choices.between(0, 1'000'000'000'000));
+            m_nodes[vm].ratePermille = m_choices.between(-20, 20);
+            restart(vm);
+        }
+    }
+
+    void run(Duration span)
+    {
+        const auto end = m_now + span;
+        while (m_now < end && m_violation.empty()) {
+            m_now += 50ms;
+            while (!m_wire.empty() && m_wire.begin()->first <= m_now) {
+                const auto deliver = m_wire.begin()->second;
+                m_wire.erase(m_wire.begin());
+                deliver();
+                check();
+            }
+            if (m_chaos)
+                trouble();
+            for (const auto& vm : vms)
+                tick(vm);
+        }
+    }
+
+    void heal()
+    {
+        m_chaos = false;
+        m_storeDown = false;
+        m_cut.clear();
+        for (auto& [vm, node] : m_nodes)
+            node.pausedUntil = {};
+    }
+
+    void apply(const std::string& vm, std::uint64_t base)
+    {
+        ApplyRequest request { "op-" + std::to_string(++m_operators), base, document(m_choices), {} };
+        m_bases[request.token] = base;
+        feed(vm, rollout::Apply { request });
+    }
+
+    void cut(const std::string& vm) { m_cut.insert(vm); }
+    void storeDown(bool down) { m_storeDown = down; }
+    void restart(const std::string& vm)
+    {
+        auto& node = m_nodes[vm];
+        node.state = startRollout(vm, clock(node), {}, m_rules, node.state.view);
+        ++node.incarnation;
+        node.highest = 0;
+    }
+
+    std::uint64_t newest() const
+    {
+        return std::max(m_store.accepted.row.document.version, m_store.prepared.row.document.version);
+    }
+    std::uint64_t accepted() const { return m_store.accepted.row.document.version; }
+    bool serves(const std::string& vm) { return servesKeyedWork(m_nodes[vm].state, clock(m_nodes[vm])); }
+    const RolloutState& state(const std::string& vm) { return m_nodes[vm].state; }
+    const std::string& violation() const { return m_violation; }
+    const std::map<std::string, ErrorKind>& outcomes() const { return m_outcomes; }
+    std::size_t applied() const { return m_operators; }
+
+    bool settled()
+    {
+        return std::all_of(vms.begin(), vms.end(), [&](const auto& vm) {
+            return serves(vm) && state(vm).view.accepted == m_store.accepted && !state(vm).view.pending();
+        });
+    }
+
+private:
+    struct Node {
+        RolloutState state;
+        Duration offset {};
+        std::int64_t ratePermille = 0;
+        unsigned incarnation = 0;
+        std::uint64_t highest = 0; // accepted version that this process has had
+        std::uint64_t served = 0; // accepted version that keyed work was served under, by any process
+        Instant pausedUntil;
+        Instant nextTick;
+    };
+
+    Instant clock(const Node& node) const
+    {
+        const auto elapsed = m_now.time_since_epoch();
+        return Instant(elapsed + elapsed * node.ratePermille / 1000 + node.offset);
+    }
+
+    void later(std::int64_t lowMs, std::int64_t highMs, std::function<void()> deliver)
+    {
+        m_wire.emplace(
+            m_now + std::chrono::milliseconds(m_choices.between(lowMs, highMs)), std::move(deliver));
+    }
+
+    // Loses, repeats and delays; a paused process gets the message when it runs again.
+    void send(std::int64_t highMs, const std::function<void()>& deliver)
+    {
+        if (m_chaos && m_choices.percent(10))
+            return;
+        later(1, m_chaos ? highMs : 50, deliver);
+        if (m_chaos && m_choices.percent(10))
+            later(1, highMs, deliver);
+    }
+
+    void feed(const std::string& vm, const RolloutEvent& event)
+    {
+        auto& node = m_nodes[vm];
+        if (m_now < node.pausedUntil) {
+            const auto incarnation = node.incarnation;
+            m_wire.emplace(node.pausedUntil, [=, this] { answer(vm, incarnation, event); });
+            return;
+        }
+        auto result = step(std::move(node.state), event, clock(node));
+        node.state = std::move(result.state);
+        check();
+        for (const auto& action : result.actions)
+            std::visit([&](const auto& one) { perform(vm, one); }, action);
+    }
+
+    void answer(const std::string& vm, unsigned incarnation, const RolloutEvent& event)
+    {
+        if (m_nodes[vm].incarnation == incarnation)
+            feed(vm, event);
+    }
+
+    // A request reaches the store within its lifetime or never; its answer may take longer.
+    void ask(const std::string& vm, std::function<RolloutEvent()> effect)
+    {
+        const auto incarnation = m_nodes[vm].incarnation;
+        send(1500, [=, this] {
+            if (m_storeDown || m_cut.contains(vm))
+                return;
+            const auto event = effect();
+            check();
+            send(1500, [=, this] { answer(vm, incarnation, event); });
+        });
+    }
+
+    void perform(const std::string& vm, const rollout::Read& read)
+    {
+        ask(vm, [=, this]() -> RolloutEvent { return rollout::ReadAnswer { read.request, m_store }; });
+    }
+
+    void perform(const std::string& vm, const rollout::Scan& scan)
+    {
+        ask(vm, [=, this]() -> RolloutEvent { return rollout::ScanAnswer { scan.request, m_confirmed }; });
+    }
+
+    void perform(const std::string& vm, const rollout::Confirm& confirm)
+    {
+        ask(vm, [=, this]() -> RolloutEvent {
+            m_confirmed[vm] = confirm.version;
+            return rollout::WriteAnswer { confirm.request, true, ++m_storeVersion };
+        });
+    }
+
+    void perform(const std::string& vm, const rollout::Write& write)
+    {
+        ask(vm, [=, this]() -> RolloutEvent { return commit(write); });
+    }
+
+    RolloutEvent commit(const rollout::Write& write)
+    {
+        if (write.seen.accepted.storeVersion != m_store.accepted.storeVersion
+            || write.seen.prepared.storeVersion != m_store.prepared.storeVersion)
+            return rollout::WriteAnswer { write.request, false, 0 };
+        if (!write.accepted && m_bases.at(write.row.by) != newest())
+            report("operator overwrote a version not seen");
+        if (write.accepted && write.row.document.version <= accepted())
+            report("the accepted version fell in the store");
+        auto& row = write.accepted ? m_store.accepted : m_store.prepared;
+        row = { write.row, ++m_storeVersion };
+        return rollout::WriteAnswer { write.request, true, row.storeVersion };
+    }
+
+    void perform(const std::string& vm, const rollout::AskPeers& question)
+    {
+        for (const auto& peer : vms) {
+            if (peer != vm)
+                send(400, [=, this] {
+                    if (!m_peersCut.contains(peer) && !m_peersCut.contains(vm))
+                        feed(peer, rollout::PeerAsk { vm, question.request });
+                });
+        }
+    }
+
+    void perform(const std::string& /*vm*/, const rollout::Reply& reply)
+    {
+        // The incarnation that asked may be gone; its successor numbers its requests anew, so
+        // the link drops the answer as a real connection does.
+        const auto incarnation = m_nodes[reply.to].incarnation;
+        send(400, [=, this] { answer(reply.to, incarnation, reply.answer); });
+    }
+
+    void perform(const std::string& /*vm*/, const rollout::ApplyDone& done)
+    {
+        m_outcomes[done.token] = done.kind;
+    }
+
+    void tick(const std::string& vm)
+    {
+        auto& node = m_nodes[vm];
+        if (m_now < node.nextTick || m_now < node.pausedUntil)
+            return;
+        node.nextTick = m_now + std::chrono::milliseconds(m_choices.between(100, 300));
+        satisfyLimits(vm);
+        feed(vm, rollout::Tick {});
+    }
+
+    void satisfyLimits(const std::string& vm)
+    {
+        const auto& view = state(vm).view;
+        if (view.pending() && m_choices.percent(20))
+            feed(vm, rollout::LimitsSatisfied { view.prepared.row.document.version });
+    }
+
+    void trouble()
+    {
+        const auto vm = *std::next(vms.begin(), static_cast<std::ptrdiff_t>(m_choices.below(vms.size())));
+        const auto what = m_choices.below(2000);
+        if (what < 4)
+            restart(vm);
+        else if (what < 10)
+            m_nodes[vm].pausedUntil = m_now + std::chrono::milliseconds(m_choices.between(100, 9000));
+        else if (what < 16)
+            m_cut.insert(vm);
+        else if (what < 30)
+            m_cut.erase(vm);
+        else if (what < 34)
+            m_storeDown = true;
+        else if (what < 44)
+            m_storeDown = false;
+        else if (what < 48)
+            m_peersCut.insert(vm);
+        else if (what < 60)
+            m_peersCut.erase(vm);
+        else if (what < 100)
+            apply(vm, newest() - (m_choices.percent(30) ? 1 : 0));
+    }
+
+    void report(const std::string& what)
+    {
+        if (m_violation.empty())
+            m_violation = what + " at " + std::to_string(toMilliseconds(m_now.time_since_epoch())) + " ms";
+    }
+
+    void check()
+    {
+        for (auto& [vm, node] : m_nodes) {
+            const auto version = node.state.view.accepted.row.document.version;
+            if (version < node.highest)
+                report(vm + " stepped back");
+            node.highest = std::max(node.highest, version);
+            if (m_now < node.pausedUntil || !servesKeyedWork(node.state, clock(node)))
+                continue;
+            if (version < node.served)
+                report(vm + " serves an older version than before");
+            node.served = std::max(node.served, version);
+            const auto fault = forbidden(effectiveConfiguration(node.state), m_store.accepted.row.document);
+            if (!fault.empty())
+                report(vm + " " + fault);
+        }
+    }
+
+    Choices m_choices;
+    bool m_chaos;
+    RolloutRules m_rules;
+    Instant m_now;
+    RolloutView m_store;
+    std::uint64_t m_storeVersion = 0;
+    std::map<std::string, std::uint64_t> m_confirmed;
+    std::map<std::string, Node> m_nodes;
+    std::multimap<Instant, std::function<void()>> m_wire;
+    std::set<std::string> m_cut; // can't reach the store
+    std::set<std::string> m_peersCut; // can't reach its peers
+    bool m_storeDown = false;
+    std::size_t m_operators = 0;
+    std::map<std::string, std::uint64_t> m_bases;
+    std::map<std::string, ErrorKind> m_outcomes;
+    std::string m_violation;
+};
+
+constexpr std::uint64_t seeds = 60;
+
+bool faultIsFound(RolloutRules rules)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Fleet fleet(seed, true, rules);
+        fleet.run(120s);
+        if (!fleet.violation().empty())
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("no interleaving breaks the rollout, and it settles once trouble ends")
+{
+    std::uint64_t versions = 0;
+    test::forEachSeed(seeds, [&](std::uint64_t seed) {
+        Fleet fleet(seed, true);
+        fleet.run(120s);
+        CHECK_MESSAGE(fleet.violation().empty(), fleet.violation());
+        versions += fleet.accepted();
+        fleet.heal();
+        fleet.run(30s);
+        CHECK_MESSAGE(fleet.violation().empty(), fleet.violation());
+        CHECK(fleet.settled());
+    });
+    CHECK(versions > seeds); // the runs do accept changes
+}
+
+TEST_CASE("each planted fault is found")
+{
+    struct Row {
+        const char* name;
+        bool RolloutRules::*rule;
+    };
+    const Row rows[] = {
+        { "accepts without waiting", &RolloutRules::waitForConfirmations },
+        { "counts freshness from the answer", &RolloutRules::countFromRequest },
+        { "serves from memory after a restart", &RolloutRules::firstReadBeforeServing },
+        { "takes a late answer as news", &RolloutRules::keepHighest },
+        { "ignores the base version", &RolloutRules::checkBaseVersion },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.name);
+        RolloutRules rules;
+        rules.*row.rule = false;
+        CHECK(faultIsFound(rules));
+    }
+}
+
+TEST_CASE("a change is in force everywhere within ten seconds, also with one VM cut off")
+{
+    for (const bool oneCut : { false, true }) {
+        CAPTURE(oneCut);
+        Fleet fleet(7, false);
+        fleet.run(5s);
+        if (oneCut)
+            fleet.cut("c1");
+        fleet.apply("a1", 1);
+        fleet.run(10s);
+        CHECK(fleet.accepted() == 2);
+        CHECK(fleet.state("b1").view.accepted.row.document.version == 2);
+        CHECK(fleet.serves("b1"));
+        CHECK(fleet.outcomes().at("op-1") == ErrorKind::None);
+    }
+}
+
+TEST_CASE("of two operators with the same base one wins and the other is told")
+{
+    Fleet fleet(3, false);
+    fleet.run(5s);
+    fleet.apply("a1", 1);
+    fleet.apply("b1", 1);
+    fleet.run(10s);
+    std::multiset<ErrorKind> kinds;
+    for (const auto& [token, kind] : fleet.outcomes())
+        kinds.insert(kind);
+    CHECK(kinds == std::multiset<ErrorKind> { ErrorKind::None, ErrorKind::VersionConflict });
+    CHECK(fleet.accepted() == 2);
+}
+
+TEST_CASE("when nobody reaches the store and all voters are heard, keyed work goes on")
+{
+    Fleet fleet(5, false);
+    fleet.run(10s);
+    fleet.storeDown(true);
+    for (int second = 0; second < 60; ++second) {
+        fleet.run(1s);
+        for (const auto& vm : vms)
+            CHECK(fleet.serves(vm));
+    }
+    fleet.restart("c1"); // it can't know what its predecessor accepted
+    fleet.run(10s);
+    for (const auto& vm : vms)
+        CHECK_FALSE(fleet.serves(vm));
+    fleet.storeDown(false);
+    fleet.run(10s);
+    CHECK(fleet.settled());
+}
