--- a/include/quay/core/Roster.h
+++ b/include/quay/core/Roster.h
@@ -83,6 +83,9 @@
     bool leaseFromSend = true;
     bool honourPromises = true;
     bool awaitConfirmations = true;
+    bool awaitArrival = true; // of what was sent before giving way
+    bool spareStrangers = true; // members that never learnt of this one, up to the extension limit
+    bool settleRemovals = true; // no promise while an own removal may still take effect
 
     bool operator==(const RosterRules&) const = default;
 };
--- a/src/core/Roster.cpp
+++ b/src/core/Roster.cpp
@@ -156,7 +156,7 @@
     if (hasPromised(state, member.id, now))
         return false;
     Duration span = std::chrono::milliseconds(member.leaseMs);
-    if (!knowsMe(state, member))
+    if (state.rules.spareStrangers && !knowsMe(state, member))
         span += state.timing.extensionLimit;
     return now - it->second.since >= surelyElapsed(state.timing, span);
 }
@@ -206,8 +206,9 @@
 {
     // What was sent before giving way must have arrived before the next owner may start.
     const auto& record = *state.known;
-    return own.confirmedEpoch < record.epoch && state.yieldedEpoch == record.epoch
-        && now - state.yieldedAt >= surelyElapsed(state.timing, {});
+    const bool hasArrived
+        = !state.rules.awaitArrival || now - state.yieldedAt >= surelyElapsed(state.timing, {});
+    return own.confirmedEpoch < record.epoch && state.yieldedEpoch == record.epoch && hasArrived;
 }
 
 bool mayLeave(const RosterState& state, const RosterMember& own)
@@ -340,8 +341,9 @@
 
 bool removalMayTakeEffect(const RosterState& state, const MemberId& member)
 {
-    return std::any_of(state.sentRemovals.begin(), state.sentRemovals.end(),
+    const bool wasSent = std::any_of(state.sentRemovals.begin(), state.sentRemovals.end(),
         [&](const auto& removal) { return removal.member == member; });
+    return state.rules.settleRemovals && wasSent;
 }
 
 // --- events ---
--- a/tests/cores/RosterTest.cpp
+++ b/tests/cores/RosterTest.cpp
@@ -101,10 +101,12 @@
         RosterRules rules;
     };
     const Row rows[] = {
-        { "no check before a send", { false, true, true, true } },
-        { "lease counted from the answer", { true, false, true, true } },
-        { "promises ignored", { true, true, false, true } },
-        { "epochs without confirmations", { true, true, true, false } },
+        { "no check before a send", { .checkLeaseBeforeSend = false } },
+        { "lease counted from the answer", { .leaseFromSend = false } },
+        { "promises ignored", { .honourPromises = false } },
+        { "epochs without confirmations", { .awaitConfirmations = false } },
+        { "no time for sends to arrive", { .awaitArrival = false } },
+        { "strangers removed after a lease", { .spareStrangers = false } },
     };
     constexpr std::uint64_t seedsTried = 400;
     for (const auto& row : rows) {
@@ -214,3 +216,35 @@
     CHECK(state.removed);
     CHECK(actions == std::vector<RosterAction> { roster::PublishOwnership { {}, true } });
 }
+
+TEST_CASE("no promise to a member whose removal may still take effect")
+{
+    for (const bool settleRemovals : { true, false }) {
+        CAPTURE(settleRemovals);
+        RosterState state;
+        state.rules.settleRemovals = settleRemovals;
+        state.self = MemberId { "a#1" };
+        Instant now = Instant {} + 100s;
+        auto record = sampleRecord();
+        record.members[1].state = MemberState::Active;
+        // Reads go on every second and b never renews.
+        bool removalSent = false;
+        for (int i = 0; i < 10 && !removalSent; ++i, now += 1s) {
+            step(state, roster::ReadAnswered { record, 5 }, now);
+            for (const auto& action : step(state, roster::Tick {}, now)) {
+                const auto* write = std::get_if<roster::WriteRow>(&action);
+                removalSent |= write && !findMember(write->record, record.members[1].id);
+            }
+            if (!removalSent)
+                step(state, roster::WriteUnknown {}, now);
+        }
+        REQUIRE(removalSent);
+        step(state, roster::WriteUnknown {}, now);
+        step(state, roster::ReadAnswered { record, 5 }, now); // not applied yet, and may still be
+        const roster::PromiseRequested request { record.members[1].id, 1, 6s };
+        CHECK(step(state, request, now).empty() == settleRemovals);
+        step(
+            state, roster::ReadAnswered { record, 6 }, now); // the row moved on: it can't be applied any more
+        CHECK(step(state, request, now).size() == 1);
+    }
+}
