--- a/include/quay/core/Roster.h
+++ b/include/quay/core/Roster.h
@@ -155,6 +155,15 @@
     bool operator==(const PlatformListed&) const = default;
 };
 
+/**
+ * The process of an earlier incarnation has ended, known without any waiting: for example this
+ * process holds the listening port that the earlier one on the same VM held while it lived.
+ */
+struct PredecessorEnded {
+    MemberId member;
+    bool operator==(const PredecessorEnded&) const = default;
+};
+
 /** Read the roster row. Every read is answered by ReadAnswered or ReadFailed. */
 struct ReadRow {
     bool operator==(const ReadRow&) const = default;
@@ -196,7 +205,7 @@
 
 using RosterEvent = std::variant<roster::Tick, roster::ReadAnswered, roster::ReadFailed, roster::WriteDone,
     roster::WriteConflicted, roster::WriteUnknown, roster::HeartbeatReceived, roster::PromiseRequested,
-    roster::PromiseGranted, roster::DrainRequested, roster::PlatformListed>;
+    roster::PromiseGranted, roster::DrainRequested, roster::PlatformListed, roster::PredecessorEnded>;
 
 using RosterAction = std::variant<roster::ReadRow, roster::WriteRow, roster::SendHeartbeat,
     roster::SendPromiseRequest, roster::SendPromise, roster::PublishOwnership>;
@@ -256,6 +265,7 @@
     std::optional<Instant> lastPromiseRequest;
 
     std::map<MemberId, RenewalObservation> observations;
+    std::map<MemberId, Instant> endedSince; // members whose process is known to have ended
     std::map<MemberId, Instant> promisesGiven; // not to remove the member before this time
     std::map<MemberId, Instant> promisesHeld; // the member won't remove this one before this time
     std::uint64_t lastRequest = 0;
--- a/src/core/Roster.cpp
+++ b/src/core/Roster.cpp
@@ -148,6 +148,13 @@
     return state.rules.honourPromises && it != state.promisesGiven.end() && now < it->second;
 }
 
+// An ended process needs no lease to lapse, only its last sends to arrive.
+bool hasSurelyEnded(const RosterState& state, const MemberId& member, Instant now)
+{
+    const auto it = state.endedSince.find(member);
+    return it != state.endedSince.end() && now - it->second >= surelyElapsed(state.timing, {});
+}
+
 bool hasSurelyLapsed(const RosterState& state, const RosterMember& member, Instant now)
 {
     const auto it = state.observations.find(member.id);
@@ -165,7 +172,7 @@
 {
     std::vector<MemberId> lapsed;
     for (const auto& member : state.known->members) {
-        if (hasSurelyLapsed(state, member, now))
+        if (hasSurelyEnded(state, member.id, now) || hasSurelyLapsed(state, member, now))
             lapsed.push_back(member.id);
     }
     return lapsed;
@@ -432,6 +439,12 @@
     }
 }
 
+void handle(RosterState& state, const roster::PredecessorEnded& event, Instant now, Actions&)
+{
+    if (event.member != state.self)
+        state.endedSince.try_emplace(event.member, now);
+}
+
 } // namespace
 
 Duration surelyElapsed(const RosterTiming& timing, Duration span)
--- a/tests/cores/RosterSimulation.h
+++ b/tests/cores/RosterSimulation.h
@@ -59,7 +59,7 @@
             m_resources.emplace_back(ServerId { "executor-" + std::to_string(i) });
         m_resources.emplace_back(LeadDuty {});
         for (std::size_t vm = 0; vm < vms; ++vm)
-            at(m_choices.between(0, 2 * second), [this, vm] { start(vm); });
+            at(m_choices.between(0, 2 * second), [this, vm] { start(vm, false); });
         if (faults.scheduled)
             at(second, [this] { injectFault(); });
     }
@@ -120,7 +120,7 @@
     /** How many sends passed their check: a run without any proves nothing. */
     std::uint64_t sends() const { return m_sends; }
 
-    void start(std::size_t vm)
+    void start(std::size_t vm, bool endKnown)
     {
         auto process = std::make_unique<Process>();
         process->vm = vm;
@@ -130,8 +130,11 @@
         process->state.rules = m_rules;
         process->clockOffset = m_choices.between(1, 1000) * second;
         process->clockPpm = m_choices.between(-m_timing.clockErrorPpm, m_timing.clockErrorPpm);
+        const Process* earlier = m_current[vm];
         m_current[vm] = process.get();
         m_processes.push_back(std::move(process));
+        if (earlier && endKnown)
+            deliver(*m_current[vm], roster::PredecessorEnded { earlier->state.self });
         tick(*m_current[vm]);
         act(*m_current[vm]);
     }
@@ -216,7 +219,7 @@
     void restart(std::size_t vm)
     {
         if (!m_current[vm]->alive)
-            start(vm);
+            start(vm, m_choices.percent(50)); // on the same VM, or on one that knows nothing of the old
     }
 
     // --- messages ---
--- a/tests/cores/RosterTest.cpp
+++ b/tests/cores/RosterTest.cpp
@@ -248,3 +248,20 @@
         CHECK(step(state, request, now).size() == 1);
     }
 }
+
+TEST_CASE("a lone member that restarts on its VM takes over without any lease wait")
+{
+    struct Row {
+        bool endKnown;
+        bool ownsSoon;
+    };
+    for (const Row row : { Row { true, true }, Row { false, false } }) {
+        CAPTURE(row.endKnown);
+        auto simulation = settled(1);
+        simulation->crash(0);
+        simulation->start(0, row.endKnown);
+        simulation->runUntil(15 * second); // less than a lease
+        CHECK(simulation->violation == "");
+        CHECK(simulation->everyResourceHasOneOwner() == row.ownsSoon);
+    }
+}
