--- a/include/quay/core/Roster.h
+++ b/include/quay/core/Roster.h
@@ -285,9 +285,16 @@
 /** The time until which this member's lease, or the promises of all others, surely cover it. */
 std::optional<Instant> coveredUntil(const RosterState& state);
 
+/** True if the lease or promises cover this member at `now`. */
+bool isCovered(const RosterState& state, Instant now);
+
+/** True if the resource is this member's in the epoch in effect and in every later one that it gave way to.
+ */
+bool ownsInEveryView(const RosterState& state, const OwnedResource& resource);
+
 /**
- * The check to make immediately before each send for a resource. The send must
- * follow within `pauseMargin`; a later one is to be refused by its fencing token.
+ * isCovered() and ownsInEveryView(): the check to make immediately before each send for a resource. The send
+ * must follow within `pauseMargin`; a later one is to be refused by its fencing token.
  */
 bool mayAct(const RosterState& state, const OwnedResource& resource, Instant now);
 
--- a/src/core/Roster.cpp
+++ b/src/core/Roster.cpp
@@ -476,17 +476,25 @@
     return std::max(leaseEnd, promised);
 }
 
-bool mayAct(const RosterState& state, const OwnedResource& resource, Instant now)
+bool isCovered(const RosterState& state, Instant now)
 {
     const auto until = coveredUntil(state);
-    if (state.held.empty() || !until)
-        return false;
-    if (state.rules.checkLeaseBeforeSend && now >= *until)
+    return until && (now < *until || !state.rules.checkLeaseBeforeSend);
+}
+
+bool ownsInEveryView(const RosterState& state, const OwnedResource& resource)
+{
+    if (state.held.empty())
         return false;
     return std::all_of(state.held.begin(), state.held.end(),
         [&](const OwnershipView& view) { return ownerOf(view, resource) == state.self; });
 }
 
+bool mayAct(const RosterState& state, const OwnedResource& resource, Instant now)
+{
+    return isCovered(state, now) && ownsInEveryView(state, resource);
+}
+
 std::uint64_t fencingToken(const RosterState& state)
 {
     return state.held.empty() ? 0 : state.held.front().epoch;
