--- a/include/quay/core/Ownership.h
+++ b/include/quay/core/Ownership.h
@@ -11,7 +11,7 @@
 
 /** The duty that one member of a failure domain has for all of its workers. */
 struct LeadDuty {
-    auto operator<=>(const LeadDuty&) const = default;
+    bool operator==(const LeadDuty&) const = default;
 };
 
 /** Something with one owner at a time: the lead duty, or the slots of one executor. */
