--- /dev/null
+++ b/src/core/Admission.cpp
@@ -0,0 +1,117 @@
+#include "quay/core/Admission.h"
+
+#include <algorithm>
+
+namespace quay {
+
+namespace {
+
+std::int64_t retryAfterMs(const AdmissionState& state, Duration wait)
+{
+    constexpr Duration longest = 60s;
+    return toMilliseconds(std::clamp(wait, state.settings.minRetryAfter, longest));
+}
+
+void enterTurns(AdmissionState& state, const TeamId& team, TeamQueue& queue)
+{
+    queue.credit = queue.weight;
+    state.turns.push_back(team);
+    state.activeWeight += queue.weight;
+}
+
+// Invariant: activeWeight is the sum of the weights of the teams in `turns`; setWeight() keeps it too.
+void leaveTurns(AdmissionState& state, TeamQueue& queue)
+{
+    state.turns.pop_front();
+    state.activeWeight -= queue.weight;
+}
+
+void passTurn(AdmissionState& state, TeamQueue& queue)
+{
+    queue.credit = queue.weight;
+    state.turns.push_back(state.turns.front());
+    state.turns.pop_front();
+}
+
+void dropExpired(AdmissionState& state, TeamQueue& queue, std::vector<QueuedRequest>& expired, Instant now)
+{
+    while (!queue.waiting.empty() && queue.waiting.front().deadline <= now) {
+        expired.push_back(queue.waiting.front());
+        queue.waiting.pop_front();
+        --state.queued;
+    }
+}
+
+} // namespace
+
+void setWeight(AdmissionState& state, const TeamId& team, std::uint32_t weight)
+{
+    TeamQueue& queue = state.queues[team];
+    const std::uint32_t wanted = std::max<std::uint32_t>(1, weight);
+    if (!queue.waiting.empty())
+        state.activeWeight += wanted - std::uint64_t { queue.weight };
+    queue.weight = wanted;
+}
+
+// Example: 8 slots of 20 ms give 400 answers a second. A team with a quarter of the waiting weight gets 100
+// of them, so with 9 requests ahead a new one waits for about 100 ms.
+Duration estimateWait(const AdmissionState& state, const TeamId& team, const SlotCapacity& capacity)
+{
+    if (capacity.slots == 0)
+        return Duration::max();
+    if (capacity.free > state.queued)
+        return Duration::zero();
+    const auto found = state.queues.find(team);
+    const bool isNew = found == state.queues.end();
+    const std::uint64_t weight = isNew ? 1 : found->second.weight;
+    const std::uint64_t position = isNew ? 1 : found->second.waiting.size() + 1;
+    const bool isWaiting = position > 1;
+    const std::uint64_t allWeight = state.activeWeight + (isWaiting ? 0 : weight);
+    // No more can be ahead than waits in all, however small the team's part is.
+    const std::uint64_t ahead = std::min<std::uint64_t>(position * allWeight / weight, state.queued + 1);
+    return capacity.serviceTime * static_cast<Duration::rep>(ahead)
+        / static_cast<Duration::rep>(capacity.slots);
+}
+
+std::optional<AdmissionRefusal> admit(
+    AdmissionState& state, const QueuedRequest& request, const SlotCapacity& capacity, Instant now)
+{
+    const Duration wait = estimateWait(state, request.team, capacity);
+    TeamQueue& queue = state.queues[request.team];
+    if (queue.waiting.size() >= state.settings.maxQueuedPerTeam)
+        return AdmissionRefusal { ErrorKind::QueueFull, retryAfterMs(state, wait) };
+    const Duration left = request.deadline - now;
+    if (left <= capacity.serviceTime || wait > left - capacity.serviceTime)
+        return AdmissionRefusal { ErrorKind::DeadlineExceeded, retryAfterMs(state, wait) };
+    if (queue.waiting.empty())
+        enterTurns(state, request.team, queue);
+    queue.waiting.push_back(request);
+    ++state.queued;
+    return std::nullopt;
+}
+
+std::optional<QueuedRequest> dequeue(AdmissionState& state, std::vector<QueuedRequest>& expired, Instant now)
+{
+    while (!state.turns.empty()) {
+        TeamQueue& queue = state.queues[state.turns.front()];
+        dropExpired(state, queue, expired, now);
+        if (queue.waiting.empty()) {
+            leaveTurns(state, queue);
+            continue;
+        }
+        if (queue.credit == 0) {
+            passTurn(state, queue);
+            continue;
+        }
+        QueuedRequest next = queue.waiting.front();
+        queue.waiting.pop_front();
+        --queue.credit;
+        --state.queued;
+        if (queue.waiting.empty())
+            leaveTurns(state, queue);
+        return next;
+    }
+    return std::nullopt;
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/core/InteractiveRouter.cpp
@@ -0,0 +1,248 @@
+#include "quay/core/InteractiveRouter.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quay {
+
+namespace {
+
+constexpr int averageWeight = 8; // a new sample counts for an eighth
+
+Duration movingAverage(Duration average, Duration sample)
+{
+    return average == Duration::zero() ? sample : average + (sample - average) / averageWeight;
+}
+
+bool inService(const Executor& executor)
+{
+    return executor.owned && !executor.info.leaving && !executor.ejected;
+}
+
+std::uint32_t freeSlotsOf(const Executor& executor)
+{
+    if (!inService(executor) || executor.outstanding >= executor.info.slots)
+        return 0;
+    return executor.info.slots - executor.outstanding;
+}
+
+void addAvailable(RouterState& state, std::size_t position)
+{
+    state.executors[position].availableIndex = static_cast<std::ptrdiff_t>(state.available.size());
+    state.available.push_back(position);
+}
+
+// The last element takes the place of the removed one, so that removal takes constant time.
+void removeAvailable(RouterState& state, std::size_t position)
+{
+    Executor& executor = state.executors[position];
+    const auto index = static_cast<std::size_t>(executor.availableIndex);
+    const std::size_t last = state.available.back();
+    state.available[index] = last;
+    state.executors[last].availableIndex = static_cast<std::ptrdiff_t>(index);
+    state.available.pop_back();
+    executor.availableIndex = -1;
+}
+
+void updateAvailable(RouterState& state, std::size_t position)
+{
+    const bool isListed = state.executors[position].availableIndex >= 0;
+    const bool hasRoom = freeSlotsOf(state.executors[position]) > 0;
+    if (hasRoom && !isListed)
+        addAvailable(state, position);
+    if (!hasRoom && isListed)
+        removeAvailable(state, position);
+}
+
+// Sums and lists from scratch: after a change of the list or of health, which are rare.
+void rebuild(RouterState& state)
+{
+    state.available.clear();
+    state.positions.clear();
+    state.slots = 0;
+    state.freeSlots = 0;
+    for (std::size_t i = 0; i < state.executors.size(); ++i) {
+        Executor& executor = state.executors[i];
+        executor.availableIndex = -1;
+        state.positions[executor.info.id] = i;
+        state.slots += inService(executor) ? executor.info.slots : 0;
+        state.freeSlots += freeSlotsOf(executor);
+        updateAvailable(state, i);
+    }
+}
+
+void setOutstanding(RouterState& state, std::size_t position, std::uint32_t outstanding)
+{
+    Executor& executor = state.executors[position];
+    state.freeSlots -= freeSlotsOf(executor);
+    executor.outstanding = outstanding;
+    state.freeSlots += freeSlotsOf(executor);
+    updateAvailable(state, position);
+}
+
+// Expected time to an answer: the usual latency, stretched by the part of the slots in use.
+// An executor without measurements counts with the average of all.
+double loadScore(const RouterState& state, const Executor& executor)
+{
+    const Duration latency = executor.latency == Duration::zero() ? state.serviceTime : executor.latency;
+    const double used = static_cast<double>(executor.outstanding + 1) / executor.info.slots;
+    return static_cast<double>(latency.count()) * (1 + used);
+}
+
+std::size_t randomAvailable(const RouterState& state, std::mt19937_64& rng)
+{
+    return state.available[rng() % state.available.size()];
+}
+
+std::size_t chooseOfTwo(const RouterState& state, std::mt19937_64& rng)
+{
+    const std::size_t a = randomAvailable(state, rng);
+    const std::size_t b = randomAvailable(state, rng);
+    return loadScore(state, state.executors[b]) < loadScore(state, state.executors[a]) ? b : a;
+}
+
+std::size_t chooseExecutor(const RouterState& state, std::mt19937_64& rng)
+{
+    switch (state.settings.policy) {
+    case RoutingPolicy::Random:
+        return randomAvailable(state, rng);
+    case RoutingPolicy::FirstFit:
+        return *std::ranges::min_element(state.available);
+    case RoutingPolicy::TwoChoices:
+        break;
+    }
+    return chooseOfTwo(state, rng);
+}
+
+Executor mergedExecutor(const RouterState& state, const ExecutorInfo& info)
+{
+    const auto known = state.positions.find(info.id);
+    Executor executor = known == state.positions.end() ? Executor {} : state.executors[known->second];
+    executor.info = info;
+    executor.owned = true;
+    return executor;
+}
+
+// The health of a server that was not owned for a while starts afresh, so the flag follows the watch.
+void applyHealth(RouterState& state)
+{
+    for (Executor& executor : state.executors) {
+        const auto health = state.outliers.servers.find(executor.info.id);
+        executor.ejected
+            = health != state.outliers.servers.end() && health->second.state == HealthState::Ejected;
+    }
+}
+
+Duration costOf(const ForwardPeer& peer) { return peer.roundTrip + peer.linkPrice; }
+
+bool isCheaper(const ForwardPeer& a, const ForwardPeer& b)
+{
+    if (a.sameDomain != b.sameDomain)
+        return a.sameDomain;
+    return costOf(a) < costOf(b) || (costOf(a) == costOf(b) && a.freeSlots > b.freeSlots);
+}
+
+} // namespace
+
+RouterState makeRouter(RouterSettings settings)
+{
+    RouterState state;
+    state.admission.settings = settings.admission;
+    state.outliers.settings = settings.outliers;
+    state.serviceTime = settings.initialServiceTime;
+    state.settings = std::move(settings);
+    return state;
+}
+
+void setExecutors(RouterState& state, const std::vector<ExecutorInfo>& executors)
+{
+    std::vector<Executor> next;
+    std::vector<ServerId> ids;
+    std::set<ServerId> owned;
+    for (const ExecutorInfo& info : executors) {
+        if (!owned.insert(info.id).second)
+            continue;
+        next.push_back(mergedExecutor(state, info));
+        ids.push_back(info.id);
+    }
+    for (Executor& executor : state.executors) {
+        if (owned.contains(executor.info.id) || executor.outstanding == 0)
+            continue;
+        executor.owned = false;
+        next.push_back(executor);
+    }
+    state.executors = std::move(next);
+    watchServers(state.outliers, ids);
+    applyHealth(state);
+    rebuild(state);
+}
+
+SlotCapacity slotCapacity(const RouterState& state)
+{
+    return { state.slots, state.freeSlots, state.serviceTime };
+}
+
+std::optional<AdmissionRefusal> addRequest(RouterState& state, const QueuedRequest& request, Instant now)
+{
+    return admit(state.admission, request, slotCapacity(state), now);
+}
+
+DispatchResult dispatch(RouterState& state, Instant now, std::mt19937_64& rng)
+{
+    DispatchResult result;
+    while (!state.available.empty()) {
+        auto request = dequeue(state.admission, result.expired, now);
+        if (!request)
+            break;
+        const std::size_t chosen = chooseExecutor(state, rng);
+        setOutstanding(state, chosen, state.executors[chosen].outstanding + 1);
+        result.dispatches.push_back({ std::move(*request), state.executors[chosen].info.id });
+    }
+    return result;
+}
+
+void onAnswer(RouterState& state, const ServerId& executor, bool succeeded, Duration latency)
+{
+    const auto found = state.positions.find(executor);
+    if (found == state.positions.end() || state.executors[found->second].outstanding == 0)
+        return;
+    const std::size_t position = found->second;
+    Executor& answered = state.executors[position];
+    setOutstanding(state, position, answered.outstanding - 1);
+    recordOutcome(state.outliers, executor, succeeded);
+    // A failure is often fast; learning from it would draw more work to a broken executor.
+    if (succeeded) {
+        answered.latency = movingAverage(answered.latency, latency);
+        state.serviceTime = movingAverage(state.serviceTime, latency);
+    }
+    if (!answered.owned && answered.outstanding == 0) {
+        state.executors.erase(state.executors.begin() + static_cast<std::ptrdiff_t>(position));
+        rebuild(state);
+    }
+}
+
+std::vector<HealthChange> checkExecutors(RouterState& state, Instant now)
+{
+    std::vector<HealthChange> changes = checkOutliers(state.outliers, now);
+    if (changes.empty())
+        return changes;
+    applyHealth(state);
+    rebuild(state);
+    return changes;
+}
+
+std::optional<MemberId> chooseForward(
+    const std::vector<ForwardPeer>& peers, Duration wait, Duration serviceTime, Duration left)
+{
+    const ForwardPeer* best = nullptr;
+    for (const ForwardPeer& peer : peers) {
+        const bool isInTime = peer.roundTrip + serviceTime < left;
+        if (peer.freeSlots == 0 || !isInTime || costOf(peer) >= wait)
+            continue;
+        if (!best || isCheaper(peer, *best))
+            best = &peer;
+    }
+    return best ? std::optional(best->member) : std::nullopt;
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/core/OutlierEjection.cpp
@@ -0,0 +1,101 @@
+#include "quay/core/OutlierEjection.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quay {
+
+namespace {
+
+double failureRate(double failures, double samples) { return samples > 0 ? failures / samples : 0; }
+
+double fleetFailureRate(const OutlierState& state)
+{
+    double samples = 0;
+    double failures = 0;
+    for (const auto& [id, health] : state.servers) {
+        samples += health.samples;
+        failures += health.failures;
+    }
+    return failureRate(failures, samples);
+}
+
+// A server on probation has shown itself an outlier before, so the fleet's rate does not excuse it again.
+bool isOutlier(const OutlierSettings& settings, const ServerHealth& health, double fleetRate)
+{
+    const double rate = failureRate(health.failures, health.samples);
+    if (health.state == HealthState::Probation)
+        return health.samples >= settings.probationSamples && rate >= settings.minFailureRate;
+    return health.samples >= settings.minSamples && rate >= settings.minFailureRate
+        && rate > std::min(0.99, fleetRate * settings.factorOfFleet);
+}
+
+void eject(const OutlierSettings& settings, ServerHealth& health, Instant now)
+{
+    constexpr unsigned largestExponent = 16; // keeps the shift far from overflow
+    const Duration length = settings.firstEjection * (1U << std::min(health.ejections, largestExponent));
+    health.state = HealthState::Ejected;
+    health.ejectedUntil = now + std::min(length, settings.longestEjection);
+    ++health.ejections;
+    health.samples = 0;
+    health.failures = 0;
+}
+
+void endProbation(const OutlierSettings& settings, ServerHealth& health)
+{
+    if (health.samples < settings.minSamples)
+        return;
+    health.state = HealthState::Healthy;
+    health.ejections = 0;
+}
+
+bool mayEjectMore(const OutlierState& state)
+{
+    const auto isEjected = [](const auto& item) { return item.second.state == HealthState::Ejected; };
+    const auto ejected = static_cast<std::size_t>(std::ranges::count_if(state.servers, isEjected));
+    return (ejected + 1) * 100 <= state.servers.size() * state.settings.maxEjectedPercent;
+}
+
+} // namespace
+
+void watchServers(OutlierState& state, const std::vector<ServerId>& servers)
+{
+    const std::set<ServerId> wanted(servers.begin(), servers.end());
+    std::erase_if(state.servers, [&](const auto& item) { return !wanted.contains(item.first); });
+    for (const ServerId& id : wanted)
+        state.servers.try_emplace(id);
+}
+
+void recordOutcome(OutlierState& state, const ServerId& server, bool succeeded)
+{
+    const auto found = state.servers.find(server);
+    if (found == state.servers.end() || found->second.state == HealthState::Ejected)
+        return;
+    found->second.samples += 1;
+    found->second.failures += succeeded ? 0 : 1;
+}
+
+std::vector<HealthChange> checkOutliers(OutlierState& state, Instant now)
+{
+    std::vector<HealthChange> changes;
+    const double fleetRate = fleetFailureRate(state);
+    for (auto& [id, health] : state.servers) {
+        if (health.state == HealthState::Ejected) {
+            if (now < health.ejectedUntil)
+                continue;
+            health.state = HealthState::Probation;
+            changes.push_back({ id, health.state });
+        } else if (isOutlier(state.settings, health, fleetRate) && mayEjectMore(state)) {
+            eject(state.settings, health, now);
+            changes.push_back({ id, health.state });
+        } else {
+            if (health.state == HealthState::Probation)
+                endProbation(state.settings, health);
+            health.samples *= state.settings.decayPerCheck;
+            health.failures *= state.settings.decayPerCheck;
+        }
+    }
+    return changes;
+}
+
+} // namespace quay
--- /dev/null
+++ b/tests/cores/OutlierEjectionTest.cpp
@@ -0,0 +1,79 @@
+#include "quay/core/OutlierEjection.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace quay;
+
+namespace {
+
+OutlierState fleetOf(int n)
+{
+    std::vector<ServerId> ids;
+    for (int i = 0; i < n; ++i)
+        ids.emplace_back("s" + std::to_string(i));
+    OutlierState state;
+    watchServers(state, ids);
+    return state;
+}
+
+void record(OutlierState& state, int server, int successes, int failures)
+{
+    for (int i = 0; i < successes; ++i)
+        recordOutcome(state, ServerId { "s" + std::to_string(server) }, true);
+    for (int i = 0; i < failures; ++i)
+        recordOutcome(state, ServerId { "s" + std::to_string(server) }, false);
+}
+
+} // namespace
+
+TEST_CASE("servers are ejected by their failure rate against the fleet's, up to a cap")
+{
+    struct Row {
+        const char* name;
+        int broken; // of ten servers
+        int brokenFailures, othersFailures; // of ten outcomes each
+        std::size_t ejected;
+    };
+    const Row rows[] = {
+        { "all well", 0, 0, 0, 0 },
+        { "one fails everything", 1, 10, 0, 1 },
+        { "one is a little worse", 1, 2, 0, 0 },
+        { "the whole fleet fails", 0, 0, 8, 0 },
+        { "half fail everything", 5, 10, 0, 5 },
+        { "more than half: the cap holds", 6, 10, 0, 5 },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(std::string(row.name));
+        OutlierState state = fleetOf(10);
+        for (int i = 0; i < 10; ++i) {
+            const int failures = i < row.broken ? row.brokenFailures : row.othersFailures;
+            record(state, i, 10 - failures, failures);
+        }
+        CHECK(checkOutliers(state, Instant {}).size() == row.ejected);
+    }
+}
+
+TEST_CASE("probation: few samples decide, and each further ejection lasts twice as long")
+{
+    OutlierState state = fleetOf(4);
+    for (int i = 1; i < 4; ++i)
+        record(state, i, 20, 0);
+    record(state, 0, 0, 10);
+    Instant now {};
+    const ServerId broken { "s0" };
+    for (Duration length = 5s; length <= 80s; length *= 2) {
+        REQUIRE(checkOutliers(state, now) == std::vector<HealthChange> { { broken, HealthState::Ejected } });
+        CHECK(checkOutliers(state, now + length - 1ms).empty());
+        now += length;
+        REQUIRE(
+            checkOutliers(state, now) == std::vector<HealthChange> { { broken, HealthState::Probation } });
+        record(state, 0, 0, 4);
+    }
+    state.servers.at(broken).samples = 0;
+    state.servers.at(broken).failures = 0;
+    record(state, 0, 10, 0);
+    CHECK(checkOutliers(state, now).empty());
+    CHECK(state.servers.at(broken).state == HealthState::Healthy);
+    CHECK(state.servers.at(broken).ejections == 0);
+}
