--- a/include/quay/core/Ids.h
+++ b/include/quay/core/Ids.h
@@ -22,7 +22,8 @@
     {
     }
 
-    auto operator<=>(const Id&) const = default;
+    bool operator==(const Id&) const = default;
+    std::strong_ordering operator<=>(const Id& other) const { return text <=> other.text; }
     bool empty() const { return text.empty(); }
 };
 
