--- a/src/core/ConfigRollout.cpp
+++ b/src/core/ConfigRollout.cpp
@@ -76,15 +76,6 @@
     actions.emplace_back(rollout::Confirm { request, newestVersion(state) });
 }
 
-// The first confirmation makes our row; the others are sent again until one is answered.
-void poll(RolloutState& state, Instant now, Actions& actions)
-{
-    state.lastPollAt = now;
-    if (!state.registeredAt || state.confirmed < newestVersion(state))
-        confirm(state, now, actions);
-    actions.emplace_back(rollout::Read { newRequest(state, now) });
-}
-
 bool isVoter(const RolloutState& state)
 {
     const bool first = !state.view.accepted.storeVersion; // nothing was ever accepted
@@ -190,13 +181,13 @@
     return true;
 }
 
-void onTick(RolloutState& state, Instant now, Actions& actions)
+// The first confirmation makes our row; the others are sent again until one is answered.
+void poll(RolloutState& state, Instant now, Actions& actions)
 {
-    forgetOldRequests(state, now);
-    if (state.applyRequest && !state.sentAt.contains(*state.applyRequest))
-        state.applyRequest.reset(); // the answer is lost; the next read tells
-    if (!state.lastPollAt || now - *state.lastPollAt >= state.limits.pollPeriod)
-        poll(state, now, actions);
+    state.lastPollAt = now;
+    if (!state.registeredAt || state.confirmed < newestVersion(state))
+        confirm(state, now, actions);
+    actions.emplace_back(rollout::Read { newRequest(state, now) });
     if (state.view.pending() && isVoter(state) && state.confirmedByAll < preparedVersion(state))
         actions.emplace_back(rollout::Scan { newRequest(state, now) });
     const auto quiet = 2 * state.limits.pollPeriod;
@@ -204,6 +195,15 @@
         promise(state, now); // to ourselves: it is our voice if we are a voter
         actions.emplace_back(rollout::AskPeers { newRequest(state, now) });
     }
+}
+
+void onTick(RolloutState& state, Instant now, Actions& actions)
+{
+    forgetOldRequests(state, now);
+    if (state.applyRequest && !state.sentAt.contains(*state.applyRequest))
+        state.applyRequest.reset(); // the answer is lost; the next read tells
+    if (!state.lastPollAt || now - *state.lastPollAt >= state.limits.pollPeriod)
+        poll(state, now, actions);
     tryAccept(state, now, actions);
 }
 
