--- /dev/null
+++ b/include/quay/telemetry/Event.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quay {
+
+/** How much an event matters to the person on call. */
+enum class EventLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** Every event that a daemon logs. Numbers are never reused; 1000 lifecycle, 1200 membership, ... */
+enum class EventId : unsigned {
+    DaemonStarted = 1001,
+    DaemonDraining = 1002,
+    DaemonStopped = 1003,
+    WorkLeftBehind = 1004,
+    SettingsRejected = 1005,
+    RequestRefused = 1101,
+    RequestFailed = 1102,
+    LeadGained = 1201,
+    LeadLost = 1202,
+    OwnershipChanged = 1203,
+    MemberRemoved = 1204,
+    StoreLost = 1301,
+    StoreBack = 1302,
+    StoreConflict = 1303,
+    JobAccepted = 1401,
+    JobEnded = 1402,
+    JobOutcomeUnknown = 1403,
+    WorkerSilent = 1404,
+    ConfigurationInForce = 1501,
+    ConfigurationStale = 1502,
+    ConfigurationFresh = 1503,
+    ConfigurationRefused = 1504,
+    QuotaFenced = 1601,
+    ServerEjected = 1701,
+    ServerRestored = 1702,
+    PeerMessageDropped = 1801,
+};
+
+/** One row of the event table. */
+struct EventEntry {
+    EventId id;
+    std::string_view name;
+    EventLevel level;
+    std::string_view fields; // names of its fields, separated by blanks
+    std::string_view meaning;
+    std::string_view remedy;
+};
+
+/** All events in order of number. docs/EVENTS.md holds the same rows; a test keeps them equal. */
+std::span<const EventEntry> eventTable();
+
+/** The row of an event. */
+const EventEntry& describe(EventId id);
+
+std::string_view text(EventLevel level);
+
+/** The table as the Markdown text of docs/EVENTS.md. */
+std::string eventCatalogue();
+
+} // namespace quay
