--- /dev/null
+++ b/include/quay/telemetry/Telemetry.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "quay/telemetry/EventLog.h"
+#include "quay/telemetry/Metrics.h"
+#include "quay/telemetry/Trace.h"
+
+namespace quay {
+
+/** What a service tells about itself. All three are callable from any thread and outlive the services. */
+struct Telemetry {
+    EventLog& log;
+    Metrics& metrics;
+    TraceRing& traces;
+};
+
+} // namespace quay
--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -33,6 +33,30 @@
 
 bool isOperatorPath(const std::string& path) { return path == "/v1/fleet" || path == "/v1/config"; }
 
+// The route of a request without ids, so that the number of metrics is bounded.
+std::string routeName(const HttpRequest& request)
+{
+    const auto path = request.path();
+    if (path == "/v1/ask")
+        return "ask";
+    if (path == "/v1/jobs")
+        return request.method == "POST" ? "submit" : "list";
+    if (path.starts_with("/v1/jobs/"))
+        return path.ends_with("/cancel") ? "cancel" : path.ends_with("/explain") ? "explain" : "status";
+    return isOperatorPath(path) ? "operator" : "other";
+}
+
+// The error kind in the body of a refusal; "none" for success.
+std::string errorKindOf(const HttpResponse& response)
+{
+    if (response.status < 300)
+        return "none";
+    boost::system::error_code ec;
+    const auto value = json::parse(response.body, ec);
+    const auto* error = !ec && value.is_object() ? value.get_object().if_contains("error") : nullptr;
+    return error ? std::string(error->at("kind").as_string()) : "other";
+}
+
 bool takesKind(QueueKind queue, JobKind job) { return queue == QueueKind::Any || text(queue) == text(job); }
 
 // Reads a header that must be a whole number in a range; the fallback if it is absent.
@@ -79,12 +103,14 @@
 } // namespace
 
 CallerService::CallerService(const Settings& settings, MembershipService& membership,
-    ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs)
+    ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs,
+    Telemetry telemetry)
     : Duty("callers", ringCapacity)
     , m_membership(membership)
     , m_configuration(configuration)
     , m_interactive(interactive)
     , m_jobs(jobs)
+    , m_telemetry(telemetry)
     , m_server(context(), settings.listen, limitsOf(settings),
           [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
 {
@@ -93,9 +119,51 @@
 void CallerService::handle(HttpRequest request, Respond respond)
 {
     const auto path = request.path();
-    if (path == "/healthz")
+    if (path == "/healthz") {
         health(respond);
-    else if (path == "/v1/ask" && request.method == "POST")
+        return;
+    }
+    if (path == "/metrics") {
+        showMetrics(respond);
+        return;
+    }
+    auto span = m_telemetry.traces.begin("entry", parseTraceparent(request.header("traceparent")));
+    request.headers["traceparent"] = traceparent(span.context);
+    const auto answer = observed(request, std::move(span), std::move(respond));
+    route(request, answer);
+}
+
+// Counts, times and traces the answer on its way to the caller.
+Respond CallerService::observed(const HttpRequest& request, Span span, Respond respond)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    const auto name = routeName(request);
+    auto& duration = m_telemetry.metrics.histogram("quay_request_duration_seconds",
+        "Time from a request's last byte to its answer", "route=\"" + name + "\"");
+    return [this, begun, name, &duration, span = std::move(span), respond = std::move(respond)](
+               HttpResponse response) {
+        duration.record(std::chrono::steady_clock::now() - begun);
+        const auto kind = errorKindOf(response);
+        m_telemetry.metrics
+            .counter("quay_requests_total", "Requests answered, by route and error kind",
+                "route=\"" + name + "\",kind=\"" + kind + "\"")
+            .add();
+        if (kind != "none") {
+            const auto event = response.status == 502 || response.status == 504 ? EventId::RequestFailed
+                                                                                : EventId::RequestRefused;
+            m_telemetry.log.write(
+                event, { { "kind", kind }, { "route", name }, { "trace", span.context.traceId } });
+        }
+        response.headers["Traceparent"] = traceparent(span.context);
+        m_telemetry.traces.end(span, kind != "none", kind == "none" ? name : kind);
+        respond(std::move(response));
+    };
+}
+
+void CallerService::route(const HttpRequest& request, const Respond& respond)
+{
+    const auto path = request.path();
+    if (path == "/v1/ask" && request.method == "POST")
         ask(request, respond);
     else if (path == "/v1/jobs" && request.method == "POST")
         submit(request, respond);
@@ -115,6 +183,8 @@
         respond(errorResponse(reason));
     else if (path == "/v1/fleet")
         showFleet(respond);
+    else if (path.starts_with("/v1/traces"))
+        showTrace(request, respond);
     else if (request.method == "POST")
         applyConfiguration(request, respond);
     else
@@ -315,6 +385,30 @@
             { "configuration_version", m_configuration.active().get()->configuration.version } }));
 }
 
+void CallerService::showMetrics(const Respond& respond)
+{
+    HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = m_telemetry.metrics.page();
+    respond(std::move(response));
+}
+
+void CallerService::showTrace(const HttpRequest& request, const Respond& respond)
+{
+    const std::string prefix = "/v1/traces/";
+    const auto path = request.path();
+    HttpResponse response;
+    response.contentType = "application/x-ndjson";
+    if (!path.starts_with(prefix)) {
+        response.body = m_telemetry.traces.exportLines();
+        respond(std::move(response));
+        return;
+    }
+    for (const auto& span : m_telemetry.traces.find(path.substr(prefix.size())))
+        response.body += toJson(span) + "\n";
+    respond(std::move(response));
+}
+
 void CallerService::showConfiguration(const Respond& respond)
 {
     HttpResponse response;
--- a/src/service/CallerService.h
+++ b/src/service/CallerService.h
@@ -3,6 +3,7 @@
 #include "net/HttpServer.h"
 #include "quay/core/Settings.h"
 #include "quay/kernel/Duty.h"
+#include "quay/telemetry/Telemetry.h"
 #include "service/ConfigurationService.h"
 #include "service/InteractiveService.h"
 #include "service/JobService.h"
@@ -21,7 +22,8 @@
 class CallerService : public Duty {
 public:
     CallerService(const Settings& settings, MembershipService& membership,
-        ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs);
+        ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs,
+        Telemetry telemetry);
 
     /** The bound address as "ip:port". */
     std::string address() const { return m_server.address(); }
@@ -46,23 +48,27 @@
     };
 
     void handle(HttpRequest request, Respond respond);
+    void route(const HttpRequest& request, const Respond& respond);
+    Respond observed(const HttpRequest& request, Span span, Respond respond);
     bool handleOperator(const HttpRequest& request, const Respond& respond);
     void ask(const HttpRequest& request, const Respond& respond);
     void submit(const HttpRequest& request, const Respond& respond);
     void jobCall(const HttpRequest& request, const Respond& respond);
     void health(const Respond& respond);
     void showFleet(const Respond& respond);
+    void showMetrics(const Respond& respond);
+    void showTrace(const HttpRequest& request, const Respond& respond);
     void showConfiguration(const Respond& respond);
     void applyConfiguration(const HttpRequest& request, const Respond& respond);
     std::optional<KeyMatch> key(const HttpRequest& request, Reason& reason) const;
     std::optional<KeyMatch> operatorKey(const HttpRequest& request, Reason& reason) const;
     std::optional<Admission> admit(const HttpRequest& request, const QueueId& queue, Reason& reason) const;
-    Respond reply(const Respond& respond) const;
 
     MembershipService& m_membership;
     ConfigurationService& m_configuration;
     InteractiveService& m_interactive;
     JobService& m_jobs;
+    Telemetry m_telemetry;
     std::atomic<bool> m_leaving = false;
     HttpServer m_server;
 };
