Job event log: a watch that resumes from a cursor, across failovers

Ways weighed: a sequence of the lead's own (lost with the lead), a row per event (a write more per change), or the version of the stored row as cursor; the last costs no write and a new lead rebuilds it. Store outcomes are now reported in order of their versions: the next commit waits for the read-back of the one before.

--- /dev/null
+++ b/src/core/JobEventLog.cpp
@@ -0,0 +1,70 @@
+#include "quay/core/JobEventLog.h"
+
+#include <algorithm>
+
+namespace quay {
+
+namespace {
+
+JobEvent eventOf(const JobRecord& record, std::uint64_t version)
+{
+    JobEvent event { version, record.id, record.spec.team, record.spec.queue, record.state, 0 };
+    const auto finished = std::count_if(
+        record.tasks.begin(), record.tasks.end(), [](const TaskRecord& task) { return isFinal(task.state); });
+    event.finishedTasks = static_cast<std::uint32_t>(finished);
+    return event;
+}
+
+} // namespace
+
+void JobEventLog::record(const JobRecord& record, std::uint64_t version)
+{
+    auto& known = m_versionOf[record.id];
+    if (known > version)
+        return;
+    m_events.erase({ known, record.id });
+    known = version;
+    m_events.emplace(std::make_pair(version, record.id), eventOf(record, version));
+    m_latest = std::max(m_latest, version);
+}
+
+void JobEventLog::forget(const JobId& job, std::uint64_t version)
+{
+    auto it = m_versionOf.find(job);
+    if (it != m_versionOf.end()) {
+        m_events.erase({ it->second, job });
+        m_versionOf.erase(it);
+    }
+    setTrimmed(version);
+}
+
+void JobEventLog::setTrimmed(std::uint64_t version)
+{
+    m_trimmed = std::max(m_trimmed, version);
+    m_latest = std::max(m_latest, m_trimmed);
+}
+
+void JobEventLog::clear() { *this = JobEventLog {}; }
+
+std::optional<JobEventPage> JobEventLog::after(
+    const TeamId& team, std::uint64_t cursor, std::size_t limit) const
+{
+    if (cursor && cursor < m_trimmed)
+        return std::nullopt;
+    JobEventPage page;
+    page.cursor = std::max(cursor, m_latest);
+    for (auto it = m_events.upper_bound({ cursor, JobId { std::string(1, '\x7f') } }); it != m_events.end();
+         ++it) {
+        // A page ends between two commits, never inside one: the cursor could not say how far it went.
+        const bool nextCommit = page.events.empty() || page.events.back().cursor != it->first.first;
+        if (page.events.size() >= limit && nextCommit) {
+            page.cursor = page.events.back().cursor;
+            break;
+        }
+        if (it->second.team == team)
+            page.events.push_back(it->second);
+    }
+    return page;
+}
+
+} // namespace quay
--- a/src/platform/StoreService.cpp
+++ b/src/platform/StoreService.cpp
@@ -192,11 +192,15 @@
     m_counters.transactions += group.size();
     auto shared = std::make_shared<Group>(std::move(group));
     exchange(jsonPost("/v1/txn", encodeTransaction(merged)), m_limits.requestTimeout,
-        [this, shared](HttpResult result) {
-            m_commitInFlight = false;
-            onAnswer(std::move(*shared), std::move(result));
-            commitSoon();
-        });
+        [this, shared](HttpResult result) { onAnswer(std::move(*shared), std::move(result)); });
+}
+
+// The next commit waits until the outcome of this one is settled, so that outcomes are
+// reported in the order of their versions.
+void StoreService::settled()
+{
+    m_commitInFlight = false;
+    commitSoon();
 }
 
 void StoreService::onAnswer(Group group, HttpResult result)
@@ -210,25 +214,29 @@
         for (auto& pending : group)
             pending.answerLost = pending.answerLost || result.mayHaveArrived || result.response;
         retryLater(std::move(group));
+        settled();
         return;
     }
     m_backoff = {};
-    if (outcome->status == TransactionStatus::Done) {
-        for (auto& pending : group)
-            pending.done(*outcome);
+    if (outcome->status != TransactionStatus::Done) {
+        onConflict(std::move(group), *outcome);
         return;
     }
-    onConflict(std::move(group), *outcome);
+    for (auto& pending : group)
+        pending.done(*outcome);
+    settled();
 }
 
 void StoreService::onConflict(Group group, const TransactionOutcome& outcome)
 {
     if (group.size() == 1) {
         ++m_counters.conflicts;
-        if (group.front().answerLost)
+        if (group.front().answerLost) {
             readBack(std::move(group.front()), outcome);
-        else
-            group.front().done(outcome);
+            return;
+        }
+        group.front().done(outcome);
+        settled();
         return;
     }
     // Nothing of the group was written. Each goes on alone, so that one conflict fails only its own
@@ -237,6 +245,7 @@
         it->alone = true;
         m_queue.push_front(std::move(*it));
     }
+    settled();
 }
 
 void StoreService::readBack(Pending pending, TransactionOutcome conflict)
@@ -255,14 +264,12 @@
                 Group group;
                 group.push_back(std::move(*shared));
                 retryLater(std::move(group));
-                commitSoon();
-                return;
-            }
-            const auto version = appliedVersion(shared->transaction, *rows);
-            if (version)
+            } else if (const auto version = appliedVersion(shared->transaction, *rows)) {
                 shared->done({ TransactionStatus::Done, *version, {} });
-            else
+            } else {
                 shared->done(conflict);
+            }
+            settled();
         });
 }
 
--- a/src/platform/StoreService.h
+++ b/src/platform/StoreService.h
@@ -87,6 +87,7 @@
 
     void commitSoon();
     void commitNow();
+    void settled();
     Group takeGroup();
     void expireQueued();
     void onAnswer(Group group, HttpResult result);
