Watch with a cursor, quayctl watch/trace/metrics, answers that outlive a refused body

Cause of the flaw: a 413 was sometimes lost, since closing with unread bytes resets the connection and the reset overtakes the answer.

--- a/include/quay/core/Reason.h
+++ b/include/quay/core/Reason.h
@@ -43,6 +43,7 @@
     NotOperator = 26,
     Overloaded = 27,
     SubmissionUnknown = 28,
+    CursorTooOld = 29,
 };
 
 /** One row of the error table. */
--- a/src/core/Reason.cpp
+++ b/src/core/Reason.cpp
@@ -73,6 +73,8 @@
     ErrorEntry { SubmissionUnknown, "submission_unknown", 504, Unknown,
         "it is not known whether the request was accepted",
         "send it again with the same request id; it is never done twice" },
+    ErrorEntry { CursorTooOld, "cursor_too_old", 410, NotRun, "events after this cursor were removed",
+        "list the jobs and watch again from cursor 0" },
 };
 
 } // namespace
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -20,6 +20,9 @@
 
 // A connection refused for lack of room waits this long before the next accept.
 constexpr auto acceptPause = std::chrono::milliseconds(20);
+// How long the rest of a refused request is read and dropped.
+constexpr auto lingerTime = std::chrono::seconds(2);
+constexpr std::size_t lingerBufferBytes = 64UL * 1024;
 
 std::string lowerCase(std::string_view text)
 {
@@ -62,6 +65,7 @@
     void answer(HttpResponse response);
     void onWritten(beast::error_code ec);
     void close();
+    void linger();
     HttpRequest takeRequest();
     void refuseUnreadable(beast::error_code ec);
 
@@ -73,6 +77,8 @@
     std::uint64_t m_requestNumber = 0; // an answer to an earlier request of this connection is ignored
     bool m_busy = false;
     bool m_keepAlive = true;
+    bool m_unread = false; // the request was refused before its end
+    std::vector<char> m_discarded;
 };
 
 } // namespace
@@ -111,6 +117,7 @@
 void Session::refuseUnreadable(beast::error_code ec)
 {
     m_keepAlive = false;
+    m_unread = true;
     m_busy = true;
     ++m_server->inFlight;
     const bool tooLarge = ec == http::error::body_limit || ec == http::error::header_limit
@@ -166,6 +173,14 @@
 {
     m_busy = false;
     --m_server->inFlight;
+    if (!ec && m_unread) {
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_stream.expires_after(lingerTime);
+        m_discarded.resize(lingerBufferBytes);
+        linger();
+        return;
+    }
     if (ec || !m_keepAlive || m_server->draining) {
         close();
         return;
@@ -173,6 +188,19 @@
     read();
 }
 
+// Closing with unread bytes resets the connection, and the reset can overtake the answer on its way.
+// So the rest of the request is read and dropped, for a limited time.
+void Session::linger()
+{
+    m_stream.async_read_some(
+        asio::buffer(m_discarded), [self = shared_from_this()](beast::error_code ec, std::size_t) {
+            if (ec)
+                self->close();
+            else
+                self->linger();
+        });
+}
+
 void Session::closeIfIdle()
 {
     if (!m_busy && !m_buffer.size())
--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t ringCapacity = 1024;
 constexpr std::uint32_t maxDeadlineMs = 300'000;
 constexpr std::size_t maxRequestIdBytes = 128;
+constexpr std::uint64_t maxWatchWaitMs = 30'000;
 constexpr std::string_view bearer = "Bearer ";
 
 HttpLimits limitsOf(const Settings& settings)
@@ -39,6 +40,8 @@
     const auto path = request.path();
     if (path == "/v1/ask")
         return "ask";
+    if (path == "/v1/watch")
+        return "watch";
     if (path == "/v1/jobs")
         return request.method == "POST" ? "submit" : "list";
     if (path.starts_with("/v1/jobs/"))
@@ -73,6 +76,27 @@
     return number;
 }
 
+// Reads a query parameter that must be a whole number; 0 if it is absent.
+std::optional<std::uint64_t> numberQuery(const HttpRequest& request, const std::string& name, Reason& reason)
+{
+    const auto value = request.query(name);
+    std::uint64_t number = 0;
+    const auto [rest, ec] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (!value.empty() && (ec != std::errc() || rest != value.data() + value.size()))
+        return fail(reason, ErrorKind::MalformedRequest, name + " must be a whole number");
+    return number;
+}
+
+JobService::Done relay(const Respond& respond)
+{
+    return [respond](JobReply reply) {
+        HttpResponse response;
+        response.status = reply.status;
+        response.body = std::move(reply.body);
+        respond(std::move(response));
+    };
+}
+
 std::optional<bool> booleanHeader(
     const HttpRequest& request, const std::string& name, bool fallback, Reason& reason)
 {
@@ -169,6 +193,8 @@
         submit(request, respond);
     else if (path == "/v1/jobs" || path.starts_with("/v1/jobs/"))
         jobCall(request, respond);
+    else if (path == "/v1/watch")
+        watch(request, respond);
     else if (!handleOperator(request, respond))
         respond(errorResponse(Reason { ErrorKind::NotFound, request.method + " " + path }));
 }
@@ -308,12 +334,27 @@
     spec->team = call.team;
     spec->requestId = call.requestId;
     call.spec = std::move(*spec);
-    m_jobs.call(std::move(call), [respond](JobReply reply) {
-        HttpResponse response;
-        response.status = reply.status;
-        response.body = std::move(reply.body);
-        respond(std::move(response));
-    });
+    m_jobs.call(std::move(call), relay(respond));
+}
+
+void CallerService::watch(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    const auto match = key(request, reason);
+    const auto cursor = numberQuery(request, "cursor", reason);
+    const auto waitMs = numberQuery(request, "wait_ms", reason);
+    if (!match || !cursor || !waitMs) {
+        respond(errorResponse(reason));
+        return;
+    }
+    JobCall call;
+    call.operation = JobOperation::Watch;
+    call.team = match->team;
+    call.cursor = *cursor;
+    call.waitMs = static_cast<std::uint32_t>(std::min<std::uint64_t>(*waitMs, maxWatchWaitMs));
+    const auto domain = request.query("domain");
+    call.domain = domain.empty() ? m_membership.self().domain : DomainId { domain };
+    m_jobs.call(std::move(call), relay(respond));
 }
 
 void CallerService::jobCall(const HttpRequest& request, const Respond& respond)
@@ -347,12 +388,7 @@
         }
         call.domain = *domain;
     }
-    m_jobs.call(std::move(call), [respond](JobReply reply) {
-        HttpResponse response;
-        response.status = reply.status;
-        response.body = std::move(reply.body);
-        respond(std::move(response));
-    });
+    m_jobs.call(std::move(call), relay(respond));
 }
 
 void CallerService::health(const Respond& respond)
--- a/src/service/CallerService.h
+++ b/src/service/CallerService.h
@@ -54,6 +54,7 @@
     void ask(const HttpRequest& request, const Respond& respond);
     void submit(const HttpRequest& request, const Respond& respond);
     void jobCall(const HttpRequest& request, const Respond& respond);
+    void watch(const HttpRequest& request, const Respond& respond);
     void health(const Respond& respond);
     void showFleet(const Respond& respond);
     void showMetrics(const Respond& respond);
--- a/src/service/JobCalls.cpp
+++ b/src/service/JobCalls.cpp
@@ -21,6 +21,9 @@
 constexpr auto objectTimeout = std::chrono::seconds(5);
 constexpr int leadRetryMs = 1000;
 constexpr std::size_t listPageJobs = 100;
+constexpr std::size_t watchPageEvents = 500;
+constexpr std::size_t maxWatchers = 2000;
+constexpr std::uint32_t maxWatchWaitMs = 30'000;
 
 std::int64_t wallClockMs()
 {
@@ -95,6 +98,9 @@
     case JobOperation::Explain:
         explain(call, done);
         return;
+    case JobOperation::Watch:
+        watch(call, done);
+        return;
     }
     done(refusal(Reason { ErrorKind::MalformedRequest, "operation" }));
 }
@@ -142,8 +148,10 @@
         done(refusal(Reason { ErrorKind::SubmissionUnknown, "the table service did not answer" }));
         return;
     }
-    if (m_ledger.leading)
+    if (m_ledger.leading) {
+        onRecordStored(record, outcome.version);
         feed(JobAccepted { record, outcome.version });
+    }
     done(accepted(record.id.text, record.domain.text));
 }
 
@@ -235,6 +243,39 @@
         explanationJson(call.job, it == m_explanations.end() ? std::deque<std::string> {} : it->second), 0 });
 }
 
+void JobService::watch(const JobCall& call, const Done& done)
+{
+    const auto wait = std::chrono::milliseconds(std::min(call.waitMs, maxWatchWaitMs));
+    if (answerWatch(call, done, wait == Duration::zero()))
+        return;
+    if (m_watchers.size() >= maxWatchers) {
+        done(refusal(Reason { ErrorKind::Overloaded, "too many watchers" }, leadRetryMs));
+        return;
+    }
+    m_watchers.push_back({ call, std::chrono::steady_clock::now() + wait, done });
+}
+
+bool JobService::answerWatch(const JobCall& call, const Done& done, bool evenIfEmpty)
+{
+    const auto page = m_events.after(call.team, call.cursor, watchPageEvents);
+    if (!page) {
+        done(refusal(Reason { ErrorKind::CursorTooOld, std::to_string(call.cursor) }));
+        return true;
+    }
+    if (page->events.empty() && !evenIfEmpty)
+        return false;
+    done(JobReply { 200, eventPageJson(*page), 0 });
+    return true;
+}
+
+void JobService::wakeWatchers()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_watchers, [&](const Watcher& watcher) {
+        return answerWatch(watcher.call, watcher.done, watcher.deadline <= now);
+    });
+}
+
 void JobService::forward(const JobCall& call, const Done& done)
 {
     const auto topology = m_membership.topology().get();
@@ -252,6 +293,8 @@
     message.set_team(call.team.text);
     message.set_request_id(call.requestId);
     message.set_job(call.job.text);
+    message.set_cursor(call.cursor);
+    message.set_wait_ms(call.waitMs);
     JobRecord carrier;
     carrier.spec = call.spec;
     message.set_record(toJson(carrier));
@@ -278,6 +321,8 @@
     call.team = TeamId { message.team() };
     call.requestId = message.request_id();
     call.job = JobId { message.job() };
+    call.cursor = message.cursor();
+    call.waitMs = message.wait_ms();
     Reason reason;
     if (auto carrier = parseJobRecord(message.record(), reason))
         call.spec = carrier->spec;
--- a/src/service/JobJson.cpp
+++ b/src/service/JobJson.cpp
@@ -14,6 +14,22 @@
 
 std::string jobKey(const JobRecord& record) { return jobPrefix(record.domain) + record.id.text; }
 
+std::string trimKey(const DomainId& domain)
+{
+    return jobPrefix(domain) + "~trim"; // job ids never begin with '~'
+}
+
+std::string eventPageJson(const JobEventPage& page)
+{
+    json::array events;
+    for (const auto& event : page.events) {
+        events.push_back(json::object { { "cursor", event.cursor }, { "job", event.job.text },
+            { "queue", event.queue.text }, { "state", text(event.state) },
+            { "finished_tasks", event.finishedTasks } });
+    }
+    return json::serialize(json::object { { "cursor", page.cursor }, { "events", events } });
+}
+
 JobReply refusal(const Reason& reason, int retryAfterMs)
 {
     const auto response = errorResponse(reason, retryAfterMs);
--- a/src/service/JobJson.h
+++ b/src/service/JobJson.h
@@ -16,6 +16,12 @@
 /** The key of a job's row. */
 std::string jobKey(const JobRecord& record);
 
+/** The key of the row that says up to which version rows of ended jobs were removed. */
+std::string trimKey(const DomainId& domain);
+
+/** One page of a watch. */
+std::string eventPageJson(const JobEventPage& page);
+
 /** A refusal as a reply. */
 JobReply refusal(const Reason& reason, int retryAfterMs = 0);
 
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -16,6 +16,8 @@
 constexpr auto loadTimeout = std::chrono::seconds(10);
 constexpr auto recordWriteTimeout = std::chrono::hours(24); // the store client goes on until it knows
 constexpr auto archiveTimeout = std::chrono::seconds(30);
+constexpr auto endedRowRetention = std::chrono::seconds(60);
+constexpr std::size_t maxRowsRemoved = 200;
 constexpr std::size_t placementsPerTick = 200;
 constexpr std::size_t explanationLines = 32;
 constexpr std::size_t maxFinishedShown = 2000;
@@ -66,6 +68,8 @@
     feed(LedgerTick {});
     placePending();
     archiveFinished();
+    removeArchived();
+    wakeWatchers();
 }
 
 void JobService::followLead(Instant now)
@@ -92,7 +96,19 @@
     const auto ownership = m_membership.ownership().get();
     if (!rows || ownership->epoch != epoch || !ownership->mayLead(monotonicNow()))
         return;
-    feed(BecameLead { epoch, recordsOf(*rows) });
+    auto records = recordsOf(*rows);
+    m_events.clear();
+    m_archived.clear();
+    m_trimVersion = 0;
+    for (const auto& row : *rows) {
+        if (row.key == trimKey(m_ledger.domain)) {
+            m_trimVersion = row.version;
+            m_events.setTrimmed(std::stoull(row.value));
+        }
+    }
+    for (const auto& found : records)
+        m_events.record(found.record, found.version);
+    feed(BecameLead { epoch, std::move(records) });
 }
 
 void JobService::reconcile()
@@ -113,8 +129,10 @@
     for (auto& found : recordsOf(rows)) {
         // A row read before its job ended must not bring the job back.
         const bool known = m_ledger.jobs.count(found.record.id) || m_finished.count(found.record.id);
-        if (!known)
-            feed(JobAccepted { std::move(found.record), found.version });
+        if (known || found.record.state != JobState::Active)
+            continue;
+        onRecordStored(found.record, found.version);
+        feed(JobAccepted { std::move(found.record), found.version });
     }
 }
 
@@ -136,16 +154,28 @@
     transaction.checks.push_back({ key, action.expectedVersion });
     transaction.puts.push_back({ key, toJson(action.record) });
     const auto id = action.writeId;
-    m_store.commit(std::move(transaction), recordWriteTimeout, [this, id](TransactionOutcome outcome) {
-        LedgerEvent event = WriteFailed { id };
-        if (outcome.status == TransactionStatus::Done)
-            event = WriteDone { id, outcome.version };
-        else if (outcome.status == TransactionStatus::Conflict)
-            event = WriteConflict { id };
-        else if (outcome.status == TransactionStatus::Unknown)
-            event = WriteUnknown { id };
-        (void)post([this, event] { feed(event); });
-    });
+    const auto record = action.record;
+    m_store.commit(
+        std::move(transaction), recordWriteTimeout, [this, id, record](TransactionOutcome outcome) {
+            LedgerEvent event = WriteFailed { id };
+            if (outcome.status == TransactionStatus::Done)
+                event = WriteDone { id, outcome.version };
+            else if (outcome.status == TransactionStatus::Conflict)
+                event = WriteConflict { id };
+            else if (outcome.status == TransactionStatus::Unknown)
+                event = WriteUnknown { id };
+            (void)post([this, event, record, outcome] {
+                if (outcome.status == TransactionStatus::Done)
+                    onRecordStored(record, outcome.version);
+                feed(event);
+            });
+        });
+}
+
+void JobService::onRecordStored(const JobRecord& record, std::uint64_t version)
+{
+    if (m_ledger.leading)
+        m_events.record(record, version);
 }
 
 std::string JobService::addressOf(const ServerId& worker) const
@@ -243,7 +273,7 @@
 
 void JobService::archiveFinished()
 {
-    for (auto& finished : takeFinished(m_ledger)) {
+    for (const auto& finished : takeFinished(m_ledger)) {
         const auto& id = finished.record.id;
         m_finished[id] = finished.record;
         m_finishedOrder.push_back(id);
@@ -252,21 +282,58 @@
             m_explanations.erase(m_finishedOrder.front());
             m_finishedOrder.pop_front();
         }
-        const auto key = jobKey(finished.record);
-        const auto version = finished.version;
-        const auto object = finished.record.domain.text + "/" + id.text;
-        m_store.putObject(
-            object, toJson(finished.record), archiveTimeout, [this, key, version](HttpResult result) {
-                if (!result.response || result.response->status != 200)
-                    return; // the row stays; the next lead archives it
-                Transaction transaction;
-                transaction.checks.push_back({ key, version });
-                transaction.deletes.push_back(key);
-                m_store.commit(std::move(transaction), archiveTimeout, [](TransactionOutcome) {});
-            });
+        archive(finished);
     }
 }
 
+void JobService::archive(const VersionedRecord& finished)
+{
+    const Archived entry { finished.record.id, jobKey(finished.record), finished.version, {} };
+    const auto object = finished.record.domain.text + "/" + finished.record.id.text;
+    m_store.putObject(object, toJson(finished.record), archiveTimeout, [this, entry](HttpResult result) {
+        if (!result.response || result.response->status != 200)
+            return; // the row stays; the next lead archives it
+        (void)post([this, entry] {
+            m_archived.push_back(entry);
+            m_archived.back().removeAt = monotonicNow() + endedRowRetention;
+        });
+    });
+}
+
+// Removes the rows of ended jobs, many in one transaction, together with the mark that tells a later
+// lead how far the events are gone.
+void JobService::removeArchived()
+{
+    if (m_removing || m_archived.empty() || m_archived.front().removeAt > monotonicNow())
+        return;
+    std::vector<Archived> batch;
+    std::uint64_t trimmed = m_events.trimmed();
+    Transaction transaction;
+    while (!m_archived.empty() && batch.size() < maxRowsRemoved
+        && m_archived.front().removeAt <= monotonicNow()) {
+        batch.push_back(std::move(m_archived.front()));
+        m_archived.pop_front();
+        transaction.checks.push_back({ batch.back().key, batch.back().version });
+        transaction.deletes.push_back(batch.back().key);
+        trimmed = std::max(trimmed, batch.back().version);
+    }
+    const auto mark = trimKey(m_ledger.domain);
+    transaction.checks.push_back({ mark, m_trimVersion });
+    transaction.puts.push_back({ mark, std::to_string(trimmed) });
+    m_removing = true;
+    m_store.commit(
+        std::move(transaction), archiveTimeout, [this, batch, trimmed](TransactionOutcome outcome) {
+            (void)post([this, batch, trimmed, outcome] {
+                m_removing = false;
+                if (outcome.status != TransactionStatus::Done || !m_ledger.leading)
+                    return;
+                m_trimVersion = outcome.version;
+                for (const auto& entry : batch)
+                    m_events.forget(entry.id, trimmed);
+            });
+        });
+}
+
 void JobService::pollWorkers()
 {
     if (!m_ledger.leading)
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/PeerLink.h"
+#include "quay/core/JobEventLog.h"
 #include "quay/core/JobLedger.h"
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Duty.h"
@@ -22,6 +23,7 @@
     Cancel = 3,
     List = 4,
     Explain = 5,
+    Watch = 6,
 };
 
 /** One call about durable jobs, bound for the lead of a failure domain. */
@@ -32,6 +34,8 @@
     std::string requestId; // Submit
     JobSpec spec; // Submit
     JobId job; // Status, Cancel, Explain; List: the last job of the page before
+    std::uint64_t cursor = 0; // Watch
+    std::uint32_t waitMs = 0; // Watch: how long to wait for a first event
 };
 
 /** The answer to a JobCall: an HTTP status and a JSON body. */
@@ -75,6 +79,9 @@
     void perform(const ReleaseTokens& action);
     void placePending();
     void archiveFinished();
+    void archive(const VersionedRecord& finished);
+    void removeArchived();
+    void onRecordStored(const JobRecord& record, std::uint64_t version);
     void pollWorkers();
     bool mayLead() const;
     std::string addressOf(const ServerId& worker) const;
@@ -88,9 +95,26 @@
     void cancel(const JobCall& call, const Done& done);
     void list(const JobCall& call, const Done& done);
     void explain(const JobCall& call, const Done& done);
+    void watch(const JobCall& call, const Done& done);
+    bool answerWatch(const JobCall& call, const Done& done, bool evenIfEmpty);
+    void wakeWatchers();
     void forward(const JobCall& call, const Done& done);
     void onForward(const wire::Envelope& envelope);
 
+    // A watch that waits for its first event.
+    struct Watcher {
+        JobCall call;
+        Instant deadline;
+        Done done;
+    };
+    // An ended job whose row stays until watchers had time to see its end.
+    struct Archived {
+        JobId id;
+        std::string key;
+        std::uint64_t version = 0;
+        Instant removeAt;
+    };
+
     MembershipService& m_membership;
     StoreService& m_store;
     BackendLink& m_backend;
@@ -103,6 +127,11 @@
     std::set<ServerId> m_polling; // workers with a report on its way
     std::map<JobId, std::deque<std::string>> m_explanations;
     std::deque<JobId> m_finishedOrder; // oldest first, bounds m_finished
+    JobEventLog m_events;
+    std::vector<Watcher> m_watchers;
+    std::deque<Archived> m_archived; // in order of removeAt
+    std::uint64_t m_trimVersion = 0; // of the trim row
+    bool m_removing = false;
     std::map<JobId, JobRecord> m_finished; // lately ended, still to be shown
 };
 
--- a/tests/cores/ReasonTest.cpp
+++ b/tests/cores/ReasonTest.cpp
@@ -8,7 +8,7 @@
 TEST_CASE("every error kind stands at its own number with a message and a remedy")
 {
     std::set<std::string_view> names;
-    for (unsigned i = 0; i <= static_cast<unsigned>(ErrorKind::SubmissionUnknown); ++i) {
+    for (unsigned i = 0; i <= static_cast<unsigned>(ErrorKind::CursorTooOld); ++i) {
         const auto& entry = describe(static_cast<ErrorKind>(i));
         CAPTURE(i);
         CHECK(static_cast<unsigned>(entry.kind) == i);
--- a/tests/processes/WholePathTest.cpp
+++ b/tests/processes/WholePathTest.cpp
@@ -125,3 +125,37 @@
     for (const auto& worker : fleet.workers())
         CHECK(fleet.ledger(worker).at("entries").as_array().empty());
 }
+
+TEST_CASE("a watch shows every job's end and goes on from its cursor through another entry VM")
+{
+    LocalFleet fleet({});
+    const auto page = [&](std::size_t entry, std::uint64_t cursor) -> json::value {
+        const auto response = httpCall(fleet.entry(entry).callerAddress,
+            httpGet("/v1/watch?cursor=" + std::to_string(cursor) + "&wait_ms=1000", agentsKey));
+        if (!response || response->status != 200)
+            return nullptr;
+        return json::parse(response->body);
+    };
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 5; ++i)
+        jobs.push_back(fleet.submit(0, R"({"queue":"nightly"})", agentsKey, "watch-" + std::to_string(i)));
+    std::map<std::string, std::string> states;
+    std::uint64_t cursor = 0;
+    std::size_t entry = 0;
+    waitFor("the watch has shown all ends", [&] {
+        const auto view = page(entry++ % fleet.entries().size(), cursor);
+        if (!view.is_object())
+            return false;
+        cursor = view.at("cursor").to_number<std::uint64_t>();
+        for (const auto& event : view.at("events").as_array())
+            states[std::string(event.at("job").as_string())] = std::string(event.at("state").as_string());
+        return std::all_of(
+            jobs.begin(), jobs.end(), [&](const auto& job) { return states[job] == "succeeded"; });
+    });
+    const auto other = httpCall(fleet.entry(0).callerAddress, httpGet("/v1/watch?cursor=x", agentsKey));
+    REQUIRE(other);
+    CHECK(other->status == 400);
+    const auto foreign = httpCall(fleet.entry(0).callerAddress, httpGet("/v1/watch", clinicKey));
+    REQUIRE(foreign);
+    CHECK(json::parse(foreign->body).at("events").as_array().empty());
+}
--- /dev/null
+++ b/tools/quayctl/TraceCommand.cpp
@@ -0,0 +1,109 @@
+#include "Command.h"
+
+#include <boost/json.hpp>
+#include <iostream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace quay::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double nanosecondsPerMillisecond = 1e6;
+
+using Spans = std::vector<json::object>;
+
+std::string textOf(const json::object& span, const char* name)
+{
+    return std::string(span.at(name).as_string());
+}
+
+Spans parseLines(const std::string& body)
+{
+    Spans spans;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);)
+        spans.push_back(json::parse(line).as_object());
+    return spans;
+}
+
+void printSpan(const json::object& span, std::int64_t traceStart, std::size_t depth)
+{
+    const auto start = span.at("start_time_unix_nano").to_number<std::int64_t>();
+    const auto end = span.at("end_time_unix_nano").to_number<std::int64_t>();
+    const auto milliseconds
+        = [](std::int64_t ns) { return static_cast<double>(ns) / nanosecondsPerMillisecond; };
+    std::cout << std::string(depth * 2, ' ') << textOf(span, "name") << "  +"
+              << milliseconds(start - traceStart) << " ms  took " << milliseconds(end - start) << " ms  "
+              << textOf(span, "status") << "  " << textOf(span, "detail") << "  ["
+              << textOf(span, "service.instance.id") << "]\n";
+}
+
+void printBelow(const Spans& spans, const std::string& parent, std::int64_t traceStart, std::size_t depth)
+{
+    for (const auto& span : spans) {
+        if (textOf(span, "parent_span_id") != parent)
+            continue;
+        printSpan(span, traceStart, depth);
+        printBelow(spans, textOf(span, "span_id"), traceStart, depth + 1);
+    }
+}
+
+// Spans whose parent isn't held here: the caller's own span, or one that was forgotten.
+std::set<std::string> missingParents(const Spans& spans)
+{
+    std::set<std::string> known;
+    std::set<std::string> parents;
+    for (const auto& span : spans) {
+        known.insert(textOf(span, "span_id"));
+        parents.insert(textOf(span, "parent_span_id"));
+    }
+    for (const auto& id : known)
+        parents.erase(id);
+    return parents;
+}
+
+} // namespace
+
+int runTrace(const Invocation& invocation)
+{
+    if (invocation.words.size() != 1) {
+        std::cerr << "quayctl: this command takes one trace id, as in the Traceparent header of an answer\n";
+        return ExitUsage;
+    }
+    Reason reason;
+    const auto response
+        = call(invocation.target, getRequest("/v1/traces/" + invocation.words.front()), reason);
+    const int code = report(response, reason);
+    if (code != ExitOk)
+        return code;
+    if (invocation.output == Output::Json) {
+        std::cout << response->body;
+        return ExitOk;
+    }
+    const auto spans = parseLines(response->body);
+    if (spans.empty()) {
+        std::cerr
+            << "quayctl: this entry VM holds no span of that trace; ask the one that took the request\n";
+        return ExitRefused;
+    }
+    const auto traceStart = spans.front().at("start_time_unix_nano").to_number<std::int64_t>();
+    for (const auto& parent : missingParents(spans))
+        printBelow(spans, parent, traceStart, 0);
+    return ExitOk;
+}
+
+int runMetrics(const Invocation& invocation)
+{
+    Reason reason;
+    const auto response = call(invocation.target, getRequest("/metrics"), reason);
+    const int code = report(response, reason);
+    if (code == ExitOk)
+        std::cout << response->body;
+    return code;
+}
+
+} // namespace quay::ctl
--- a/tools/quayctl/main.cpp
+++ b/tools/quayctl/main.cpp
@@ -19,6 +19,7 @@
         { "job list", "list the team's jobs that have not ended", "job list", runJobList },
         { "job explain", "say in words what happened to a job and why", "job explain d1.18c2-1",
             runJobExplain },
+        { "watch", "print changes of the team's jobs as they happen", "watch --cursor 0", runWatch },
         { "config check", "check a base file and its overlays", "config check base.toml site.toml",
             runConfigCheck },
         { "config diff", "show what would change", "config diff base.toml site.toml", runConfigDiff },
@@ -27,6 +28,9 @@
         { "config status", "show the configuration in force", "config status", runConfigStatus },
         { "key hash", "hash a key read from the standard input", "key hash < key.txt", runKeyHash },
         { "fleet", "show members, leads and servers", "fleet", runFleet },
+        { "trace", "draw the spans of a trace as a tree", "trace 0af7651916cd43dd8448eb211c80319c",
+            runTrace },
+        { "metrics", "print the metrics page of an entry VM", "metrics", runMetrics },
         { "completion", "print the bash completion script", "completion > /etc/bash_completion.d/quayctl",
             runCompletion },
     };
