Job ledger: gangs end as a whole; silent workers get no new work; harsher simulation

Cause: after a takeover the members' counts of attempts differ, and an unwinding judged each member alone, so that some became Failed and the others waited for them. The gang now has as many attempts as its worst member.

The simulation gains: answers lost one way, repeated answers, repeated starts that outlive a restart of the worker (which then refuses starts for the flight bound), a worker that forgets attempts after the flight bound, short backoff, late kills, a check of all workers' books after each step, gangs started whole.

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -39,6 +39,11 @@
     bool boundedLapse = true; // flight, clock and stop bounds are added to the lease
     bool ackAfterDurable = true; // ends are acknowledged only once recorded
     bool neverRetryUnknown = true; // non-idempotent work of unknown outcome is not run again
+    bool refusalNeedsProof = true; // a start without an answer doesn't count as refused
+    bool awaitFormerLead = true; // after a takeover, a former lead's messages and leases are waited for
+    bool countHeldRoom = true; // capacity is held from the decision on, not only once reported as used
+    bool closeSilent = true; // a worker that has not reported for the silence bound gets no new work
+    bool wholeGangs = true; // a gang whose placements don't all fit is taken back
 
     bool operator==(const LedgerRules&) const = default;
 };
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -148,7 +148,7 @@
             .id = id,
             .rack = worker.info.rack,
             .capacity = worker.info.capacity,
-            .free = ledger::freeRoom(worker),
+            .free = ledger::freeRoom(ledger, worker),
             .open = ledger::takesWork(worker),
             .starts = worker.starts,
             .startFailures = worker.startFailures,
--- a/src/core/JobLedgerEnd.cpp
+++ b/src/core/JobLedgerEnd.cpp
@@ -153,14 +153,25 @@
         entry.tasks.begin(), entry.tasks.end(), [](const TaskLive& live) { return live.recovering; });
 }
 
-void rewindMember(Turn& turn, const Found& task)
+// Counts the attempt for all members; true if the gang has used up its attempts. Recovery may have
+// counted more attempts of one member than of another: the gang has no more than its worst member,
+// or some members would end for good while the others wait for them for ever.
+bool countUnwind(const Turn& turn, JobEntry& entry)
+{
+    bool usedUp = false;
+    for (TaskLive& live : entry.tasks) {
+        count(live, entry.unwindByFailure ? AttemptEnd::Badly : AttemptEnd::NotStarted);
+        usedUp |= exhausted(turn, entry.record.spec, live);
+    }
+    return usedUp;
+}
+
+void rewindMember(Turn& turn, const Found& task, bool usedUp)
 {
-    const JobEntry& entry = *task.entry;
     turn.ledger.ready.erase(task.ref);
-    count(task.live(), entry.unwindByFailure ? AttemptEnd::Badly : AttemptEnd::NotStarted);
-    if (entry.record.cancelRequested)
+    if (task.entry->record.cancelRequested)
         return makeFinal(turn, task, TaskState::Cancelled, "cancelled");
-    if (exhausted(turn, entry.record.spec, task.live()))
+    if (usedUp)
         return makeFinal(turn, task, TaskState::Failed, "the gang's attempts are used up");
     makePending(turn, task, backoffEnd(turn, task.live()));
 }
@@ -168,9 +179,10 @@
 // No member runs any more: the gang goes back as a whole.
 void finishUnwind(Turn& turn, JobEntry& entry)
 {
+    const bool usedUp = countUnwind(turn, entry);
     for (std::uint32_t index = 0; index < entry.tasks.size(); ++index)
         if (!isFinal(entry.record.tasks[index].state))
-            rewindMember(turn, { &entry, { entry.record.id, index } });
+            rewindMember(turn, { &entry, { entry.record.id, index } }, usedUp);
     entry.unwinding = false;
     entry.unwindByFailure = false;
     touch(turn, entry);
--- a/src/core/JobLedgerParts.cpp
+++ b/src/core/JobLedgerParts.cpp
@@ -124,8 +124,10 @@
 }
 
 // Reported usage lags, so that it may raise what counts as used but never lower it.
-Resources freeRoom(const WorkerEntry& worker)
+Resources freeRoom(const JobLedger& ledger, const WorkerEntry& worker)
 {
+    if (!ledger.rules.countHeldRoom)
+        return worker.info.capacity - worker.reportedUsage;
     const Resources used {
         std::max(worker.held.cpuMilli, worker.reportedUsage.cpuMilli),
         std::max(worker.held.memoryMb, worker.reportedUsage.memoryMb),
--- a/src/core/JobLedgerParts.h
+++ b/src/core/JobLedgerParts.h
@@ -52,7 +52,7 @@
 void occupy(Turn& turn, const Found& task, const ServerId& worker);
 void vacate(Turn& turn, const Found& task);
 bool takesWork(const WorkerEntry& worker);
-Resources freeRoom(const WorkerEntry& worker);
+Resources freeRoom(const JobLedger& ledger, const WorkerEntry& worker);
 
 // Submit (JobLedgerSubmit.cpp).
 void onAccepted(Turn& turn, const JobAccepted& event);
--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -35,12 +35,16 @@
 // A former lead's last start has arrived by then, or never will.
 Instant formerStartsBy(const JobLedger& ledger)
 {
+    if (!ledger.rules.awaitFormerLead)
+        return ledger.takenOverAt;
     return ledger.takenOverAt + ledger.settings.staleLeadBound + ledger.settings.flightBound;
 }
 
 // What a former lead started or renewed last has surely ended by then.
 Instant formerLeasesLapseAt(const JobLedger& ledger)
 {
+    if (!ledger.rules.awaitFormerLead)
+        return ledger.takenOverAt;
     return ledger.takenOverAt + ledger.settings.staleLeadBound + lapseAfterSend(ledger);
 }
 
--- a/src/core/JobLedgerStart.cpp
+++ b/src/core/JobLedgerStart.cpp
@@ -75,7 +75,7 @@
     const auto found = ledger.workers.find(worker);
     if (found == ledger.workers.end() || !takesWork(found->second))
         return false;
-    return task.entry->record.spec.perTask.fitsIn(freeRoom(found->second));
+    return task.entry->record.spec.perTask.fitsIn(freeRoom(ledger, found->second));
 }
 
 // Undoes decide() before anything was written or sent.
@@ -118,7 +118,7 @@
     JobEntry& entry = found->second;
     const std::vector<Found> decided = decideAll(turn, placements);
     const bool incompleteGang = isGang(entry) && decided.size() != entry.tasks.size();
-    if (incompleteGang) {
+    if (incompleteGang && turn.ledger.rules.wholeGangs) {
         for (const Found& task : decided)
             takeBack(turn, task);
         return;
@@ -193,7 +193,8 @@
         return;
     }
     ++turn.ledger.workers[event.worker].startFailures;
-    if (event.outcome == StartOutcome::Refused)
+    const bool refused = event.outcome == StartOutcome::Refused || !turn.ledger.rules.refusalNeedsProof;
+    if (refused)
         settle(turn, task, AttemptEnd::NotStarted,
             "worker " + event.worker.text + " refused the start: " + event.why);
 }
@@ -218,6 +219,8 @@
     // A worker out of reach must not have its leases extended by sends that never arrive:
     // our side of the lease would then never lapse.
     const bool silent = turn.now - worker.heardAt > turn.ledger.settings.silenceBound;
+    // Nor does it get new work until it reports: a start sent now would most likely end unknown.
+    worker.lost = worker.lost || (silent && turn.ledger.rules.closeSilent);
     if (worker.tasks.empty() || silent)
         return;
     worker.renewAt = turn.now + turn.ledger.settings.renewInterval;
--- a/tests/cores/JobLedgerSeededTest.cpp
+++ b/tests/cores/JobLedgerSeededTest.cpp
@@ -7,15 +7,17 @@
 constexpr std::uint64_t seedCount = 150;
 
 struct PlantedFault {
-    const char* name;
+    std::string name;
     LedgerRules rules;
-    const char* violation; // what the checker must say
+    std::string violation; // what the checker must say
 };
 
-LedgerRules broken(bool LedgerRules::*rule)
+LedgerRules broken(bool LedgerRules::*rule, bool LedgerRules::*second = nullptr)
 {
     LedgerRules rules;
     rules.*rule = false;
+    if (second)
+        rules.*second = false;
     return rules;
 }
 
@@ -33,6 +35,7 @@
     std::size_t starts = 0;
     std::size_t succeeded = 0;
     std::size_t takeovers = 0;
+    std::size_t steps = 0;
     forEachSeed(seedCount, [&](std::uint64_t seed) {
         LedgerSimulation simulation(seed, LedgerRules {});
         simulation.run();
@@ -40,12 +43,14 @@
         starts += simulation.acceptedStarts();
         succeeded += simulation.ended(JobState::Succeeded);
         takeovers += simulation.takeovers();
+        steps += simulation.steps();
     });
     // The runs did work and met failovers: the checks above are not empty.
     CHECK(starts > 0);
     CHECK(succeeded > 0);
     CHECK(takeovers > 1);
-    MESSAGE("starts " << starts << ", jobs succeeded " << succeeded << ", takeovers " << takeovers);
+    MESSAGE("starts " << starts << ", jobs succeeded " << succeeded << ", takeovers " << takeovers
+                      << ", steps " << steps);
 }
 
 TEST_CASE("job ledger: the checker finds planted faults")
@@ -54,10 +59,16 @@
         { "start before the durable intent", broken(&LedgerRules::intentBeforeStart),
             "second start of non-idempotent" },
         { "lapse without bounds", broken(&LedgerRules::boundedLapse), "two places" },
-        { "lapse without bounds frees capacity", broken(&LedgerRules::boundedLapse), "capacity exceeded" },
+        { "lapse without bounds frees capacity at a silent worker",
+            broken(&LedgerRules::boundedLapse, &LedgerRules::closeSilent), "capacity exceeded" },
+        { "room counted as reported only", broken(&LedgerRules::countHeldRoom), "capacity exceeded" },
         { "acknowledged before durable", broken(&LedgerRules::ackAfterDurable),
             "acknowledged before it was durable" },
         { "retry after unknown", broken(&LedgerRules::neverRetryUnknown), "second start of non-idempotent" },
+        { "no answer taken for a refusal", broken(&LedgerRules::refusalNeedsProof),
+            "second start of non-idempotent" },
+        { "former lead not waited for", broken(&LedgerRules::awaitFormerLead), "two places" },
+        { "gang placed in part", broken(&LedgerRules::wholeGangs), "gang started in part" },
     };
     constexpr std::uint64_t mostSeeds = 400;
     for (const PlantedFault& fault : faults) {
--- a/tests/cores/JobLedgerSimulation.cpp
+++ b/tests/cores/JobLedgerSimulation.cpp
@@ -73,6 +73,8 @@
         runWorker(worker);
     for (std::size_t index = 0; index < m_processes.size(); ++index)
         runProcess(index);
+    ++m_steps;
+    checkBooks();
 }
 
 void LedgerSimulation::injectFaults()
@@ -90,6 +92,8 @@
             crash(worker);
         if (m_choices.below(250) == 0)
             worker.partitionedUntil = m_now + Duration(m_choices.between(1, 30) * 1s);
+        if (m_choices.below(250) == 0)
+            worker.mutedUntil = m_now + Duration(m_choices.between(1, 30) * 1s);
     }
 }
 
@@ -129,21 +133,24 @@
             message(worker);
     };
     later(flight(), deliver);
-    if (!m_faults || !m_choices.percent(5))
-        return;
-    // A repeated message doesn't outlive the worker process it was sent to.
-    const std::uint64_t incarnation = worker.incarnation;
-    later(flight(), [&worker, deliver, incarnation] {
-        if (worker.incarnation == incarnation)
-            deliver();
-    });
+    if (m_faults && m_choices.percent(5))
+        later(flight(), deliver);
 }
 
 void LedgerSimulation::sendToProcess(std::size_t to, LedgerEvent event)
 {
     if (m_faults && m_choices.percent(5))
         return;
-    later(flight(), [this, to, event = std::move(event)] { m_processes[to].inbox.push_back(event); });
+    const auto deliver = [this, to, event = std::move(event)] { m_processes[to].inbox.push_back(event); };
+    later(flight(), deliver);
+    if (m_faults && m_choices.percent(5))
+        later(flight(), deliver);
+}
+
+void LedgerSimulation::answer(const Worker& worker, std::size_t to, LedgerEvent event)
+{
+    if (m_now >= worker.mutedUntil)
+        sendToProcess(to, std::move(event));
 }
 
 // Kind 0: the old lead crashes; kind 1: it lives on and learns of it late.
@@ -157,6 +164,8 @@
     Process process;
     process.ledger.domain = domain;
     process.ledger.rules = m_rules;
+    // Short, so that no backoff hides an attempt that is started too early.
+    process.ledger.settings.retryBackoff = 100ms;
     process.maySendUntil = Instant::max();
     m_processes.push_back(std::move(process));
     WorkerList list;
@@ -199,6 +208,8 @@
 {
     if (const auto* row = std::get_if<WriteRecord>(&action))
         return write(index, *row);
+    if (const auto* start = std::get_if<SendStart>(&action))
+        checkGang(index, *start);
     if (const auto* start = std::get_if<SendStart>(&action))
         return sendToWorker(index, start->worker,
             [this, index, start = *start](Worker& worker) { startTask(index, worker, start); });
@@ -209,11 +220,8 @@
         return sendToWorker(
             index, ack->worker, [this, ack = *ack](Worker& worker) { acknowledge(worker, ack); });
     if (const auto* stop = std::get_if<SendStop>(&action))
-        sendToWorker(index, stop->worker, [this, attempt = stop->attempt](Worker& worker) {
-            worker.stopped.insert(attempt);
-            if (worker.running.contains(attempt))
-                endTask(worker, attempt, false, "stopped");
-        });
+        sendToWorker(index, stop->worker,
+            [this, attempt = stop->attempt](Worker& worker) { stopOn(worker, attempt); });
 }
 
 void LedgerSimulation::poll(std::size_t index)
@@ -224,7 +232,7 @@
     process.pollAt = m_now + 500ms;
     for (const auto& item : m_workers)
         sendToWorker(index, item.first,
-            [this, index, asked = m_now](Worker& worker) { sendToProcess(index, report(worker, asked)); });
+            [this, index, asked = m_now](Worker& worker) { answer(worker, index, report(worker, asked)); });
 }
 
 void LedgerSimulation::place(std::size_t index)
@@ -339,8 +347,9 @@
             violate("task " + task.text + " left its final state");
         if (state == TaskState::Succeeded && !m_endedWell.contains(task))
             violate("task " + task.text + " recorded as succeeded, but its work did not end well");
-        if (state == TaskState::Failed && m_endedWell.contains(task) && !mayRunTwice(after.spec))
-            violate("task " + task.text + " recorded as failed, but its work ended well");
+        const bool denied = state == TaskState::Failed || state == TaskState::Cancelled;
+        if (denied && m_endedWell.contains(task) && !mayRunTwice(after.spec))
+            violate("task " + task.text + " recorded as failed or cancelled, but its work ended well");
     }
     const auto succeeded = [](const TaskRecord& task) { return task.state == TaskState::Succeeded; };
     const bool all = std::all_of(after.tasks.begin(), after.tasks.end(), succeeded);
--- a/tests/cores/JobLedgerSimulation.h
+++ b/tests/cores/JobLedgerSimulation.h
@@ -23,6 +23,7 @@
     const std::string& violation() const { return m_violation; }
     std::size_t acceptedStarts() const { return m_acceptedStarts; }
     std::size_t takeovers() const { return m_epoch; }
+    std::size_t steps() const { return m_steps; }
     std::size_t ended(JobState state) const;
 
 private:
@@ -48,29 +49,40 @@
         bool ok = true;
         Resources size;
     };
+    // Kept for the flight bound only, as the worker's contract says.
+    struct StartMemory {
+        bool accepted = false;
+        Instant until;
+    };
     struct Worker {
         ServerInfo info;
         std::uint64_t incarnation = 1;
         bool alive = true;
         Instant downUntil;
+        Instant startsRefusedUntil; // after a restart: its memory of earlier starts is lost
         Instant partitionedUntil;
+        Instant mutedUntil; // it hears, but its answers and reports are lost
         std::int64_t ratePermille = 1000; // its clock against true time
         std::uint64_t epoch = 0;
         std::map<TaskAttempt, Running> running;
         std::map<TaskAttempt, EndedTask> ended;
-        std::map<TaskAttempt, bool> answers; // remembered: accepted or refused
-        std::set<TaskAttempt> stopped;
+        std::map<TaskAttempt, StartMemory> answers;
+        std::map<TaskAttempt, Instant> stopped; // remembered until then
     };
     using Message = std::function<void()>;
 
     void violate(std::string text);
     void advance();
+    void checkBooks();
+    void checkGang(std::size_t index, const SendStart& start);
     void injectFaults();
     void deliverDue();
     void later(Duration delay, Message message);
     Duration flight();
+    Duration killDelay();
     void sendToWorker(std::size_t from, const ServerId& to, std::function<void(Worker&)> message);
     void sendToProcess(std::size_t to, LedgerEvent event);
+    void answer(const Worker& worker, std::size_t to, LedgerEvent event);
 
     void takeOver(std::size_t index);
     void runProcess(std::size_t index);
@@ -90,6 +102,8 @@
     void startTask(std::size_t from, Worker& worker, const SendStart& start);
     bool acceptStart(Worker& worker, const SendStart& start);
     void checkStart(const Worker& worker, const SendStart& start);
+    void forgetOld(Worker& worker);
+    void stopOn(Worker& worker, const TaskAttempt& attempt);
     void runWorker(Worker& worker);
     void endTask(Worker& worker, const TaskAttempt& attempt, bool ok, const std::string& result);
     void renew(Worker& worker, const SendRenew& renewal);
@@ -114,6 +128,7 @@
     std::set<TaskId> m_endedWell;
     std::set<JobId> m_cancelled;
     std::size_t m_acceptedStarts = 0;
+    std::size_t m_steps = 0;
     std::string m_violation;
 };
 
--- a/tests/cores/JobLedgerSimulationWorkers.cpp
+++ b/tests/cores/JobLedgerSimulationWorkers.cpp
@@ -27,26 +27,36 @@
 void LedgerSimulation::startTask(std::size_t from, Worker& worker, const SendStart& start)
 {
     worker.epoch = std::max(worker.epoch, start.epoch);
-    if (!worker.answers.contains(start.attempt))
-        worker.answers[start.attempt] = acceptStart(worker, start);
-    StartAnswer answer { start.worker, start.attempt, StartOutcome::Refused, "busy" };
-    if (worker.answers[start.attempt])
-        answer.outcome = StartOutcome::Accepted;
+    const bool known = worker.running.contains(start.attempt) || worker.ended.contains(start.attempt);
+    if (!known && !worker.answers.contains(start.attempt))
+        worker.answers[start.attempt] = { acceptStart(worker, start), m_now + LedgerSettings().flightBound };
+    StartAnswer reply { start.worker, start.attempt, StartOutcome::Refused, "busy" };
+    if (known || worker.answers[start.attempt].accepted)
+        reply.outcome = StartOutcome::Accepted;
     if (m_faults && m_choices.percent(10))
-        answer.outcome = StartOutcome::Unknown;
-    sendToProcess(from, answer);
+        reply.outcome = StartOutcome::Unknown;
+    answer(worker, from, reply);
+}
+
+// Up to nearly the stop bound, and often so late.
+Duration LedgerSimulation::killDelay()
+{
+    constexpr std::int64_t latestMs = 1900;
+    return m_choices.percent(30) ? Duration(latestMs * 1ms) : Duration(m_choices.between(0, latestMs) * 1ms);
 }
 
 bool LedgerSimulation::acceptStart(Worker& worker, const SendStart& start)
 {
-    if (worker.stopped.contains(start.attempt) || (m_faults && m_choices.percent(8)))
+    if (worker.stopped.contains(start.attempt) || m_now < worker.startsRefusedUntil)
+        return false;
+    if (m_faults && m_choices.percent(8))
         return false;
     checkStart(worker, start);
     Running running;
     running.epoch = start.epoch;
     running.size = start.size;
     running.leaseEnds = m_now + Duration(start.leaseMs * 1ms) * 1000 / worker.ratePermille;
-    running.killedAt = running.leaseEnds + Duration(m_choices.between(0, 1900) * 1ms);
+    running.killedAt = running.leaseEnds + killDelay();
     running.endsAt = m_now + Duration(m_choices.between(200, 40000) * 1ms);
     running.ok = !m_faults || m_choices.percent(80);
     worker.running[start.attempt] = running;
@@ -71,6 +81,31 @@
         violate("second start of non-idempotent " + name);
 }
 
+// What must hold between any two steps, from the workers' books alone.
+void LedgerSimulation::checkBooks()
+{
+    std::map<TaskId, ServerId> places;
+    for (const auto& [id, worker] : m_workers) {
+        if (!usage(worker).fitsIn(worker.info.capacity))
+            violate("capacity exceeded at " + id.text);
+        for (const auto& item : worker.running)
+            if (!places.emplace(item.first.task, id).second)
+                violate("task runs in two places: " + item.first.task.text);
+    }
+}
+
+// A member is started only if all others are decided too.
+void LedgerSimulation::checkGang(std::size_t index, const SendStart& start)
+{
+    std::uint32_t member = 0;
+    const JobRecord* job = findJob(m_processes[index].ledger, jobOf(start.attempt.task, member));
+    if (!job || job->spec.kind != JobKind::Gang)
+        return;
+    for (const TaskRecord& task : job->tasks)
+        if (task.state == TaskState::Pending)
+            violate("gang started in part: " + start.attempt.task.text);
+}
+
 void LedgerSimulation::endTask(Worker& worker, const TaskAttempt& attempt, bool ok, const std::string& result)
 {
     worker.running.erase(attempt);
@@ -79,8 +114,22 @@
         m_endedWell.insert(attempt.task);
 }
 
+void LedgerSimulation::stopOn(Worker& worker, const TaskAttempt& attempt)
+{
+    worker.stopped[attempt] = m_now + LedgerSettings().flightBound;
+    if (worker.running.contains(attempt))
+        endTask(worker, attempt, false, "stopped");
+}
+
+void LedgerSimulation::forgetOld(Worker& worker)
+{
+    std::erase_if(worker.answers, [&](const auto& item) { return m_now > item.second.until; });
+    std::erase_if(worker.stopped, [&](const auto& item) { return m_now > item.second; });
+}
+
 void LedgerSimulation::runWorker(Worker& worker)
 {
+    forgetOld(worker);
     if (!worker.alive) {
         worker.alive = m_now >= worker.downUntil;
         return;
@@ -104,7 +153,7 @@
         Running& running = found->second;
         running.epoch = std::max(running.epoch, renewal.epoch);
         running.leaseEnds = m_now + Duration(renewal.leaseMs * 1ms) * 1000 / worker.ratePermille;
-        running.killedAt = running.leaseEnds + Duration(m_choices.between(0, 1900) * 1ms);
+        running.killedAt = running.leaseEnds + killDelay();
     }
 }
 
@@ -126,6 +175,7 @@
 {
     worker.alive = false;
     worker.downUntil = m_now + Duration(m_choices.between(500, 20000) * 1ms);
+    worker.startsRefusedUntil = worker.downUntil + LedgerSettings().flightBound;
     ++worker.incarnation;
     worker.running.clear();
     worker.ended.clear();
