Job ledger: late sight of a former lead's attempt, unknown jobs, first attempts, refusals in a row

Cause: the former lead's intent reached the store after the takeover's scan; past the recovery window the new lead took the unknown attempt for an old one. An attempt above the recorded one is now adopted at any time; the write that follows meets the conflict, and the takeover reads the right row.

By the same reasoning: reports of workers that a later lead has spoken to are ignored, tasks of unknown jobs are neither stopped nor acknowledged within the recovery window, a first attempt always waits for its durable intent (so that two leads told of one job can't both start it, and never-started work needn't wait after a takeover), and a job that is announced late with a touched record is recovered, not restarted. Refusals count in a row, and services never end by them.

The simulation gains lagging lists, wrong hints, repeated announcements to the next lead, and forgets ended jobs.

--- a/src/core/JobLedgerEnd.cpp
+++ b/src/core/JobLedgerEnd.cpp
@@ -17,22 +17,31 @@
     return std::max(turn.now + backoff, live.startBy);
 }
 
-// Has the task used up its attempts? Services have no limit for attempts that ran.
+// Has the task used up its attempts? Services have no limit.
 bool exhausted(const Turn& turn, const JobSpec& spec, const TaskLive& live)
 {
-    if (live.refusals >= turn.ledger.settings.maxRefusals)
-        return true;
-    return spec.kind != JobKind::Service && live.failures >= spec.maxAttempts;
+    if (spec.kind == JobKind::Service)
+        return false;
+    return live.refusals >= turn.ledger.settings.maxRefusals || live.failures >= spec.maxAttempts;
 }
 
+// Refusals are counted in a row: a task that ran once more has found its worker.
 void count(TaskLive& live, AttemptEnd end)
 {
-    if (end == AttemptEnd::Well)
-        live.failures = 0;
-    else if (end == AttemptEnd::NotStarted)
+    if (end == AttemptEnd::NotStarted) {
         ++live.refusals;
-    else
-        ++live.failures;
+        return;
+    }
+    live.refusals = 0;
+    live.failures = end == AttemptEnd::Well ? 0 : live.failures + 1;
+}
+
+// A service that ran for long before it broke is restarted without the backoff of its past.
+void forgiveLongRun(const Turn& turn, const Found& task)
+{
+    const bool ranLong = turn.now - task.live().startBy >= turn.ledger.settings.maxBackoff;
+    if (ranLong && task.entry->record.spec.kind == JobKind::Service)
+        task.live().failures = 0;
 }
 
 // The state after an attempt of a task that is no gang member; Pending: run it again.
@@ -96,6 +105,8 @@
     if (end != AttemptEnd::Well)
         explain(turn, entry, taskId(task.ref.job, task.ref.index).text + ": " + text);
     if (!isGang(entry)) {
+        if (end != AttemptEnd::NotStarted)
+            forgiveLongRun(turn, task);
         count(task.live(), end);
         settleAlone(turn, task, end, text);
     } else if (mayRerun(entry.record.spec)) {
--- a/src/core/JobLedgerParts.cpp
+++ b/src/core/JobLedgerParts.cpp
@@ -61,8 +61,9 @@
 {
     TaskLive& live = task.live();
     const auto until = task.entry->recoversUntil;
-    // A former lead may have started a later attempt that its records don't show.
-    live.recovering = until && turn.now < *until && mayRerun(task.entry->record.spec);
+    // A former lead may have started a later attempt that its records don't show, but no first one.
+    const bool mayBeAhead = mayRerun(task.entry->record.spec) && task.record().attempt > 0;
+    live.recovering = until && turn.now < *until && mayBeAhead;
     live.notBefore = live.recovering ? std::max(notBefore, *until) : notBefore;
     live.endedWell = false;
     task.record().state = TaskState::Pending;
--- a/src/core/JobLedgerParts.h
+++ b/src/core/JobLedgerParts.h
@@ -81,6 +81,7 @@
 void acknowledge(Turn& turn, JobEntry& entry, const ServerId& worker, const TaskAttempt& attempt);
 
 // Recovery and workers (JobLedgerRecovery.cpp).
+void recoverJob(Turn& turn, const VersionedRecord& row);
 void onBecameLead(Turn& turn, const BecameLead& event);
 void onLostLead(Turn& turn);
 void onWorkerList(Turn& turn, const WorkerList& event);
--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -81,6 +81,8 @@
         makeFinal(turn, task, TaskState::Cancelled, "cancelled before its start");
 }
 
+} // namespace
+
 void recoverJob(Turn& turn, const VersionedRecord& row)
 {
     JobEntry& entry = addJob(turn, row);
@@ -101,8 +103,6 @@
     afterChange(turn, entry);
 }
 
-} // namespace
-
 void onBecameLead(Turn& turn, const BecameLead& event)
 {
     reset(turn);
@@ -159,15 +159,19 @@
         && task.record().attempt == attempt.attempt;
 }
 
-// An attempt that a former lead started after its last durable write: only idempotent work
-// is started so, and this lead starts none of it before `recoversUntil`.
-bool isUnrecorded(const Turn& turn, const Found& task, const TaskAttempt& attempt)
+// An attempt that this lead never gave. A former lead started it without a durable intent (it may be
+// one ahead of its record), or recorded it after this lead had read the row: the next write then meets
+// a conflict, and the takeover that follows reads the right record. In neither case may it be
+// acknowledged or stopped as unknown.
+bool isUnrecorded(const Found& task, const TaskAttempt& attempt)
 {
-    const auto until = task.entry->recoversUntil;
-    return until && turn.now < *until && !isFinal(task.record().state)
-        && attempt.attempt > task.record().attempt;
+    return !isFinal(task.record().state) && attempt.attempt > task.record().attempt;
 }
 
+// While a former lead may still start work, a job that this ledger doesn't hold may be one that was
+// stored after the takeover's scan. Its tasks are left alone: nobody renews their leases.
+bool mayBeFormerLeads(const Turn& turn) { return turn.now < formerLeasesLapseAt(turn.ledger); }
+
 void adopt(Turn& turn, const Found& task, const ServerId& worker, const TaskAttempt& attempt)
 {
     // A later attempt was started, so that the former lead knew that the recorded one had ended.
@@ -195,7 +199,7 @@
 bool onRunning(Turn& turn, const WorkerReport& event, const ReportedTask& running)
 {
     const Found task = find(turn.ledger, running.attempt.task);
-    if (task && isUnrecorded(turn, task, running.attempt)) {
+    if (task && isUnrecorded(task, running.attempt)) {
         adopt(turn, task, event.worker, running.attempt);
         if (task.entry->unwinding || task.entry->record.cancelRequested)
             stopTask(turn, task);
@@ -204,7 +208,8 @@
         onKnownRunning(turn, task, turn.ledger.workers[event.worker]);
         return true;
     }
-    turn.actions.emplace_back(SendStop { event.worker, running.attempt });
+    if (task || !mayBeFormerLeads(turn))
+        turn.actions.emplace_back(SendStop { event.worker, running.attempt });
     return false;
 }
 
@@ -218,9 +223,11 @@
 void onEnded(Turn& turn, const WorkerReport& event, const EndedTask& ended)
 {
     const Found task = find(turn.ledger, ended.attempt.task);
+    if (!task && mayBeFormerLeads(turn))
+        return;
     if (!task)
         return void(turn.actions.emplace_back(SendAck { event.worker, { ended.attempt } }));
-    if (isUnrecorded(turn, task, ended.attempt))
+    if (isUnrecorded(task, ended.attempt))
         adopt(turn, task, event.worker, ended.attempt);
     if (isCurrent(task, event.worker, ended.attempt))
         settle(turn, task, ended.ok ? AttemptEnd::Well : AttemptEnd::Badly, ended.result);
@@ -278,6 +285,9 @@
     const auto found = workers.find(event.worker);
     if (found == workers.end())
         return;
+    // A later lead has spoken to the worker: what it runs is no longer this ledger's to judge.
+    if (event.epoch > turn.ledger.epoch)
+        return;
     // An older view of the worker, or one from before the takeover, proves nothing.
     if (event.requestedAt < found->second.heardAt || event.requestedAt < turn.ledger.takenOverAt)
         return;
--- a/src/core/JobLedgerStart.cpp
+++ b/src/core/JobLedgerStart.cpp
@@ -40,10 +40,12 @@
 
 // The change that must be durable before the start is sent. Idempotent work may run one attempt
 // ahead of its record, never two: a new lead skips that one number (see skipUnrecorded), so that
-// a number names one attempt only, whichever lead gave it.
+// a number names one attempt only, whichever lead gave it. A first attempt is never ahead: if two
+// leads were told of a new job, only one of their intents takes effect, and only that one starts it.
 std::uint64_t requiredChange(const JobLedger& ledger, const Found& task, std::uint64_t formerAttempt)
 {
-    if (mayRerun(task.entry->record.spec) || !ledger.rules.intentBeforeStart)
+    const bool mayBeAhead = mayRerun(task.entry->record.spec) && task.record().attempt > 1;
+    if (mayBeAhead || !ledger.rules.intentBeforeStart)
         return formerAttempt;
     return task.entry->changed;
 }
--- a/src/core/JobLedgerSubmit.cpp
+++ b/src/core/JobLedgerSubmit.cpp
@@ -4,10 +4,24 @@
 
 namespace quay::ledger {
 
+namespace {
+
+bool isFresh(const JobRecord& record)
+{
+    const auto untouched = [](const TaskRecord& task) { return task == TaskRecord {}; };
+    return record.state == JobState::Active && !record.cancelRequested
+        && std::all_of(record.tasks.begin(), record.tasks.end(), untouched);
+}
+
+} // namespace
+
 void onAccepted(Turn& turn, const JobAccepted& event)
 {
     if (turn.ledger.jobs.contains(event.record.id))
         return;
+    // Read late: a former lead has already worked on it.
+    if (!isFresh(event.record))
+        return recoverJob(turn, { event.record, event.version });
     JobEntry& entry = addJob(turn, { event.record, event.version });
     for (std::uint32_t index = 0; index < entry.tasks.size(); ++index)
         makePending(turn, { &entry, { entry.record.id, index } }, turn.now);
@@ -105,7 +119,7 @@
 {
     std::int64_t missing = spec.kind == JobKind::Gang ? spec.taskCount : 1;
     for (const auto& [id, worker] : ledger.workers) {
-        if (worker.listed)
+        if (worker.listed && !worker.leaving)
             missing -= copiesThatFit(spec.perTask, worker.info.capacity, missing);
         if (missing <= 0)
             return true;
--- a/tests/cores/JobLedgerSimulation.cpp
+++ b/tests/cores/JobLedgerSimulation.cpp
@@ -67,6 +67,8 @@
     m_now += tickInterval;
     if (m_faults)
         injectFaults();
+    if (m_now.time_since_epoch() % 1s == 0s && (!m_faults || m_choices.percent(20)))
+        m_processes[m_lead].inbox.push_back(listWithout({}));
     cancelSome();
     deliverDue();
     for (auto& [id, worker] : m_workers)
@@ -87,6 +89,7 @@
         m_storeDownUntil = m_now + Duration(m_choices.between(1, 20) * 1s);
     if (m_choices.below(200) == 0)
         m_processes[m_lead].pausedUntil = m_now + Duration(m_choices.between(1, 15) * 1s);
+    misleadLead();
     for (auto& [id, worker] : m_workers) {
         if (m_choices.below(400) == 0)
             crash(worker);
@@ -97,6 +100,28 @@
     }
 }
 
+// The platform's list lags, and hints may be wrong.
+void LedgerSimulation::misleadLead()
+{
+    auto& inbox = m_processes[m_lead].inbox;
+    const ServerId worker("w" + std::to_string(m_choices.below(workerCount)));
+    if (m_choices.below(200) == 0)
+        inbox.push_back(listWithout(worker));
+    if (m_choices.below(200) == 0)
+        inbox.push_back(WorkerLost { worker });
+    if (m_choices.below(600) == 0)
+        inbox.push_back(WorkerLeaving { worker });
+}
+
+WorkerList LedgerSimulation::listWithout(const ServerId& missing) const
+{
+    WorkerList list;
+    for (const auto& [id, worker] : m_workers)
+        if (id != missing)
+            list.servers.push_back(worker.info);
+    return list;
+}
+
 void LedgerSimulation::later(Duration delay, Message message)
 {
     m_messages.emplace(m_now + delay, std::move(message));
@@ -168,13 +193,10 @@
     process.ledger.settings.retryBackoff = 100ms;
     process.maySendUntil = Instant::max();
     m_processes.push_back(std::move(process));
-    WorkerList list;
-    for (const auto& [id, worker] : m_workers)
-        list.servers.push_back(worker.info);
     BecameLead event { ++m_epoch, {} };
     for (const auto& [id, row] : m_rows)
         event.records.push_back({ row.record, row.version });
-    feed(m_lead, list);
+    feed(m_lead, listWithout({}));
     feed(m_lead, event);
 }
 
@@ -188,6 +210,7 @@
     for (const LedgerEvent& event : inbox)
         feed(index, event);
     feed(index, LedgerTick {});
+    takeFinished(process.ledger);
     if (!process.ledger.leading) {
         if (index == m_lead)
             takeOver(1);
@@ -290,8 +313,17 @@
     record.spec.perTask = { m_choices.between(5, 25) * 100, 500, 0 };
     record.tasks.resize(record.spec.taskCount);
     m_rows[record.id] = { record, ++m_version, {} };
-    later(flight(), [this, lead = m_lead, record, version = m_version] {
-        m_processes[lead].inbox.push_back(JobAccepted { record, version });
+    announce(m_lead, record, m_version);
+    // Announced again without an answer, perhaps to the next lead.
+    if (m_choices.percent(50))
+        later(Duration(m_choices.between(0, 6000) * 1ms),
+            [this, record, version = m_version] { announce(m_lead, record, version); });
+}
+
+void LedgerSimulation::announce(std::size_t process, const JobRecord& record, std::uint64_t version)
+{
+    later(flight(), [this, process, record, version] {
+        m_processes[process].inbox.push_back(JobAccepted { record, version });
     });
 }
 
--- a/tests/cores/JobLedgerSimulation.h
+++ b/tests/cores/JobLedgerSimulation.h
@@ -76,6 +76,8 @@
     void checkBooks();
     void checkGang(std::size_t index, const SendStart& start);
     void injectFaults();
+    void misleadLead();
+    WorkerList listWithout(const ServerId& missing) const;
     void deliverDue();
     void later(Duration delay, Message message);
     Duration flight();
@@ -93,6 +95,7 @@
     void placeJob(std::size_t index, const std::vector<PendingTask>& tasks);
 
     void submit();
+    void announce(std::size_t process, const JobRecord& record, std::uint64_t version);
     void cancelSome();
     void write(std::size_t index, const WriteRecord& action);
     void applyWrite(std::size_t index, const WriteRecord& action, bool answerLost);
--- a/tests/cores/JobLedgerSimulationWorkers.cpp
+++ b/tests/cores/JobLedgerSimulationWorkers.cpp
@@ -177,6 +177,7 @@
     worker.downUntil = m_now + Duration(m_choices.between(500, 20000) * 1ms);
     worker.startsRefusedUntil = worker.downUntil + LedgerSettings().flightBound;
     ++worker.incarnation;
+    worker.epoch = 0;
     worker.running.clear();
     worker.ended.clear();
     worker.answers.clear();
