--- /dev/null
+++ b/tests/cores/JobLedgerTest.cpp
@@ -0,0 +1,383 @@
+#include "quay/core/JobLedger.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+// Single transitions. The interleavings are in JobLedgerSeededTest.cpp.
+namespace quay::test {
+
+namespace {
+
+const JobId job { "j" };
+const DomainId domain { "d" };
+const ServerId first { "w0" };
+const ServerId second { "w1" };
+constexpr std::int64_t workerCpuMilli = 4000;
+
+template <typename Action> std::vector<Action> only(const std::vector<LedgerAction>& actions)
+{
+    std::vector<Action> found;
+    for (const LedgerAction& action : actions)
+        if (const auto* it = std::get_if<Action>(&action))
+            found.push_back(*it);
+    return found;
+}
+
+JobRecord makeJob(JobKind kind, bool idempotent, std::uint32_t tasks, std::int64_t cpuMilli = 1000)
+{
+    JobRecord record;
+    record.id = job;
+    record.domain = domain;
+    record.spec.kind = kind;
+    record.spec.team = TeamId("t");
+    record.spec.idempotent = idempotent;
+    record.spec.taskCount = tasks;
+    record.spec.perTask = { cpuMilli, 100, 0 };
+    record.tasks.resize(tasks);
+    return record;
+}
+
+// A ledger with two workers that have reported.
+struct LedgerFixture {
+    JobLedger ledger;
+    Instant now = Instant {} + 1000s;
+    std::uint64_t version = 10;
+    std::map<ServerId, WorkerReport> reports;
+
+    explicit LedgerFixture(std::vector<VersionedRecord> records = {})
+    {
+        ledger.domain = domain;
+        WorkerList list;
+        for (const ServerId& id : { first, second }) {
+            ServerInfo info;
+            info.id = id;
+            info.domain = domain;
+            info.capacity = { workerCpuMilli, 4000, 0 };
+            list.servers.push_back(info);
+            reports[id].worker = id;
+            reports[id].incarnation = std::string("1");
+        }
+        feed(list);
+        feed(BecameLead { 1, std::move(records) });
+    }
+
+    std::vector<LedgerAction> feed(const LedgerEvent& event) { return step(ledger, event, now); }
+
+    std::vector<LedgerAction> report(const ServerId& id)
+    {
+        reports[id].requestedAt = now;
+        return feed(reports[id]);
+    }
+
+    // Until the workers take work.
+    void settleDown()
+    {
+        now += ledger.settings.staleLeadBound + ledger.settings.flightBound;
+        report(first);
+        report(second);
+    }
+
+    void accept(const JobRecord& record) { feed(JobAccepted { record, ++version }); }
+
+    std::vector<LedgerAction> place(const std::vector<ServerId>& workers)
+    {
+        PlacementsChosen chosen;
+        for (std::uint32_t index = 0; index < workers.size(); ++index)
+            chosen.placements.push_back({ job, index, workers[index] });
+        return feed(chosen);
+    }
+
+    // Confirms the write that `actions` asks for.
+    std::vector<LedgerAction> confirm(const std::vector<LedgerAction>& actions)
+    {
+        const auto writes = only<WriteRecord>(actions);
+        REQUIRE(writes.size() == 1);
+        return feed(WriteDone { writes[0].writeId, ++version });
+    }
+
+    std::vector<LedgerAction> answer(std::uint32_t index, const ServerId& worker, StartOutcome outcome)
+    {
+        return feed(StartAnswer { worker, attemptOf(index), outcome, "busy" });
+    }
+
+    // The worker reports the end of the task's latest attempt.
+    std::vector<LedgerAction> end(std::uint32_t index, bool ok)
+    {
+        WorkerReport& worker = reports[task(index).worker];
+        worker.ended.push_back({ attemptOf(index), ok, ok ? "done" : "broken" });
+        now += 1s;
+        return report(worker.worker);
+    }
+
+    std::vector<LedgerAction> wait(Duration duration)
+    {
+        now += duration;
+        return feed(LedgerTick {});
+    }
+
+    TaskAttempt attemptOf(std::uint32_t index) const
+    {
+        return { taskId(job, index), ledger.jobs.at(job).record.tasks[index].attempt };
+    }
+    const TaskRecord& task(std::uint32_t index) const { return ledger.jobs.at(job).record.tasks[index]; }
+    JobState state() const { return ledger.jobs.at(job).record.state; }
+};
+
+} // namespace
+
+TEST_CASE("job ledger: a first start waits for its durable intent")
+{
+    for (const JobKind kind : { JobKind::Batch, JobKind::Gang, JobKind::Service }) {
+        for (const bool idempotent : { false, true }) {
+            CAPTURE(text(kind));
+            CAPTURE(idempotent);
+            LedgerFixture fixture;
+            fixture.settleDown();
+            fixture.accept(makeJob(kind, idempotent, 2));
+            const auto decided = fixture.place({ first, second });
+            CHECK(only<SendStart>(decided).empty());
+            CHECK(fixture.ledger.workers.at(first).held.cpuMilli == 1000);
+            CHECK(only<SendStart>(fixture.confirm(decided)).size() == 2);
+        }
+    }
+}
+
+TEST_CASE("job ledger: a lost answer of the store starts nothing until it is settled")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Batch, false, 1));
+    const std::uint64_t id = only<WriteRecord>(fixture.place({ first })).at(0).writeId;
+    CHECK(fixture.feed(WriteUnknown { id }).empty());
+    CHECK(fixture.feed(WriteFailed { id }).empty());
+    const auto again = fixture.wait(100ms);
+    CHECK(only<SendStart>(again).empty());
+    CHECK(only<SendStart>(fixture.confirm(again)).size() == 1);
+}
+
+TEST_CASE("job ledger: what the outcome of a start leads to")
+{
+    struct Row {
+        StartOutcome outcome;
+        bool idempotent;
+        TaskState atOnce;
+        TaskState afterLapse; // without any report
+    };
+    const Row rows[] = {
+        { StartOutcome::Refused, false, TaskState::Pending, TaskState::Pending },
+        { StartOutcome::Refused, true, TaskState::Pending, TaskState::Pending },
+        { StartOutcome::Unknown, false, TaskState::Starting, TaskState::OutcomeUnknown },
+        { StartOutcome::Unknown, true, TaskState::Starting, TaskState::Pending },
+        { StartOutcome::Accepted, false, TaskState::Running, TaskState::OutcomeUnknown },
+        { StartOutcome::Accepted, true, TaskState::Running, TaskState::Pending },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(static_cast<int>(row.outcome));
+        CAPTURE(row.idempotent);
+        LedgerFixture fixture;
+        fixture.settleDown();
+        fixture.accept(makeJob(JobKind::Batch, row.idempotent, 1));
+        fixture.confirm(fixture.place({ first }));
+        fixture.answer(0, first, row.outcome);
+        CHECK(fixture.task(0).state == row.atOnce);
+        fixture.wait(sureLapse(fixture.ledger.settings) - 1ms);
+        CHECK(fixture.task(0).state == row.atOnce);
+        fixture.wait(1ms);
+        CHECK(fixture.task(0).state == row.afterLapse);
+    }
+}
+
+TEST_CASE("job ledger: an end is acknowledged once it is durable")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Batch, false, 1));
+    fixture.confirm(fixture.place({ first }));
+    const auto ended = fixture.end(0, true);
+    CHECK(only<SendAck>(ended).empty());
+    CHECK(only<ReleaseTokens>(ended).size() == 1);
+    const auto durable = fixture.confirm(ended);
+    CHECK(only<SendAck>(durable).size() == 1);
+    CHECK(only<JobEnded>(durable).size() == 1);
+    const auto finished = takeFinished(fixture.ledger);
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].record.state == JobState::Succeeded);
+    CHECK(findJob(fixture.ledger, job) == nullptr);
+}
+
+TEST_CASE("job ledger: a refused member unwinds its gang")
+{
+    for (const bool idempotent : { false, true }) {
+        CAPTURE(idempotent);
+        LedgerFixture fixture;
+        fixture.settleDown();
+        fixture.accept(makeJob(JobKind::Gang, idempotent, 2));
+        fixture.confirm(fixture.place({ first, second }));
+        fixture.answer(0, first, StartOutcome::Accepted);
+        const auto stops = only<SendStop>(fixture.answer(1, second, StartOutcome::Refused));
+        REQUIRE(stops.size() == 1);
+        CHECK(stops[0].worker == first);
+        CHECK(pendingWork(fixture.ledger, 10).empty());
+        fixture.end(0, false);
+        // Whole again, or ended as a whole: the stopped member did run.
+        CHECK(fixture.state() == (idempotent ? JobState::Active : JobState::Failed));
+        fixture.wait(10s);
+        CHECK(pendingWork(fixture.ledger, 10).size() == (idempotent ? 2 : 0));
+    }
+}
+
+TEST_CASE("job ledger: a gang that does not fit as a whole holds nothing")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Gang, true, 2, 3000));
+    const auto actions = fixture.place({ first, first });
+    CHECK(only<SendStart>(actions).empty());
+    CHECK(only<WriteRecord>(actions).empty());
+    CHECK(only<ReleaseTokens>(actions).size() == 2);
+    CHECK(fixture.ledger.workers.at(first).held == Resources {});
+    CHECK(pendingWork(fixture.ledger, 10).size() == 2);
+}
+
+TEST_CASE("job ledger: a service is started again until it is cancelled")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Service, false, 1));
+    constexpr std::uint32_t rounds = 20; // more than any limit of attempts or refusals
+    for (std::uint32_t round = 0; round < rounds; ++round) {
+        CAPTURE(round);
+        REQUIRE(pendingWork(fixture.ledger, 10).size() == 1);
+        auto actions = fixture.place({ first });
+        if (round == 0)
+            actions = fixture.confirm(actions);
+        REQUIRE(only<SendStart>(actions).size() == 1);
+        if (round % 2 == 0)
+            fixture.answer(0, first, StartOutcome::Refused);
+        else
+            fixture.end(0, false);
+        CHECK(pendingWork(fixture.ledger, 10).empty());
+        for (const auto& [id, writing] : std::map(fixture.ledger.writes))
+            fixture.feed(WriteDone { id, ++fixture.version });
+        for (const auto& [id, writing] : std::map(fixture.ledger.writes))
+            fixture.feed(WriteDone { id, ++fixture.version });
+        fixture.wait(fixture.ledger.settings.maxBackoff);
+        fixture.report(first);
+    }
+    fixture.feed(CancelRequested { job });
+    CHECK(fixture.state() == JobState::Cancelled);
+}
+
+TEST_CASE("job ledger: a job that no worker could ever hold fails with a note")
+{
+    struct Row {
+        JobKind kind;
+        std::uint32_t tasks;
+        std::int64_t cpuMilli;
+        bool fails;
+    };
+    const Row rows[] = {
+        { JobKind::Batch, 1, workerCpuMilli, false },
+        { JobKind::Batch, 1, workerCpuMilli + 1, true },
+        { JobKind::Batch, 9, workerCpuMilli, false }, // one after the other
+        { JobKind::Gang, 2, workerCpuMilli, false },
+        { JobKind::Gang, 3, workerCpuMilli, true },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.tasks);
+        CAPTURE(row.cpuMilli);
+        LedgerFixture fixture;
+        fixture.settleDown();
+        fixture.accept(makeJob(row.kind, true, row.tasks, row.cpuMilli));
+        fixture.wait(1s);
+        fixture.wait(fixture.ledger.settings.neverRunnableAfter);
+        CHECK(fixture.state() == (row.fails ? JobState::Failed : JobState::Active));
+        CHECK(findJob(fixture.ledger, job)->note.empty() != row.fails);
+    }
+}
+
+TEST_CASE("job ledger: a wave of cancellations is one write a job")
+{
+    constexpr std::uint32_t taskCount = 6;
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Batch, false, taskCount));
+    fixture.confirm(fixture.place({ first, second }));
+    std::size_t writes = 0;
+    std::size_t stops = 0;
+    for (int repeat = 0; repeat < 50; ++repeat) {
+        const auto actions = fixture.feed(CancelRequested { job });
+        writes += only<WriteRecord>(actions).size();
+        stops += only<SendStop>(actions).size();
+    }
+    CHECK(writes == 1);
+    CHECK(stops == 2);
+    for (std::uint32_t index = 2; index < taskCount; ++index)
+        CHECK(fixture.task(index).state == TaskState::Cancelled);
+    fixture.end(0, false);
+    fixture.end(1, true);
+    // It ended well before the stop reached it: that is what is recorded.
+    CHECK(fixture.task(0).state == TaskState::Cancelled);
+    CHECK(fixture.task(1).state == TaskState::Succeeded);
+    CHECK(fixture.state() == JobState::Cancelled);
+}
+
+TEST_CASE("job ledger: what a new lead makes of a recorded task")
+{
+    enum class Told { Running, Ended, Missing, Nothing };
+    struct Row {
+        TaskState recorded;
+        Told told;
+        bool idempotent;
+        TaskState expected;
+    };
+    const Row rows[] = {
+        { TaskState::Starting, Told::Running, false, TaskState::Running },
+        { TaskState::Running, Told::Running, true, TaskState::Running },
+        { TaskState::Starting, Told::Ended, false, TaskState::Succeeded },
+        { TaskState::Running, Told::Ended, true, TaskState::Succeeded },
+        { TaskState::Starting, Told::Missing, false, TaskState::OutcomeUnknown },
+        { TaskState::Starting, Told::Missing, true, TaskState::Pending },
+        { TaskState::Running, Told::Nothing, false, TaskState::OutcomeUnknown },
+        { TaskState::Running, Told::Nothing, true, TaskState::Pending },
+        { TaskState::Pending, Told::Missing, false, TaskState::Pending },
+        { TaskState::Pending, Told::Running, true, TaskState::Running }, // one ahead of its record
+    };
+    for (const Row& row : rows) {
+        CAPTURE(text(row.recorded));
+        CAPTURE(static_cast<int>(row.told));
+        CAPTURE(row.idempotent);
+        JobRecord record = makeJob(JobKind::Batch, row.idempotent, 1);
+        const bool open = row.recorded != TaskState::Pending;
+        record.tasks[0] = { row.recorded, 1, first, "" };
+        LedgerFixture fixture({ { record, 7 } });
+        const TaskAttempt attempt { taskId(job, 0), open ? 1U : 2U };
+        if (row.told == Told::Running)
+            fixture.reports[first].running.push_back({ attempt, 0 });
+        if (row.told == Told::Ended)
+            fixture.reports[first].ended.push_back({ attempt, true, "done" });
+        if (row.told == Told::Nothing)
+            fixture.wait(fixture.ledger.settings.staleLeadBound + sureLapse(fixture.ledger.settings));
+        else
+            fixture.settleDown();
+        CHECK(fixture.task(0).state == row.expected);
+    }
+}
+
+TEST_CASE("job ledger: a report that a later lead has touched is not judged")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.now += 60s;
+    fixture.reports[first].running.push_back({ { taskId(JobId("other"), 0), 1 }, 2 });
+    fixture.reports[first].ended.push_back({ { taskId(JobId("other"), 1), 1 }, true, "done" });
+    fixture.reports[first].epoch = 2;
+    CHECK(fixture.report(first).empty());
+    // Of its own time, they belong to no job any more.
+    fixture.reports[first].epoch = 1;
+    const auto actions = fixture.report(first);
+    CHECK(only<SendStop>(actions).size() == 1);
+    CHECK(only<SendAck>(actions).size() == 1);
+}
+
+} // namespace quay::test
