--- a/tests/cores/JobLedgerSeededTest.cpp
+++ b/tests/cores/JobLedgerSeededTest.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr std::uint64_t seedCount = 60; // about 0.2 s each
+constexpr std::uint64_t seedCount = 60;
 #else
 constexpr std::uint64_t seedCount = 400;
 #endif
