Job ledger: only a conflict of a write in flight ends the leadership

A process that leads again could be deposed by a late answer to a write of its earlier time. Cause: the conflict's write id was not looked at. The table test fails without the check.

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -87,7 +87,8 @@
     std::uint64_t writeId = 0;
     std::uint64_t version = 0;
 };
-/** Someone else wrote the row: this process is no longer lead; `leading` is false after the step. */
+/** Someone else wrote the row: this process is no longer lead; `leading` is false after the step. Ignored if
+ * the write isn't in flight. */
 struct WriteConflict {
     std::uint64_t writeId = 0;
 };
@@ -119,8 +120,8 @@
     StartOutcome outcome = StartOutcome::Unknown;
     std::string why; // of a refusal
 };
-/** Placements picked from pendingWork() and workerViews(). One team token a placement is held by the caller.
- */
+/** Placements picked from pendingWork() and workerViews(). One team token a placement is held by the caller;
+ * ReleaseTokens gives it back, but for jobs that findJob() no longer knows. */
 struct PlacementsChosen {
     std::vector<TaskPlacement> placements;
 };
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -36,7 +36,12 @@
     void operator()(const JobAccepted& event) const { onAccepted(turn, event); }
     void operator()(const CancelRequested& event) const { onCancel(turn, event); }
     void operator()(const WriteDone& event) const { onWriteDone(turn, event); }
-    void operator()(const WriteConflict&) const { onLostLead(turn); }
+    // A late answer to a write of an earlier time as lead says nothing of this one.
+    void operator()(const WriteConflict& event) const
+    {
+        if (turn.ledger.writes.contains(event.writeId))
+            onLostLead(turn);
+    }
     // Neither effect nor failure may be assumed: the write stays in flight.
     void operator()(const WriteUnknown&) const { }
     void operator()(const WriteFailed& event) const { onWriteFailed(turn, event); }
--- a/tests/cores/JobLedgerTest.cpp
+++ b/tests/cores/JobLedgerTest.cpp
@@ -155,6 +155,24 @@
     CHECK(only<SendStart>(fixture.confirm(again)).size() == 1);
 }
 
+TEST_CASE("job ledger: only a conflict of a write in flight ends the leadership")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Batch, false, 1));
+    const std::uint64_t early = only<WriteRecord>(fixture.place({ first })).at(0).writeId;
+    fixture.feed(LostLead {});
+    JobRecord record = makeJob(JobKind::Batch, false, 1);
+    fixture.feed(BecameLead { 2, { { record, fixture.version } } });
+    fixture.settleDown();
+    const std::uint64_t current = only<WriteRecord>(fixture.place({ first })).at(0).writeId;
+    fixture.feed(WriteConflict { early });
+    CHECK(fixture.ledger.leading);
+    fixture.feed(WriteConflict { current });
+    CHECK_FALSE(fixture.ledger.leading);
+    CHECK(fixture.ledger.jobs.empty());
+}
+
 TEST_CASE("job ledger: what the outcome of a start leads to")
 {
     struct Row {
