Job ledger: a write without any news is tried again

A write whose answer was lost stayed in flight until a read-back told; a caller without read-back left the job stuck. Ways weighed: demanding the read-back (the daemon's store client doesn't give one), ending the leadership (6 s without starts for each lost answer). Now the write is tried again after 10 s with the same version: at most one of the two takes effect, and a conflict leads to a takeover as before.

The simulation leaves one lost answer in five without news.

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -28,6 +28,7 @@
     Duration retryBackoff = 1s; // doubled with each failure, up to maxBackoff
     Duration maxBackoff = 60s;
     Duration neverRunnableAfter = 60s; // a job that no listed worker could hold for so long fails
+    Duration unknownWriteBound = 10s; // a write of unknown outcome is tried again after it
     std::uint32_t maxRefusals = 16; // refused starts of a task before the job fails
 
     bool operator==(const LedgerSettings&) const = default;
@@ -92,11 +93,14 @@
 struct WriteConflict {
     std::uint64_t writeId = 0;
 };
-/** The answer was lost; WriteDone, WriteConflict or WriteFailed follows after a read-back. */
+/** The answer was lost. WriteDone, WriteConflict or WriteFailed may follow after a read-back; without them
+ * the write is tried again after LedgerSettings::unknownWriteBound, and meets a conflict if it had taken
+ * effect. */
 struct WriteUnknown {
     std::uint64_t writeId = 0;
 };
-/** The write surely had no effect and won't have one; it is issued again with the next Tick. */
+/** The write had no effect as far as is known; it is issued again with the next Tick. If the first one takes
+ * effect after all, the second one meets a conflict. */
 struct WriteFailed {
     std::uint64_t writeId = 0;
 };
@@ -312,6 +316,7 @@
     std::set<TaskRef> ready; // Pending, backoff over
     std::set<JobId> unwritten; // changed, to be written at the end of the step
     std::map<std::uint64_t, JobId> writes; // in flight
+    std::set<std::pair<Instant, std::uint64_t>> unknownWrites; // in flight, to be tried again then
     std::set<JobId> failedWrites; // to be written again with the next tick
     std::vector<JobId> finished; // final record durable, not taken yet
 };
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -23,6 +23,7 @@
     expireTimers(turn);
     renewLeases(turn);
     failUnrunnable(turn);
+    retryUnknownWrites(turn);
     turn.ledger.unwritten.merge(turn.ledger.failedWrites);
     turn.ledger.failedWrites.clear();
 }
@@ -42,8 +43,7 @@
         if (turn.ledger.writes.contains(event.writeId))
             onLostLead(turn);
     }
-    // Neither effect nor failure may be assumed: the write stays in flight.
-    void operator()(const WriteUnknown&) const { }
+    void operator()(const WriteUnknown& event) const { onWriteUnknown(turn, event); }
     void operator()(const WriteFailed& event) const { onWriteFailed(turn, event); }
     void operator()(const WorkerList& event) const { onWorkerList(turn, event); }
     void operator()(const WorkerReport& event) const { onReport(turn, event); }
--- a/src/core/JobLedgerParts.h
+++ b/src/core/JobLedgerParts.h
@@ -75,6 +75,8 @@
 
 // Store (JobLedgerStore.cpp).
 void onWriteDone(Turn& turn, const WriteDone& event);
+void onWriteUnknown(Turn& turn, const WriteUnknown& event);
+void retryUnknownWrites(Turn& turn);
 void onWriteFailed(Turn& turn, const WriteFailed& event);
 void issueWrites(Turn& turn);
 void whenDurable(Turn& turn, JobEntry& entry);
--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -24,6 +24,7 @@
     ledger.timers.clear();
     ledger.ready.clear();
     ledger.unwritten.clear();
+    ledger.unknownWrites.clear();
     ledger.failedWrites.clear();
     ledger.writes.clear();
     ledger.finished.clear();
--- a/src/core/JobLedgerStore.cpp
+++ b/src/core/JobLedgerStore.cpp
@@ -72,6 +72,24 @@
         turn.ledger.failedWrites.insert(entry->record.id);
 }
 
+// Neither effect nor failure may be assumed: the write stays in flight for a while.
+void onWriteUnknown(Turn& turn, const WriteUnknown& event)
+{
+    if (turn.ledger.writes.contains(event.writeId))
+        turn.ledger.unknownWrites.emplace(turn.now + turn.ledger.settings.unknownWriteBound, event.writeId);
+}
+
+// Both writes check the same version, so that at most one of them ever takes effect.
+void retryUnknownWrites(Turn& turn)
+{
+    auto& unknown = turn.ledger.unknownWrites;
+    while (!unknown.empty() && unknown.begin()->first <= turn.now) {
+        const WriteFailed failed { unknown.begin()->second };
+        unknown.erase(unknown.begin());
+        onWriteFailed(turn, failed);
+    }
+}
+
 // At most one write a job is in flight; later changes are carried by the next one together.
 void issueWrites(Turn& turn)
 {
--- a/tests/cores/JobLedgerSeededTest.cpp
+++ b/tests/cores/JobLedgerSeededTest.cpp
@@ -62,17 +62,17 @@
 {
     const PlantedFault faults[] = {
         { "start before the durable intent", broken(&LedgerRules::intentBeforeStart),
-            "second start of non-idempotent", 31 },
+            "second start of non-idempotent", 44 },
         { "lapse without bounds", broken(&LedgerRules::boundedLapse), "two places", 25 },
         { "lapse without bounds frees capacity at a silent worker",
-            broken(&LedgerRules::boundedLapse, &LedgerRules::closeSilent), "capacity exceeded", 70 },
+            broken(&LedgerRules::boundedLapse, &LedgerRules::closeSilent), "capacity exceeded", 126 },
         { "room counted as reported only", broken(&LedgerRules::countHeldRoom), "capacity exceeded", 1 },
         { "acknowledged before durable", broken(&LedgerRules::ackAfterDurable),
             "acknowledged before it was durable", 1 },
         { "retry after unknown", broken(&LedgerRules::neverRetryUnknown), "second start of non-idempotent",
             2 },
         { "no answer taken for a refusal", broken(&LedgerRules::refusalNeedsProof),
-            "second start of non-idempotent", 37 },
+            "second start of non-idempotent", 90 },
         { "former lead not waited for", broken(&LedgerRules::awaitFormerLead), "two places", 6 },
         { "gang placed in part", broken(&LedgerRules::wholeGangs), "gang started in part", 1 },
     };
--- a/tests/cores/JobLedgerSimulation.cpp
+++ b/tests/cores/JobLedgerSimulation.cpp
@@ -364,6 +364,8 @@
     if (!answerLost)
         return inbox.push_back(answer);
     inbox.push_back(WriteUnknown { action.writeId });
+    if (m_choices.percent(20))
+        return; // nor does a read-back tell
     later(Duration(m_choices.between(500, 6000) * 1ms),
         [this, index, answer] { m_processes[index].inbox.push_back(answer); });
 }
--- a/tests/cores/JobLedgerTest.cpp
+++ b/tests/cores/JobLedgerTest.cpp
@@ -155,6 +155,23 @@
     CHECK(only<SendStart>(fixture.confirm(again)).size() == 1);
 }
 
+TEST_CASE("job ledger: a write of unknown outcome is tried again with the same version")
+{
+    LedgerFixture fixture;
+    fixture.settleDown();
+    fixture.accept(makeJob(JobKind::Batch, false, 1));
+    const auto writes = only<WriteRecord>(fixture.place({ first }));
+    fixture.feed(WriteUnknown { writes.at(0).writeId });
+    const Duration bound = fixture.ledger.settings.unknownWriteBound;
+    CHECK(only<WriteRecord>(fixture.wait(bound - 1ms)).empty());
+    const auto again = only<WriteRecord>(fixture.wait(1ms));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].expectedVersion == writes[0].expectedVersion);
+    CHECK(again[0].writeId != writes[0].writeId);
+    // The first one's late answer is not taken for the second one's.
+    CHECK(only<SendStart>(fixture.feed(WriteDone { writes[0].writeId, 99 })).empty());
+}
+
 TEST_CASE("job ledger: only a conflict of a write in flight ends the leadership")
 {
     LedgerFixture fixture;
