--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -23,6 +23,7 @@
     expireTimers(turn);
     renewLeases(turn);
     failUnrunnable(turn);
+    retryUnknownWrites(turn);
     turn.ledger.unwritten.merge(turn.ledger.failedWrites);
     turn.ledger.failedWrites.clear();
 }
@@ -36,9 +37,13 @@
     void operator()(const JobAccepted& event) const { onAccepted(turn, event); }
     void operator()(const CancelRequested& event) const { onCancel(turn, event); }
     void operator()(const WriteDone& event) const { onWriteDone(turn, event); }
-    void operator()(const WriteConflict&) const { onLostLead(turn); }
-    // Neither effect nor failure may be assumed: the write stays in flight.
-    void operator()(const WriteUnknown&) const { }
+    // A late answer to a write of an earlier time as lead says nothing of this one.
+    void operator()(const WriteConflict& event) const
+    {
+        if (turn.ledger.writes.contains(event.writeId))
+            onLostLead(turn);
+    }
+    void operator()(const WriteUnknown& event) const { onWriteUnknown(turn, event); }
     void operator()(const WriteFailed& event) const { onWriteFailed(turn, event); }
     void operator()(const WorkerList& event) const { onWorkerList(turn, event); }
     void operator()(const WorkerReport& event) const { onReport(turn, event); }
@@ -148,7 +153,7 @@
             .id = id,
             .rack = worker.info.rack,
             .capacity = worker.info.capacity,
-            .free = ledger::freeRoom(worker),
+            .free = ledger::freeRoom(ledger, worker),
             .open = ledger::takesWork(worker),
             .starts = worker.starts,
             .startFailures = worker.startFailures,
--- a/src/core/JobLedgerEnd.cpp
+++ b/src/core/JobLedgerEnd.cpp
@@ -17,22 +17,31 @@
     return std::max(turn.now + backoff, live.startBy);
 }
 
-// Has the task used up its attempts? Services have no limit for attempts that ran.
+// Has the task used up its attempts? Services have no limit.
 bool exhausted(const Turn& turn, const JobSpec& spec, const TaskLive& live)
 {
-    if (live.refusals >= turn.ledger.settings.maxRefusals)
-        return true;
-    return spec.kind != JobKind::Service && live.failures >= spec.maxAttempts;
+    if (spec.kind == JobKind::Service)
+        return false;
+    return live.refusals >= turn.ledger.settings.maxRefusals || live.failures >= spec.maxAttempts;
 }
 
+// Refusals are counted in a row: a task that ran once more has found its worker.
 void count(TaskLive& live, AttemptEnd end)
 {
-    if (end == AttemptEnd::Well)
-        live.failures = 0;
-    else if (end == AttemptEnd::NotStarted)
+    if (end == AttemptEnd::NotStarted) {
         ++live.refusals;
-    else
-        ++live.failures;
+        return;
+    }
+    live.refusals = 0;
+    live.failures = end == AttemptEnd::Well ? 0 : live.failures + 1;
+}
+
+// A service that ran for long before it broke is restarted without the backoff of its past.
+void forgiveLongRun(const Turn& turn, const Found& task)
+{
+    const bool ranLong = turn.now - task.live().startBy >= turn.ledger.settings.maxBackoff;
+    if (ranLong && task.entry->record.spec.kind == JobKind::Service)
+        task.live().failures = 0;
 }
 
 // The state after an attempt of a task that is no gang member; Pending: run it again.
@@ -96,6 +105,8 @@
     if (end != AttemptEnd::Well)
         explain(turn, entry, taskId(task.ref.job, task.ref.index).text + ": " + text);
     if (!isGang(entry)) {
+        if (end != AttemptEnd::NotStarted)
+            forgiveLongRun(turn, task);
         count(task.live(), end);
         settleAlone(turn, task, end, text);
     } else if (mayRerun(entry.record.spec)) {
@@ -153,14 +164,25 @@
         entry.tasks.begin(), entry.tasks.end(), [](const TaskLive& live) { return live.recovering; });
 }
 
-void rewindMember(Turn& turn, const Found& task)
+// Counts the attempt for all members; true if the gang has used up its attempts. Recovery may have
+// counted more attempts of one member than of another: the gang has no more than its worst member,
+// or some members would end for good while the others wait for them for ever.
+bool countUnwind(const Turn& turn, JobEntry& entry)
+{
+    bool usedUp = false;
+    for (TaskLive& live : entry.tasks) {
+        count(live, entry.unwindByFailure ? AttemptEnd::Badly : AttemptEnd::NotStarted);
+        usedUp |= exhausted(turn, entry.record.spec, live);
+    }
+    return usedUp;
+}
+
+void rewindMember(Turn& turn, const Found& task, bool usedUp)
 {
-    const JobEntry& entry = *task.entry;
     turn.ledger.ready.erase(task.ref);
-    count(task.live(), entry.unwindByFailure ? AttemptEnd::Badly : AttemptEnd::NotStarted);
-    if (entry.record.cancelRequested)
+    if (task.entry->record.cancelRequested)
         return makeFinal(turn, task, TaskState::Cancelled, "cancelled");
-    if (exhausted(turn, entry.record.spec, task.live()))
+    if (usedUp)
         return makeFinal(turn, task, TaskState::Failed, "the gang's attempts are used up");
     makePending(turn, task, backoffEnd(turn, task.live()));
 }
@@ -168,9 +190,10 @@
 // No member runs any more: the gang goes back as a whole.
 void finishUnwind(Turn& turn, JobEntry& entry)
 {
+    const bool usedUp = countUnwind(turn, entry);
     for (std::uint32_t index = 0; index < entry.tasks.size(); ++index)
         if (!isFinal(entry.record.tasks[index].state))
-            rewindMember(turn, { &entry, { entry.record.id, index } });
+            rewindMember(turn, { &entry, { entry.record.id, index } }, usedUp);
     entry.unwinding = false;
     entry.unwindByFailure = false;
     touch(turn, entry);
--- a/src/core/JobLedgerParts.h
+++ b/src/core/JobLedgerParts.h
@@ -52,7 +52,7 @@
 void occupy(Turn& turn, const Found& task, const ServerId& worker);
 void vacate(Turn& turn, const Found& task);
 bool takesWork(const WorkerEntry& worker);
-Resources freeRoom(const WorkerEntry& worker);
+Resources freeRoom(const JobLedger& ledger, const WorkerEntry& worker);
 
 // Submit (JobLedgerSubmit.cpp).
 void onAccepted(Turn& turn, const JobAccepted& event);
@@ -75,12 +75,15 @@
 
 // Store (JobLedgerStore.cpp).
 void onWriteDone(Turn& turn, const WriteDone& event);
+void onWriteUnknown(Turn& turn, const WriteUnknown& event);
+void retryUnknownWrites(Turn& turn);
 void onWriteFailed(Turn& turn, const WriteFailed& event);
 void issueWrites(Turn& turn);
 void whenDurable(Turn& turn, JobEntry& entry);
 void acknowledge(Turn& turn, JobEntry& entry, const ServerId& worker, const TaskAttempt& attempt);
 
 // Recovery and workers (JobLedgerRecovery.cpp).
+void recoverJob(Turn& turn, const VersionedRecord& row);
 void onBecameLead(Turn& turn, const BecameLead& event);
 void onLostLead(Turn& turn);
 void onWorkerList(Turn& turn, const WorkerList& event);
