quay-faults: a TCP proxy that injects faults, for tests

Tests of lost answers, partitions and late messages need faults between real processes. Weighed: faults inside the stand-ins only (they can't part two peers nor lose an answer on the way), packet filters of the system (needs rights that a test hasn't), a proxy of our own. The proxy wins: one process, many routes, control over HTTP or by a timed table.

--- /dev/null
+++ b/tools/quay-faults/Route.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "quay-faults/FaultCommand.h"
+#include "quay/core/Time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace quay::faults {
+
+class Session;
+
+/** The faults of one direction of a route at the moment. */
+struct DirectionFaults {
+    int delayMs = 0;
+    int jitterMs = 0;
+    std::mt19937_64 random { 1 };
+    bool cut = false;
+    std::uint32_t answersToLose = 0; // response direction only
+    std::uint64_t bytesToLose = 0; // response direction only
+};
+
+/** What passed through a route. */
+struct RouteCounts {
+    std::uint64_t connections = 0;
+    std::uint64_t requestBytes = 0; // delivered
+    std::uint64_t responseBytes = 0; // delivered
+    std::uint64_t lostBytes = 0; // swallowed answers
+    std::uint64_t resets = 0; // connections reset by a fault
+};
+
+/** One listening address that passes bytes to its target. Lives on its context's thread. */
+class Route : public std::enable_shared_from_this<Route> {
+public:
+    /** Binds at once; throws boost::system::system_error or std::invalid_argument. */
+    Route(boost::asio::io_context& context, RoutePlan plan);
+
+    /** Begins to accept. */
+    void start();
+    /** Stops accepting and resets what is open. */
+    void stop();
+    void apply(const FaultCommand& command);
+
+    const RoutePlan& plan() const { return m_plan; }
+    std::string address() const;
+    std::size_t openConnections() const { return m_sessions.size(); }
+
+    // For the route's sessions.
+    boost::asio::io_context& context() { return m_context; }
+    const boost::asio::ip::tcp::endpoint& target() const { return m_target; }
+    DirectionFaults& faults(Direction direction) { return m_faults[static_cast<std::size_t>(direction)]; }
+    RouteCounts& counts() { return m_counts; }
+    void forget(const std::shared_ptr<Session>& session) { m_sessions.erase(session); }
+
+private:
+    void accept();
+    void applyTo(DirectionFaults& faults, const FaultCommand& command);
+    void resetAll();
+
+    boost::asio::io_context& m_context;
+    RoutePlan m_plan;
+    boost::asio::ip::tcp::endpoint m_target;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<Session>> m_sessions;
+    DirectionFaults m_faults[2];
+    RouteCounts m_counts;
+    bool m_dropping = false;
+};
+
+} // namespace quay::faults
