--- a/src/service/BackendLink.cpp
+++ b/src/service/BackendLink.cpp
@@ -126,7 +126,7 @@
         done(HttpResult { std::nullopt, false, Reason { ErrorKind::Overloaded, "backend link" } });
 }
 
-void BackendLink::start(const std::string& address, SendStart message, StartDone done)
+void BackendLink::startTask(const std::string& address, SendStart message, StartDone done)
 {
     const bool queued = post([this, address, message, done] {
         m_workers.send(address, jsonPost("/v1/tasks", startBody(message)), workerTimeout,
--- a/src/service/BackendLink.h
+++ b/src/service/BackendLink.h
@@ -31,7 +31,7 @@
     void execute(const std::string& address, ExecuteRequest request, Duration timeout, ExecuteDone done);
 
     /** Starts a task; Unknown unless the worker answered or no byte was sent. */
-    void start(const std::string& address, SendStart message, StartDone done);
+    void startTask(const std::string& address, SendStart message, StartDone done);
 
     void renew(const std::string& address, const SendRenew& message);
     void stopTask(const std::string& address, const SendStop& message);
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -192,7 +192,7 @@
         (void)post([this, refused] { feed(refused); });
         return;
     }
-    m_backend.start(addressOf(action.worker), action,
+    m_backend.startTask(addressOf(action.worker), action,
         [this](StartAnswer answer) { (void)post([this, answer] { feed(answer); }); });
 }
 
--- /dev/null
+++ b/tests/contract/BackendContractTest.cpp
@@ -0,0 +1,157 @@
+#include "Executor.h"
+#include "StandinThread.h"
+#include "Worker.h"
+#include "service/BackendLink.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace quay;
+using namespace quay::test;
+
+namespace {
+
+using WorkerThread = StandinThread<standin::Worker>;
+using ExecutorThread = StandinThread<standin::Executor>;
+
+ServerInfo workerInfo()
+{
+    ServerInfo info;
+    info.id = ServerId { "w" };
+    info.capacity = { 1000, 1000, 1 };
+    return info;
+}
+
+SendStart startOf(const std::string& task, std::uint32_t attempt, std::uint64_t epoch, Resources size,
+    const std::string& payload = R"({"run_ms":0})")
+{
+    SendStart message;
+    message.worker = ServerId { "w" };
+    message.attempt = { TaskId { task }, attempt };
+    message.epoch = epoch;
+    message.leaseMs = 60'000;
+    message.size = size;
+    message.payload = payload;
+    return message;
+}
+
+StartAnswer start(BackendLink& link, const std::string& address, SendStart message)
+{
+    return await<StartAnswer>([&](auto done) { link.startTask(address, std::move(message), done); });
+}
+
+WorkerReport report(BackendLink& link, const std::string& address)
+{
+    return await<std::optional<WorkerReport>>([&](auto done) {
+        link.report(address, ServerId { "w" }, done);
+    }).value();
+}
+
+// Polls a report until the predicate holds; a test that never gets there runs into the suite's limit.
+template <typename Predicate>
+WorkerReport reportUntil(BackendLink& link, const std::string& address, Predicate reached)
+{
+    while (true) {
+        const auto current = report(link, address);
+        if (reached(current))
+            return current;
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a worker accepts, refuses and repeats starts as its contract says")
+{
+    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    const auto& address = worker.get().info().address;
+    BackendLink link;
+    link.start();
+    struct Row {
+        const char* what;
+        SendStart message;
+        StartOutcome expected;
+    };
+    const Row rows[] = {
+        { "first start", startOf("a", 1, 5, { 600, 100, 0 }), StartOutcome::Accepted },
+        { "repeated start", startOf("a", 1, 5, { 600, 100, 0 }), StartOutcome::Accepted },
+        { "beyond the capacity", startOf("b", 1, 5, { 600, 100, 0 }), StartOutcome::Refused },
+        { "lower epoch", startOf("c", 1, 4, { 100, 100, 0 }), StartOutcome::Refused },
+        { "fits beside the first", startOf("d", 1, 5, { 400, 100, 1 }), StartOutcome::Accepted },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        CHECK(start(link, address, row.message).outcome == row.expected);
+    }
+    CHECK(report(link, address).running.size() == 2);
+    CHECK(report(link, address).epoch == 5);
+}
+
+TEST_CASE("an ended attempt is reported until acknowledged, and is not started again")
+{
+    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    const auto& address = worker.get().info().address;
+    BackendLink link;
+    link.start();
+    const auto message = startOf("a", 1, 1, { 100, 100, 0 }, R"({"run_ms":1,"output":"done"})");
+    CHECK(start(link, address, message).outcome == StartOutcome::Accepted);
+    const auto ended = reportUntil(link, address, [](const auto& current) { return !current.ended.empty(); });
+    CHECK(ended.ended.front() == EndedTask { message.attempt, true, "done" });
+    CHECK(start(link, address, message).outcome == StartOutcome::Refused);
+    link.acknowledge(address, SendAck { ServerId { "w" }, { message.attempt } });
+    reportUntil(link, address, [](const auto& current) { return current.ended.empty(); });
+}
+
+TEST_CASE("a task stops when it is told to, and when its lease lapses")
+{
+    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    const auto& address = worker.get().info().address;
+    BackendLink link;
+    link.start();
+    const auto stopped = startOf("a", 1, 1, { 100, 100, 0 });
+    auto lapsing = startOf("b", 1, 1, { 100, 100, 0 });
+    lapsing.leaseMs = 50;
+    CHECK(start(link, address, stopped).outcome == StartOutcome::Accepted);
+    CHECK(start(link, address, lapsing).outcome == StartOutcome::Accepted);
+    link.stopTask(address, SendStop { ServerId { "w" }, stopped.attempt });
+    const auto ended
+        = reportUntil(link, address, [](const auto& current) { return current.ended.size() == 2; });
+    for (const auto& task : ended.ended)
+        CHECK_FALSE(task.ok);
+}
+
+TEST_CASE("a start that no worker can have got is refused, not unknown")
+{
+    BackendLink link;
+    link.start();
+    // Port 1 of this machine has no listener: the connection is refused before any byte is sent.
+    CHECK(start(link, "127.0.0.1:1", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
+    CHECK(start(link, "nowhere", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
+}
+
+TEST_CASE("an executor answers the whole body, refuses beyond its slots, and says who it is")
+{
+    ServerInfo info;
+    info.id = ServerId { "x" };
+    info.slots = 1;
+    standin::ExecutorBehaviour slow;
+    slow.serviceMs = 300;
+    ExecutorThread executor(info, "127.0.0.1:0", slow);
+    const auto& address = executor.get().info().address;
+    BackendLink link;
+    link.start();
+    auto first = std::make_shared<std::promise<HttpResult>>();
+    const std::string body(200'000, 'x');
+    link.execute(address, { TeamId { "t" }, "r1", "", body }, 10s,
+        [first](HttpResult result) { first->set_value(std::move(result)); });
+    const auto second = await<HttpResult>([&](auto done) {
+        link.execute(address, { TeamId { "t" }, "r2", "", "y" }, 10s, done);
+    });
+    const auto answer = first->get_future().get();
+    REQUIRE(answer.response);
+    REQUIRE(second.response);
+    // Which of the two got the slot depends on the order of arrival; the other was refused.
+    CHECK(answer.response->status + second.response->status == 200 + 503);
+    if (answer.response->status == 200)
+        CHECK(answer.response->body == "echo:" + body);
+}
--- /dev/null
+++ b/tests/contract/StandinThread.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "net/HttpMessage.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace quay::test {
+
+/** Runs one stand-in on a thread of its own for the length of a test case. */
+template <typename Standin> class StandinThread {
+public:
+    template <typename... Arguments>
+    explicit StandinThread(Arguments&&... arguments)
+        : m_standin(std::make_unique<Standin>(m_context, std::forward<Arguments>(arguments)...))
+        , m_thread([this] { m_context.run(); })
+    {
+    }
+
+    ~StandinThread()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    Standin& get() { return *m_standin; }
+
+private:
+    boost::asio::io_context m_context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work {
+        m_context.get_executor()
+    };
+    std::unique_ptr<Standin> m_standin;
+    std::thread m_thread;
+};
+
+/** Calls `start(callback)` and waits for the callback's value. */
+template <typename Value, typename Start> Value await(Start start)
+{
+    auto promise = std::make_shared<std::promise<Value>>();
+    auto future = promise->get_future();
+    start([promise](Value value) { promise->set_value(std::move(value)); });
+    return future.get();
+}
+
+} // namespace quay::test
