Configuration rollout and quota grants run in the daemon

The thin services are replaced by drivers of the cores ConfigRollout and QuotaGrants. - Only definite answers of the store client are events; a request's lifetime is its commit timeout plus one HTTP exchange (3 s), so the core's assumed bound is set to that. - Rows of VMs that are gone are removed by a lead once they are unchanged for 300 s; each VM rewrites its row every 60 s and stops to count on it after 180 s, so a VM that is only cut off registers again first. - Voters: two VMs a domain; a voter that is missing for 30 s is replaced by a change of the same document. - Limits change in two steps of the quota rows, lowered ones while a version is prepared, raised ones when it is accepted. Only leads write them. - A holder counts as gone when the valid lead has missed it in the topology for 15 s: the topology carries no epoch, and the first trial without this wait fenced members that had just joined. - Without a checked key only version 1 is taken, also by a process whose view is behind.

--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t ringCapacity = 1024;
 constexpr std::uint32_t maxDeadlineMs = 300'000;
 constexpr std::size_t maxRequestIdBytes = 128;
+constexpr auto bootstrapId = "(no configuration yet)"; // no key has a blank in its id
 constexpr std::string_view bearer = "Bearer ";
 
 HttpLimits limitsOf(const Settings& settings)
@@ -31,7 +32,11 @@
     return response;
 }
 
-bool isOperatorPath(const std::string& path) { return path == "/v1/fleet" || path == "/v1/config"; }
+bool isOperatorPath(const std::string& path)
+{
+    return path == "/v1/fleet" || path == "/v1/config" || path == "/v1/config/status" || path == "/v1/teams"
+        || path.starts_with("/v1/traces");
+}
 
 // The route of a request without ids, so that the number of metrics is bounded.
 std::string routeName(const HttpRequest& request)
@@ -103,11 +108,12 @@
 } // namespace
 
 CallerService::CallerService(const Settings& settings, MembershipService& membership,
-    ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs,
-    Telemetry telemetry)
+    ConfigurationService& configuration, QuotaService& quota, InteractiveService& interactive,
+    JobService& jobs, Telemetry telemetry)
     : Duty("callers", ringCapacity)
     , m_membership(membership)
     , m_configuration(configuration)
+    , m_quota(quota)
     , m_interactive(interactive)
     , m_jobs(jobs)
     , m_telemetry(telemetry)
@@ -179,14 +185,19 @@
     if (!isOperatorPath(path))
         return false;
     Reason reason;
-    if (!operatorKey(request, reason))
+    const auto speaker = operatorKey(request, reason);
+    if (!speaker)
         respond(errorResponse(reason));
     else if (path == "/v1/fleet")
         showFleet(respond);
     else if (path.starts_with("/v1/traces"))
         showTrace(request, respond);
+    else if (path == "/v1/teams")
+        showTeams(respond);
+    else if (path == "/v1/config/status")
+        showRollout(respond);
     else if (request.method == "POST")
-        applyConfiguration(request, respond);
+        applyConfiguration(request, *speaker, respond);
     else
         showConfiguration(respond);
     return true;
@@ -211,7 +222,7 @@
     const auto active = m_configuration.active().get();
     // The very first configuration has to come from somebody: without one there is no key to show.
     if (active->known && !active->configuration.version)
-        return KeyMatch { "bootstrap", KeyRole::Operator, {} };
+        return KeyMatch { bootstrapId, KeyRole::Operator, {} };
     auto match = key(request, reason);
     if (match && match->role != KeyRole::Operator)
         return fail(reason, ErrorKind::NotOperator, match->id);
@@ -409,14 +420,54 @@
     respond(std::move(response));
 }
 
+// The accepted document, also while a prepared one restricts it: changes build on the whole document.
 void CallerService::showConfiguration(const Respond& respond)
 {
     HttpResponse response;
-    response.body = toJson(m_configuration.active().get()->configuration);
+    response.body = toJson(m_configuration.view().get()->accepted.row.document);
     respond(std::move(response));
 }
 
-void CallerService::applyConfiguration(const HttpRequest& request, const Respond& respond)
+void CallerService::showRollout(const Respond& respond)
+{
+    m_configuration.status([this, respond](const std::vector<MemberRollout>& members) {
+        const auto view = m_configuration.view().get();
+        json::array list;
+        for (const auto& member : members) {
+            json::object entry { { "id", member.id.text }, { "domain", member.domain.text },
+                { "answered", member.answered } };
+            if (member.answered) {
+                entry["seen"] = member.seen;
+                entry["in_force"] = member.inForce;
+                entry["fresh"] = member.fresh;
+            }
+            list.push_back(std::move(entry));
+        }
+        json::array voters;
+        for (const auto& voter : view->accepted.row.voters)
+            voters.emplace_back(voter);
+        json::object status { { "version", view->accepted.row.document.version },
+            { "prepared_version", nullptr }, { "voters", voters }, { "members", list } };
+        if (view->pending())
+            status["prepared_version"] = view->prepared.row.document.version;
+        respond(jsonResponse(status));
+    });
+}
+
+void CallerService::showTeams(const Respond& respond)
+{
+    json::array teams;
+    for (const auto& [team, standing] : *m_quota.standings().get()) {
+        teams.push_back(
+            json::object { { "team", team.text }, { "limit", standing.limit }, { "target", standing.target },
+                { "granted", standing.granted }, { "granted_here", standing.grantedHere },
+                { "running_here", standing.running }, { "inherited_here", standing.inherited } });
+    }
+    respond(jsonResponse({ { "teams", teams } }));
+}
+
+void CallerService::applyConfiguration(
+    const HttpRequest& request, const KeyMatch& speaker, const Respond& respond)
 {
     Reason reason;
     auto next = parseConfiguration(request.body, reason);
@@ -426,6 +477,11 @@
     }
     // The document's own version names the version that the change builds on.
     const auto base = next->version;
+    // Unchecked, only the very first configuration is taken, also if our view is behind.
+    if (base && speaker.id == bootstrapId) {
+        respond(errorResponse(Reason { ErrorKind::MissingKey, {} }));
+        return;
+    }
     m_configuration.apply(
         base, std::move(*next), [respond](std::optional<std::uint64_t> version, Reason why) {
             if (version)
--- a/src/service/CallerService.h
+++ b/src/service/CallerService.h
@@ -8,6 +8,7 @@
 #include "service/InteractiveService.h"
 #include "service/JobService.h"
 #include "service/MembershipService.h"
+#include "service/QuotaService.h"
 
 #include <atomic>
 #include <optional>
@@ -22,8 +23,8 @@
 class CallerService : public Duty {
 public:
     CallerService(const Settings& settings, MembershipService& membership,
-        ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs,
-        Telemetry telemetry);
+        ConfigurationService& configuration, QuotaService& quota, InteractiveService& interactive,
+        JobService& jobs, Telemetry telemetry);
 
     /** The bound address as "ip:port". */
     std::string address() const { return m_server.address(); }
@@ -59,13 +60,16 @@
     void showMetrics(const Respond& respond);
     void showTrace(const HttpRequest& request, const Respond& respond);
     void showConfiguration(const Respond& respond);
-    void applyConfiguration(const HttpRequest& request, const Respond& respond);
+    void showRollout(const Respond& respond);
+    void showTeams(const Respond& respond);
+    void applyConfiguration(const HttpRequest& request, const KeyMatch& speaker, const Respond& respond);
     std::optional<KeyMatch> key(const HttpRequest& request, Reason& reason) const;
     std::optional<KeyMatch> operatorKey(const HttpRequest& request, Reason& reason) const;
     std::optional<Admission> admit(const HttpRequest& request, const QueueId& queue, Reason& reason) const;
 
     MembershipService& m_membership;
     ConfigurationService& m_configuration;
+    QuotaService& m_quota;
     InteractiveService& m_interactive;
     JobService& m_jobs;
     Telemetry m_telemetry;
--- /dev/null
+++ b/src/service/ConfigurationChanges.cpp
@@ -0,0 +1,107 @@
+#include "service/ConfigurationService.h"
+
+#include <algorithm>
+
+namespace quay {
+
+namespace {
+
+constexpr auto changeTimeout = std::chrono::seconds(20);
+// The first configuration names the first voters: by then all processes that started together are seen.
+constexpr auto firstChangeDelay = std::chrono::seconds(3);
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+void ConfigurationService::apply(std::uint64_t baseVersion, Configuration next, ApplyDone done)
+{
+    const bool queued = post([this, baseVersion, next = std::move(next), done] {
+        const auto earliest = m_state.startedAt + firstChangeDelay;
+        const auto now = monotonicNow();
+        if (m_state.view.accepted.storeVersion || now >= earliest)
+            begin(baseVersion, next, done);
+        else
+            after(earliest - now, [this, baseVersion, next, done] { begin(baseVersion, next, done); });
+    });
+    if (!queued)
+        done(std::nullopt, Reason { ErrorKind::Overloaded, {} });
+}
+
+void ConfigurationService::begin(std::uint64_t baseVersion, Configuration next, ApplyDone done)
+{
+    const auto token = m_self.text + "/" + std::to_string(m_nextToken++);
+    m_changes[token] = Change { std::move(done), monotonicNow() + changeTimeout };
+    feed(rollout::Apply { { token, baseVersion, std::move(next), wantedVoters() } });
+}
+
+std::string ConfigurationService::currentVersions() const
+{
+    const auto accepted = m_state.view.accepted.row.document.version;
+    auto text = "version " + std::to_string(accepted) + " is in force";
+    if (m_state.view.pending())
+        text += ", version " + std::to_string(m_state.view.prepared.row.document.version) + " is prepared";
+    return text;
+}
+
+void ConfigurationService::perform(const rollout::ApplyDone& action)
+{
+    const auto found = m_changes.find(action.token);
+    if (found == m_changes.end())
+        return;
+    auto& change = found->second;
+    if (action.kind == ErrorKind::None) {
+        const auto& view = m_state.view;
+        const bool isPrepared = view.prepared.row.by == action.token;
+        change.prepared = true;
+        change.version = (isPrepared ? view.prepared : view.accepted).row.document.version;
+        return;
+    }
+    change.done(std::nullopt, Reason { action.kind, currentVersions() });
+    m_changes.erase(found);
+}
+
+void ConfigurationService::settleChanges()
+{
+    std::erase_if(m_changes, [this](const auto& entry) { return settle(entry.first, entry.second); });
+}
+
+// A prepared change ends in one of three ways: it is accepted, a later one takes its place before that, or a
+// later one was accepted before we looked, and then nothing tells whether ours had been.
+bool ConfigurationService::settle(const std::string& token, const Change& change)
+{
+    const auto& accepted = m_state.view.accepted.row;
+    const bool passedBy = change.prepared && accepted.document.version > change.version;
+    const auto prepared = m_state.view.prepared.row.document.version;
+    const bool replaced
+        = change.prepared && prepared > change.version && accepted.document.version < change.version;
+    if (change.prepared && accepted.by == token)
+        change.done(change.version, {});
+    else if (passedBy)
+        change.done(std::nullopt, Reason { ErrorKind::OutcomeUnknown, currentVersions() });
+    else if (replaced)
+        change.done(std::nullopt,
+            Reason { ErrorKind::VersionConflict, "replaced before it was in force; " + currentVersions() });
+    else if (monotonicNow() >= change.deadline)
+        giveUp(token, change);
+    else
+        return false;
+    return true;
+}
+
+// A change whose write was not sent is taken back; any other may still come into force.
+void ConfigurationService::giveUp(const std::string& token, const Change& change)
+{
+    const bool inWork = m_state.apply && m_state.apply->token == token;
+    if (inWork && !m_state.applySent) {
+        m_state.apply.reset();
+        change.done(std::nullopt, Reason { ErrorKind::StoreUnavailable, currentVersions() });
+        return;
+    }
+    const std::string waits = change.prepared ? "version " + std::to_string(change.version)
+            + " is prepared and waits for every entry VM, or for running work above a lowered limit"
+                                              : currentVersions();
+    change.done(std::nullopt, Reason { ErrorKind::OutcomeUnknown, waits });
+}
+
+} // namespace quay
--- a/src/service/ConfigurationService.cpp
+++ b/src/service/ConfigurationService.cpp
@@ -1,76 +1,203 @@
 #include "service/ConfigurationService.h"
 
+#include "peer.pb.h"
+#include "service/RolloutCodec.h"
+
+#include <algorithm>
+#include <iostream>
+
 namespace quay {
 
 namespace {
 
 constexpr std::size_t ringCapacity = 1024;
-constexpr auto readPeriod = std::chrono::milliseconds(500);
-constexpr auto stalenessBound = std::chrono::seconds(5);
-constexpr auto commitTimeout = std::chrono::seconds(5);
-constexpr auto acceptedKey = "config/accepted";
+constexpr auto tickPeriod = std::chrono::milliseconds(100);
+constexpr auto readTimeout = std::chrono::seconds(2);
+constexpr auto commitTimeout = std::chrono::seconds(1);
+constexpr auto askTimeout = std::chrono::seconds(1);
+constexpr auto freshStep = std::chrono::milliseconds(50);
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+// The store client sends a transaction at the latest commitTimeout after it was asked to, and closes the
+// connection requestTimeout later: after the sum of both it has its effect or never will.
+RolloutLimits rolloutLimits()
+{
+    RolloutLimits limits;
+    limits.requestLifetime = commitTimeout + StoreLimits {}.requestTimeout;
+    return limits;
+}
 
 } // namespace
 
-ConfigurationService::ConfigurationService(StoreService& store)
+ConfigurationService::ConfigurationService(
+    MemberId self, StoreService& store, PeerLink& peers, const Published<Topology>& topology)
     : Duty("configuration", ringCapacity)
+    , m_self(std::move(self))
+    , m_vm(vmOf(m_self))
     , m_store(store)
+    , m_peers(peers)
+    , m_topology(topology)
+    , m_state(startRollout(m_vm, monotonicNow(), rolloutLimits()))
 {
-    every(readPeriod, [this] { readAccepted(); });
+    every(tickPeriod, [this] { tick(); });
+    every(m_ackTimes.rewriteEvery, [this] { removeAbandonedAcks(); });
+    m_peers.onMessage(wire::Envelope::kConfigAsk, [this](const wire::Envelope& envelope) {
+        (void)post([this, copy = std::make_shared<wire::Envelope>(envelope)] { onAsk(*copy); });
+    });
 }
 
-void ConfigurationService::onStart() { readAccepted(); }
+void ConfigurationService::onStart() { tick(); }
+
+void ConfigurationService::tick()
+{
+    keepAck();
+    keepVoters();
+    feed(rollout::Tick {});
+}
 
-void ConfigurationService::readAccepted()
+void ConfigurationService::feed(const RolloutEvent& event)
 {
-    const auto askedAt = std::chrono::steady_clock::now();
-    m_store.read({ acceptedKey }, 2s, [this, askedAt](auto rows) {
-        if (!rows || rows->empty())
+    auto result = step(std::move(m_state), event, monotonicNow());
+    m_state = std::move(result.state);
+    publish();
+    for (const auto& action : result.actions)
+        std::visit([this](const auto& one) { perform(one); }, action);
+    settleChanges();
+}
+
+void ConfigurationService::perform(const rollout::Read& action)
+{
+    m_store.read({ acceptedKey, preparedKey }, readTimeout, [this, request = action.request](auto rows) {
+        if (!rows)
             return;
-        ActiveConfiguration next = *m_active.get();
         Reason reason;
-        if (rows->front().version) {
-            auto configuration = parseConfiguration(rows->front().value, reason);
-            if (!configuration || configuration->version < next.configuration.version)
-                return;
-            next.configuration = std::move(*configuration);
-        }
-        next.known = true;
-        next.freshUntil = askedAt + stalenessBound;
-        m_active.set(std::move(next));
+        auto view = viewOfRows(*rows, reason);
+        if (view)
+            (void)post([this, request, view = std::move(*view)] {
+                m_rowsRead = true;
+                feed(rollout::ReadAnswer { request, view });
+            });
+        else
+            std::cerr << "quayd: the configuration rows can't be read: " << reason.explain() << "\n";
     });
 }
 
-void ConfigurationService::apply(std::uint64_t baseVersion, Configuration next, ApplyDone done)
+void ConfigurationService::perform(const rollout::Scan& action)
 {
-    m_store.read({ acceptedKey }, commitTimeout, [this, baseVersion, next, done](auto rows) mutable {
-        if (!rows) {
-            done(std::nullopt, Reason { ErrorKind::StoreUnavailable, {} });
-            return;
-        }
-        Reason reason;
-        const auto& row = rows->front();
-        const auto current = row.version ? parseConfiguration(row.value, reason) : Configuration {};
-        if (!current || current->version != baseVersion) {
-            const auto version = current ? current->version : 0;
-            done(std::nullopt,
-                Reason { ErrorKind::VersionConflict, "current version is " + std::to_string(version) });
-            return;
-        }
-        next.version = baseVersion + 1;
-        Transaction transaction;
-        transaction.checks.push_back({ acceptedKey, row.version });
-        transaction.puts.push_back({ acceptedKey, toJson(next) });
-        m_store.commit(std::move(transaction), commitTimeout,
-            [done, version = next.version](TransactionOutcome outcome) {
-                if (outcome.status == TransactionStatus::Done)
-                    done(version, {});
-                else if (outcome.status == TransactionStatus::Conflict)
-                    done(std::nullopt, Reason { ErrorKind::VersionConflict, {} });
-                else
-                    done(std::nullopt, Reason { ErrorKind::StoreUnavailable, {} });
+    m_store.scan(ackKey(""), readTimeout, [this, request = action.request](auto rows) {
+        if (rows)
+            (void)post([this, request, confirmed = confirmedByVm(*rows)] {
+                feed(rollout::ScanAnswer { request, confirmed });
             });
     });
 }
 
+// A request id of 0 is our own rewriting of the row, of which the core knows nothing.
+void ConfigurationService::perform(const rollout::Confirm& action)
+{
+    m_confirmed = std::max(m_confirmed, action.version);
+    m_ackTriedAt = monotonicNow();
+    Transaction transaction;
+    transaction.puts.push_back({ ackKey(m_vm), ackValue(m_confirmed) });
+    m_store.commit(std::move(transaction), commitTimeout,
+        [this, request = action.request, sentAt = m_ackTriedAt](const TransactionOutcome& outcome) {
+            if (outcome.status != TransactionStatus::Done)
+                return;
+            (void)post([this, request, sentAt, version = outcome.version] {
+                m_ackSentAt = std::max(m_ackSentAt, sentAt);
+                feed(rollout::WriteAnswer { request, true, version });
+            });
+        });
+}
+
+// Only definite answers are events: without one the core finds out by reading.
+void ConfigurationService::perform(const rollout::Write& action)
+{
+    m_store.commit(transactionOf(action), commitTimeout,
+        [this, request = action.request](const TransactionOutcome& outcome) {
+            const bool done = outcome.status == TransactionStatus::Done;
+            if (done || outcome.status == TransactionStatus::Conflict)
+                (void)post([this, request, done, version = outcome.version] {
+                    feed(rollout::WriteAnswer { request, done, version });
+                });
+        });
+}
+
+void ConfigurationService::perform(const rollout::AskPeers& action)
+{
+    for (const auto& member : m_topology.get()->members) {
+        if (member.id == m_self)
+            continue;
+        wire::Envelope envelope;
+        envelope.mutable_config_ask()->set_request(action.request);
+        (void)m_peers.request(member.peerAddress, std::move(envelope), askTimeout,
+            [this, id = member.id](std::unique_ptr<wire::Envelope> answer) {
+                Reason reason;
+                if (!answer || answer->sender() != id.text)
+                    return;
+                auto decoded = decode(answer->config_answer(), reason);
+                if (!decoded)
+                    return;
+                decoded->from = vmOf(id);
+                (void)post([this, event = std::move(*decoded)] { feed(event); });
+            });
+    }
+}
+
+void ConfigurationService::perform(const rollout::Reply& action)
+{
+    wire::Envelope envelope;
+    encode(action.answer, *envelope.mutable_config_answer());
+    m_peers.answer(m_asking->reply_to(), *m_asking, std::move(envelope));
+}
+
+void ConfigurationService::onAsk(const wire::Envelope& envelope)
+{
+    const auto& ask = envelope.config_ask();
+    if (ask.status_only()) {
+        const auto status = ownStatus();
+        wire::Envelope answer;
+        answer.mutable_config_answer()->set_in_force(status.inForce);
+        answer.mutable_config_answer()->set_seen(status.seen);
+        answer.mutable_config_answer()->set_fresh(status.fresh);
+        m_peers.answer(envelope.reply_to(), envelope, std::move(answer));
+        return;
+    }
+    m_asking = &envelope;
+    feed(rollout::PeerAsk { vmOf(MemberId { envelope.sender() }), ask.request() });
+    m_asking = nullptr;
+}
+
+// Keyed work stops at a moment known in advance, so that readers of the snapshot need no timer of ours. With
+// promises of the voters that moment lies past the staleness bound; the core is asked step by step.
+Instant ConfigurationService::freshUntil(Instant now) const
+{
+    if (!m_state.freshFrom)
+        return {};
+    const auto byRead = *m_state.freshFrom + m_state.limits.stalenessBound;
+    auto until = std::max(byRead, now);
+    while (servesKeyedWork(m_state, until + freshStep))
+        until += freshStep;
+    return servesKeyedWork(m_state, until) ? until : byRead;
+}
+
+void ConfigurationService::publish()
+{
+    const auto before = m_active.get();
+    const auto until = freshUntil(monotonicNow());
+    const bool known = m_rowsRead || m_state.view.accepted.storeVersion;
+    const bool viewChanged = *m_view.get() != m_state.view;
+    if (!viewChanged && known == before->known && until == before->freshUntil)
+        return;
+    m_active.set(ActiveConfiguration { effectiveConfiguration(m_state), known, until });
+    if (viewChanged)
+        m_view.set(m_state.view);
+}
+
+void ConfigurationService::limitsSatisfied(std::uint64_t version)
+{
+    (void)post([this, version] { feed(rollout::LimitsSatisfied { version }); });
+}
+
 } // namespace quay
--- a/src/service/ConfigurationService.h
+++ b/src/service/ConfigurationService.h
@@ -1,43 +1,130 @@
 #pragma once
 
+#include "net/PeerLink.h"
 #include "platform/StoreService.h"
-#include "quay/core/Configuration.h"
+#include "quay/core/ConfigRollout.h"
 #include "quay/kernel/Duty.h"
 #include "quay/kernel/Published.h"
+#include "service/AckRows.h"
+#include "service/Topology.h"
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <vector>
 
 namespace quay {
 
 /** What this process may do under the configuration that it knows. */
 struct ActiveConfiguration {
-    Configuration configuration;
-    bool known = false; // an accepted version was read since the start
+    Configuration configuration; // in force here: the accepted one, less what a prepared one forbids
+    bool known = false; // the rows were read since the start
     Instant freshUntil {}; // keyed work is refused after this
 
     bool operator==(const ActiveConfiguration&) const = default;
     bool mayServeKeyedWork(Instant now) const { return known && now < freshUntil; }
 };
 
-/** Follows the accepted configuration and proposes changes for operators. */
+/** How far one process is with the rollout. */
+struct MemberRollout {
+    MemberId id;
+    DomainId domain;
+    bool answered = false; // the rest holds only then
+    std::uint64_t seen = 0; // newest version it knows, accepted or prepared
+    std::uint64_t inForce = 0; // version of the accepted configuration it knows
+    bool fresh = false; // serves keyed work
+
+    bool operator==(const MemberRollout&) const = default;
+};
+
+/**
+ * Runs the configuration rollout (quay/core/ConfigRollout.h) of this process against the table service and
+ * the peers: follows the accepted configuration, confirms and accepts prepared ones, and proposes changes.
+ *
+ * Usage: `auto active = configuration.active().get(); if (active->mayServeKeyedWork(now)) ...`
+ */
 class ConfigurationService : public Duty {
 public:
-    /** Gets the version in force, or why the change was refused. */
+    /** Gets the version in force, or why the change was refused or is not known to be in force. */
     using ApplyDone = std::function<void(std::optional<std::uint64_t>, Reason)>;
+    using StatusDone = std::function<void(std::vector<MemberRollout>)>;
 
-    explicit ConfigurationService(StoreService& store);
+    ConfigurationService(
+        MemberId self, StoreService& store, PeerLink& peers, const Published<Topology>& topology);
 
     const Published<ActiveConfiguration>& active() const { return m_active; }
 
-    /** Proposes a configuration on top of `baseVersion`; VersionConflict if another change came first. */
+    /** The accepted and the prepared row as last read. */
+    const Published<RolloutView>& view() const { return m_view; }
+
+    /**
+     * Proposes a configuration on top of `baseVersion`, the newest version (accepted or prepared) that the
+     * operator has seen, and answers once it is in force: VersionConflict if another change came first,
+     * StoreUnavailable if it was surely not proposed, OutcomeUnknown if it may still come into force.
+     */
     void apply(std::uint64_t baseVersion, Configuration next, ApplyDone done);
 
+    /** Tells that no team runs more than the upper limits of this version. Callable from any thread. */
+    void limitsSatisfied(std::uint64_t version);
+
+    /** Asks every member how far it is. Callable from any thread. */
+    void status(StatusDone done);
+
 private:
+    struct Change {
+        ApplyDone done;
+        Instant deadline;
+        bool prepared = false;
+        std::uint64_t version = 0; // once prepared
+    };
+    struct StatusRound;
+
     void onStart() override;
-    void readAccepted();
+    void tick();
+    void feed(const RolloutEvent& event);
+    void perform(const rollout::Read& action);
+    void perform(const rollout::Scan& action);
+    void perform(const rollout::Confirm& action);
+    void perform(const rollout::Write& action);
+    void perform(const rollout::AskPeers& action);
+    void perform(const rollout::Reply& action);
+    void perform(const rollout::ApplyDone& action);
+    void publish();
+    Instant freshUntil(Instant now) const;
+
+    void begin(std::uint64_t baseVersion, Configuration next, ApplyDone done);
+    void settleChanges();
+    bool settle(const std::string& token, const Change& change);
+    void giveUp(const std::string& token, const Change& change);
+    std::string currentVersions() const;
+
+    void keepAck();
+    void removeAbandonedAcks();
+    void keepVoters();
+    std::set<std::string> wantedVoters() const;
+
+    void onAsk(const wire::Envelope& envelope);
+    void askStatus(const std::shared_ptr<StatusRound>& round, const TopologyMember& member);
+    MemberRollout ownStatus() const;
 
+    MemberId m_self;
+    std::string m_vm;
     StoreService& m_store;
+    PeerLink& m_peers;
+    const Published<Topology>& m_topology;
+    RolloutState m_state;
+    bool m_rowsRead = false; // since the start
     Published<ActiveConfiguration> m_active;
+    Published<RolloutView> m_view;
+    std::map<std::string, Change> m_changes; // by token
+    std::uint64_t m_nextToken = 1;
+    const wire::Envelope* m_asking = nullptr; // the question under work
+    std::uint64_t m_confirmed = 0; // highest version put into our row
+    Instant m_ackSentAt {}; // when the last confirmed write of our row was sent
+    Instant m_ackTriedAt {};
+    AckTimes m_ackTimes;
+    AckSightings m_ackSightings;
+    std::map<std::string, Instant> m_voterSeenAt; // last seen in the topology
 };
 
 } // namespace quay
--- a/src/service/Daemon.cpp
+++ b/src/service/Daemon.cpp
@@ -99,11 +99,11 @@
     , m_peers(m_self.id, m_self.domain, settings.peerListen)
     , m_store(settings.tableAddress, StoreLimits {})
     , m_membership(Identity { m_self.id, m_self.domain, m_peers.address() }, m_store)
-    , m_configuration(m_store)
-    , m_quota(m_membership, m_configuration, m_tokens)
+    , m_configuration(m_self.id, m_store, m_peers, m_membership.topology())
+    , m_quota(m_membership, m_configuration, m_store, m_tokens)
     , m_interactive(m_membership, m_backend, m_peers, m_tokens)
     , m_jobs(m_membership, m_store, m_backend, m_peers, m_tokens)
-    , m_callers(settings, m_membership, m_configuration, m_interactive, m_jobs,
+    , m_callers(settings, m_membership, m_configuration, m_quota, m_interactive, m_jobs,
           Telemetry { m_log, m_metrics, m_traces })
 {
     add(m_peers);
--- a/src/service/QuotaService.cpp
+++ b/src/service/QuotaService.cpp
@@ -1,35 +1,325 @@
 #include "service/QuotaService.h"
 
+#include <algorithm>
+#include <iostream>
+
 namespace quay {
 
 namespace {
 
 constexpr std::size_t ringCapacity = 1024;
-constexpr auto refreshPeriod = std::chrono::milliseconds(200);
-constexpr auto tokenLease = std::chrono::seconds(5);
+constexpr auto tickPeriod = std::chrono::milliseconds(100);
+constexpr auto requestTimeout = std::chrono::seconds(2);
+constexpr auto answerLostAfter = std::chrono::seconds(15); // longer than a read and a write together
+constexpr auto holderPeriod
+    = std::chrono::seconds(1); // of rounds while grants are held and nothing is wanted
+constexpr auto idlePeriod = std::chrono::seconds(3); // of rounds while nothing is held or wanted
+constexpr auto absentFor = std::chrono::seconds(15); // before a holder outside the roster counts as gone
+constexpr auto maxRequestDeadline = std::chrono::seconds(305); // above the longest that callers may ask for
+constexpr std::uint64_t rosterEpoch = 1;
+constexpr auto rowPrefix = "quota/";
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+QuotaSettings settingsOf(const Identity& self)
+{
+    QuotaSettings settings;
+    settings.self = self.id;
+    settings.domain = self.domain;
+    settings.joinEpoch = rosterEpoch;
+    settings.maxRequestDeadline = maxRequestDeadline;
+    return settings;
+}
+
+// Limits change in two steps: what a prepared version lowers is the target at once, what it raises only when
+// it is accepted. Example: version 5 in force is 11, prepared version 6 is 12, version 6 in force is 13.
+std::uint64_t limitStep(const RolloutView& view)
+{
+    if (view.pending())
+        return 2 * view.prepared.row.document.version;
+    return 2 * view.accepted.row.document.version + 1;
+}
+
+bool isLoweredBy(const RolloutView& view, const TeamId& team, const TeamConfig& current)
+{
+    const auto& next = view.prepared.row.document.teams;
+    const auto found = next.find(team);
+    return view.pending() && (found == next.end() || found->second.upperLimit < current.upperLimit);
+}
+
+std::optional<QuotaRow> decodeRow(const TableRow& row)
+{
+    Reason reason;
+    const auto team = teamOfQuotaKey(row.key);
+    auto record = team ? parseQuotaRecord(row.value, reason) : std::nullopt;
+    if (!record) {
+        std::cerr << "quayd: row " << row.key << " can't be read: " << reason.explain() << "\n";
+        return std::nullopt;
+    }
+    return QuotaRow { *team, row.version, std::move(*record) };
+}
 
 } // namespace
 
-QuotaService::QuotaService(
-    MembershipService& membership, ConfigurationService& configuration, TeamTokens& tokens)
+QuotaService::QuotaService(MembershipService& membership, ConfigurationService& configuration,
+    StoreService& store, TeamTokens& tokens)
     : Duty("quota", ringCapacity)
     , m_membership(membership)
     , m_configuration(configuration)
+    , m_store(store)
     , m_tokens(tokens)
+    , m_state(makeQuotaState(settingsOf(membership.self())))
+{
+    every(tickPeriod, [this] { tick(); });
+}
+
+void QuotaService::tick()
+{
+    const auto now = monotonicNow();
+    extendLease(now);
+    followLead(now);
+    feedLimits();
+    feedInherited();
+    for (const auto& [team, usage] : m_tokens.takeUsage()) {
+        auto& kept = m_usage[team];
+        kept.running = usage.running;
+        kept.refused += usage.refused;
+    }
+    // The answer of the store client did not fit into our ring: it counts as lost.
+    if (m_state.phase != QuotaPhase::Idle && now - m_lastRound >= answerLostAfter)
+        feed(QuotaRequestLost { m_state.requestId });
+    if (m_state.phase == QuotaPhase::Idle && isRoundDue(now)) {
+        m_lastRound = now;
+        feed(QuotaTick { m_usage });
+        for (auto& [team, usage] : m_usage)
+            usage.refused = 0;
+    }
+    reportLimits();
+    publish();
+}
+
+// Every round reads all rows, so rounds are frequent only for a reason.
+bool QuotaService::isRoundDue(Instant now) const
+{
+    if (now < m_state.nextRound)
+        return false;
+    bool holds = false;
+    for (const auto& [id, team] : m_state.teams)
+        holds |= team.spendable > 0 || !team.inherited.empty();
+    const bool wants = std::any_of(m_usage.begin(), m_usage.end(), [this](const auto& entry) {
+        const auto team = m_state.teams.find(entry.first);
+        const auto spendable = team == m_state.teams.end() ? 0 : team->second.spendable;
+        return entry.second.refused > 0 || (entry.second.running > 0 && entry.second.running >= spendable);
+    });
+    if (wants || isLowering())
+        return true;
+    return now - m_lastRound >= (holds ? Duration(holderPeriod) : Duration(idlePeriod));
+}
+
+bool QuotaService::isLowering() const
+{
+    const auto view = m_configuration.view().get();
+    return view->pending() && lowersLimits(view->accepted.row.document, view->prepared.row.document);
+}
+
+// The grants may be spent as long as this process surely counts as live: the lead inherits them only after
+// that. In an outage of the store the roster prolongs this, and so do the tokens.
+void QuotaService::extendLease(Instant now)
+{
+    const auto ownership = m_membership.ownership().get();
+    if (now < ownership->validUntil)
+        m_tokens.extendLease(ownership->validUntil);
+}
+
+void QuotaService::followLead(Instant now)
+{
+    const bool leads = m_membership.ownership().get()->mayLead(now);
+    if (m_led && !leads) {
+        m_absentSince.clear();
+        m_inherited.forgetFound();
+    }
+    m_led = leads;
+}
+
+// The topology lags behind the roster and carries no epoch, so it alone does not tell a dead holder from one
+// that has just joined. A holder counts as gone when the valid lead has missed it for much longer than both a
+// lease and the topology's lag; all others are given to the core as live. The core plans as soon as it gets
+// the rows, so it must know first who is live among the holders that these very rows show.
+void QuotaService::feedRoster(const std::vector<QuotaRow>& rows, Instant now)
 {
-    every(refreshPeriod, [this] { refresh(); });
+    followLead(now);
+    const auto topology = m_membership.topology().get();
+    std::map<MemberId, Instant> absent;
+    QuotaRoster roster { rosterEpoch, { m_membership.self().id }, m_led };
+    for (const auto& row : rows) {
+        for (const auto& [member, entry] : row.record.entries) {
+            if (topology->find(member) || !m_led) {
+                roster.live.insert(member);
+                continue;
+            }
+            const auto known = m_absentSince.find(member);
+            const auto since = known == m_absentSince.end() ? now : known->second;
+            absent.emplace(member, since);
+            if (now - since < absentFor)
+                roster.live.insert(member);
+        }
+    }
+    m_absentSince = std::move(absent);
+    feed(QuotaRosterSeen { std::move(roster) });
+}
+
+// The leads write configured limits into the rows; one writer a domain keeps conflicts few. A limit that the
+// row has already as its target needs no write, but a lowered one is always written: the row then refuses the
+// step of any member whose view is older.
+void QuotaService::feedLimits()
+{
+    const auto view = m_configuration.view().get();
+    if (!m_led || !view->accepted.storeVersion)
+        return;
+    const auto step = limitStep(*view);
+    const auto& current = view->accepted.row.document;
+    const auto limits = view->pending() ? intersect(current, view->prepared.row.document) : current;
+    for (const auto& [team, config] : limits.teams) {
+        const auto known = m_state.teams.find(team);
+        const bool exists = known != m_state.teams.end() && known->second.row.version;
+        const std::int64_t limit = config.upperLimit;
+        const bool lowered = isLoweredBy(*view, team, current.teams.at(team));
+        if (!exists || lowered || known->second.row.record.target != limit)
+            feed(QuotaLimitConfigured { team, { limit, step } });
+    }
+    for (const auto& [team, known] : m_state.teams) {
+        if (known.row.version && known.row.record.target && !limits.teams.contains(team))
+            feed(QuotaLimitConfigured { team, { 0, step } });
+    }
 }
 
-void QuotaService::refresh()
+// A lowered limit is true once its row has it in force at this step or a later one: grants are never above it
+// again before another version is accepted.
+void QuotaService::reportLimits()
 {
-    const auto active = m_configuration.active().get();
-    const auto members = m_membership.topology().get()->members.size();
-    if (!members)
+    const auto view = m_configuration.view().get();
+    const auto version = view->prepared.row.document.version;
+    if (!isLowering() || version <= m_reportedVersion)
         return;
-    // An equal part for each process, rounded down, so that the parts never exceed the limit.
-    for (const auto& [team, config] : active->configuration.teams)
-        m_tokens.setGranted(team, static_cast<std::int64_t>(config.upperLimit / members));
-    m_tokens.extendLease(std::chrono::steady_clock::now() + tokenLease);
+    for (const auto& [team, config] : view->accepted.row.document.teams) {
+        if (!isLoweredBy(*view, team, config))
+            continue;
+        const auto known = m_state.teams.find(team);
+        if (known == m_state.teams.end() || !isAccepted(known->second.row.record)
+            || known->second.row.record.configVersion < limitStep(*view))
+            return;
+    }
+    m_reportedVersion = version;
+    m_configuration.limitsSatisfied(version);
+}
+
+void QuotaService::feedInherited()
+{
+    for (const auto& event : m_inherited.takeEvents())
+        feed(event);
+}
+
+void QuotaService::feed(const QuotaEvent& event)
+{
+    for (const auto& action : step(m_state, event, monotonicNow()))
+        std::visit([this](const auto& one) { perform(one); }, action);
+}
+
+void QuotaService::perform(const ReadQuotaRows& action)
+{
+    m_store.scan(rowPrefix, requestTimeout, [this, id = action.requestId](auto rows) {
+        (void)post([this, id, rows = std::move(rows)] {
+            if (rows)
+                onRows(id, *rows);
+            else
+                feed(QuotaRequestLost { id });
+        });
+    });
+}
+
+void QuotaService::onRows(std::uint64_t requestId, const std::vector<TableRow>& rows)
+{
+    QuotaRowsRead read { requestId, {} };
+    for (const auto& row : rows) {
+        auto decoded = decodeRow(row);
+        if (decoded)
+            read.rows.push_back(std::move(*decoded));
+    }
+    feedRoster(read.rows, monotonicNow());
+    feed(read);
+}
+
+void QuotaService::perform(const WriteQuotaRows& action)
+{
+    Transaction transaction;
+    bool inherits = false;
+    for (const auto& put : action.puts) {
+        const auto key = quotaKey(put.team);
+        transaction.checks.push_back({ key, put.checkVersion });
+        transaction.puts.push_back({ key, toJson(put.record) });
+        inherits |= !put.inherits.empty();
+    }
+    m_store.commit(std::move(transaction), requestTimeout,
+        [this, id = action.requestId, inherits](const TransactionOutcome& outcome) {
+            (void)post([this, id, inherits, outcome] { onOutcome(id, inherits, outcome); });
+        });
+}
+
+// The store client may report a conflict for a write that took effect before its answer was lost, if another
+// member has changed the row since. Gains and surrenders show in the row as read; entries that moved to us do
+// not, so such a write counts as possibly done.
+void QuotaService::onOutcome(std::uint64_t requestId, bool inherits, const TransactionOutcome& outcome)
+{
+    const bool conflict = outcome.status == TransactionStatus::Conflict;
+    if (outcome.status == TransactionStatus::Done)
+        feed(QuotaWriteDone { requestId, outcome.version });
+    else if (outcome.status == TransactionStatus::NotSent || (conflict && !inherits))
+        feed(QuotaWriteConflict { requestId });
+    else
+        feed(QuotaRequestLost { requestId });
+}
+
+void QuotaService::perform(const SetTeamGrant& action) { m_tokens.setGranted(action.team, action.units); }
+
+void QuotaService::perform(const LowerTeamGrants& action)
+{
+    QuotaLowered lowered;
+    for (const auto& [team, target] : action.targets)
+        lowered.remaining[team] = m_tokens.lowerTo(team, target);
+    feed(lowered);
+}
+
+void QuotaService::perform(const FenceTokens&)
+{
+    m_tokens.fence();
+    std::cerr << "quayd: the team grants of " << m_membership.self().id.text
+              << " were inherited by another member; restart the process\n";
+}
+
+void QuotaService::perform(const CountInheritedWork& action) { m_inherited.ask(action); }
+
+void QuotaService::inheritedWorkFound(std::map<TeamId, std::int64_t> running)
+{
+    (void)post([this, running = std::move(running)] { m_inherited.found(running); });
+}
+
+void QuotaService::inheritedWorkEnded(const TeamId& team, std::int64_t n)
+{
+    (void)post([this, team, n] { m_inherited.ended(team, n); });
+}
+
+void QuotaService::publish()
+{
+    TeamStandings standings;
+    for (const auto& [id, team] : m_state.teams) {
+        const auto& record = team.row.record;
+        const auto usage = m_usage.find(id);
+        const auto running = usage == m_usage.end() ? 0 : usage->second.running;
+        standings[id] = { record.limit, record.target, totalGranted(record), team.spendable, running,
+            inheritedUnits(team) };
+    }
+    if (standings != *m_standings.get())
+        m_standings.set(std::move(standings));
 }
 
 } // namespace quay
