--- a/standin/Worker.cpp
+++ b/standin/Worker.cpp
@@ -63,12 +63,15 @@
 
 } // namespace
 
-Worker::Worker(boost::asio::io_context& context, ServerInfo info, const std::string& listen)
+Worker::Worker(
+    boost::asio::io_context& context, ServerInfo info, const std::string& listen, Duration startGrace)
     : m_context(context)
     , m_info(std::move(info))
     , m_server(context, listen, HttpLimits {},
           [this](HttpRequest request, Respond respond) { respond(handle(request)); })
     , m_incarnation(std::to_string(std::random_device {}()))
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_startGrace(startGrace)
 {
     m_info.address = m_server.address();
     m_server.start();
@@ -102,6 +105,11 @@
 
 std::string Worker::whyRefused(const Key& key, std::uint64_t epoch, const Resources& size) const
 {
+    auto closed = m_closed.find(key);
+    if (closed != m_closed.end())
+        return closed->second;
+    if (std::chrono::steady_clock::now() < m_startedAt + m_startGrace)
+        return "worker has just started";
     if (epoch < m_epoch)
         return "stale epoch";
     if (m_faults.refuseAll)
@@ -132,8 +140,10 @@
     const auto why = whyRefused(key, entry.epoch, entry.size);
     if (why == "no capacity")
         ++m_capacityViolations; // the scheduler gave more than this worker can hold
-    if (!why.empty())
+    if (!why.empty()) {
+        m_closed.emplace(key, why); // the same answer to a repeated start
         return ok({ { "accepted", false }, { "why", why } });
+    }
     m_epoch = entry.epoch;
     run(key, std::move(entry), object.at("lease_ms").to_number<int>(), stringAt(object, "payload"));
     return ok({ { "accepted", true } });
@@ -208,14 +218,18 @@
     const auto value = json::parse(body);
     const Key key { stringAt(value.as_object(), "task"), value.at("attempt").to_number<std::uint32_t>() };
     finish(key, false, "stopped", "stopped");
+    m_closed.emplace(key, "attempt was stopped");
     return ok({ { "ok", true } });
 }
 
 HttpResponse Worker::acknowledge(const std::string& body)
 {
     const auto value = json::parse(body);
-    for (const auto& task : value.at("tasks").as_array())
-        m_ended.erase({ stringAt(task.as_object(), "task"), task.at("attempt").to_number<std::uint32_t>() });
+    for (const auto& task : value.at("tasks").as_array()) {
+        const Key key { stringAt(task.as_object(), "task"), task.at("attempt").to_number<std::uint32_t>() };
+        if (m_ended.erase(key))
+            m_closed.emplace(key, "attempt has ended");
+    }
     return ok({ { "ok", true } });
 }
 
--- a/standin/Worker.h
+++ b/standin/Worker.h
@@ -40,7 +40,8 @@
  */
 class Worker {
 public:
-    Worker(boost::asio::io_context& context, ServerInfo info, const std::string& listen);
+    Worker(boost::asio::io_context& context, ServerInfo info, const std::string& listen,
+        Duration startGrace = 3s);
 
     const ServerInfo& info() const { return m_info; }
 
@@ -76,11 +77,15 @@
     ServerInfo m_info;
     HttpServer m_server;
     std::string m_incarnation;
+    Instant m_startedAt;
+    Duration m_startGrace; // starts sent to a former incarnation may arrive this long after our own start
     std::uint64_t m_epoch = 0; // highest seen
     Resources m_used;
     std::uint64_t m_capacityViolations = 0;
     std::map<Key, Running> m_running;
     std::map<Key, Ended> m_ended; // until acknowledged
+    std::map<Key, std::string>
+        m_closed; // refused, stopped or acknowledged attempts, and why they can't start
     std::vector<LedgerEntry> m_ledger;
     WorkerFaults m_faults;
 };
--- a/tests/contract/StandinThread.h
+++ b/tests/contract/StandinThread.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/HttpMessage.h"
+#include "net/HttpClient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,6 +37,22 @@
     std::thread m_thread;
 };
 
+/** Posts a body and waits for the answer's status; 0 if there was none. */
+inline unsigned postTo(const std::string& address, const std::string& target, const std::string& body)
+{
+    boost::asio::io_context context(1);
+    HttpClient client(context, 1, 64UL * 1024);
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body;
+    unsigned status = 0;
+    client.send(address, std::move(request), 10s,
+        [&](const HttpResult& result) { status = result.response ? result.response->status : 0; });
+    context.run();
+    return status;
+}
+
 /** Calls `start(callback)` and waits for the callback's value. */
 template <typename Value, typename Start> Value await(Start start)
 {
--- a/tests/contract/TableContractTest.cpp
+++ b/tests/contract/TableContractTest.cpp
@@ -1,6 +1,5 @@
 #include "Platform.h"
 #include "StandinThread.h"
-#include "net/HttpClient.h"
 #include "platform/StoreService.h"
 
 #include <doctest/doctest.h>
@@ -26,17 +25,7 @@
 
 void setFaults(const std::string& address, const std::string& text)
 {
-    boost::asio::io_context context(1);
-    HttpClient client(context, 1, 1024);
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/admin/faults";
-    request.body = text;
-    unsigned status = 0;
-    client.send(address, std::move(request), 10s,
-        [&](HttpResult result) { status = result.response ? result.response->status : 0; });
-    context.run();
-    REQUIRE(status == 200);
+    REQUIRE(postTo(address, "/admin/faults", text) == 200);
 }
 
 Transaction insert(const std::string& key, const std::string& value, std::uint64_t version = 0)
