The lead keeps its ledger when the roster's epoch rises without a gap in its lease

Cause: followLead dropped and reloaded the ledger on every epoch change, also when only another member came or went; starts then paused for 6 s, retries of idempotent work up to 18 s (found by the ledger's author). A lead that sees its next coverage before the last one ends has led without a gap, and only raises its epoch. Answers to a duty's own requests are no longer lost to a full ring.

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -73,6 +73,11 @@
     std::uint64_t epoch = 0;
     std::vector<VersionedRecord> records;
 };
+/** The roster has another epoch and this process has led without a gap; starts carry the new one from now on.
+ */
+struct EpochRaised {
+    std::uint64_t epoch = 0;
+};
 /** This process leads no more; all state is dropped. */
 struct LostLead { };
 /** A job whose row is already in the store. */
@@ -140,9 +145,9 @@
 /** Passed at least every 100 ms: renewals, lapsed leases, backoff. */
 struct LedgerTick { };
 
-using LedgerEvent = std::variant<BecameLead, LostLead, JobAccepted, CancelRequested, WriteDone, WriteConflict,
-    WriteUnknown, WriteFailed, WorkerList, WorkerReport, StartAnswer, PlacementsChosen, WorkerLeaving,
-    WorkerLost, LedgerTick>;
+using LedgerEvent = std::variant<BecameLead, EpochRaised, LostLead, JobAccepted, CancelRequested, WriteDone,
+    WriteConflict, WriteUnknown, WriteFailed, WorkerList, WorkerReport, StartAnswer, PlacementsChosen,
+    WorkerLeaving, WorkerLost, LedgerTick>;
 
 // Actions.
 
--- a/include/quay/kernel/Duty.h
+++ b/include/quay/kernel/Duty.h
@@ -38,6 +38,12 @@
     /** Hands a task over. Returns false when the ring is full; the caller then refuses the work. */
     [[nodiscard]] bool post(Task task);
 
+    /**
+     * Hands over the answer to something that this duty asked for. Never refused: answers are bounded by the
+     * requests in flight, and a lost one would leave the duty waiting for ever.
+     */
+    void deliver(Task task);
+
     /** Runs `action` on the duty's thread every `period`, from the start on. Call before start(). */
     void every(Duration period, Task action);
 
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -1,5 +1,7 @@
 #include "quay/core/JobLedger.h"
 
+#include <algorithm>
+
 #include "JobLedgerParts.h"
 
 namespace quay {
@@ -33,6 +35,10 @@
     Turn& turn;
 
     void operator()(const BecameLead& event) const { onBecameLead(turn, event); }
+    void operator()(const EpochRaised& event) const
+    {
+        turn.ledger.epoch = std::max(turn.ledger.epoch, event.epoch);
+    }
     void operator()(const LostLead&) const { onLostLead(turn); }
     void operator()(const JobAccepted& event) const { onAccepted(turn, event); }
     void operator()(const CancelRequested& event) const { onCancel(turn, event); }
--- a/src/kernel/Duty.cpp
+++ b/src/kernel/Duty.cpp
@@ -52,6 +52,8 @@
     return true;
 }
 
+void Duty::deliver(Task task) { boost::asio::post(m_context, std::move(task)); }
+
 void Duty::drain()
 {
     // The flag is cleared first: a task pushed after this line posts its own wake-up,
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -76,17 +76,36 @@
 {
     const auto ownership = m_membership.ownership().get();
     const bool leads = ownership->mayLead(now);
-    if (m_ledger.leading && (!leads || ownership->epoch != m_ledger.epoch))
-        feed(LostLead {});
-    if (leads && !m_ledger.leading && !m_loading)
+    // Nobody else can have led before the end of the coverage that was seen last. A process that sees its
+    // next coverage only after that end, as after a pause, may have missed another lead.
+    const bool withoutGap = now < m_leadCoveredUntil;
+    if (m_ledger.leading && (!leads || !withoutGap))
+        loseLead();
+    if (!leads)
+        return;
+    m_leadCoveredUntil = ownership->validUntil;
+    if (!m_ledger.leading && !m_loading)
         load(ownership->epoch);
+    else if (m_ledger.leading && ownership->epoch > m_ledger.epoch)
+        feed(EpochRaised { ownership->epoch });
+}
+
+void JobService::loseLead()
+{
+    feed(LostLead {});
+    m_archived.clear();
+    m_events.clear();
+    for (const auto& watcher : m_watchers)
+        watcher.done(
+            refusal(Reason { ErrorKind::OwnerUnreachable, "the lead moved; go on with the same cursor" }));
+    m_watchers.clear();
 }
 
 void JobService::load(std::uint64_t epoch)
 {
     m_loading = true;
     m_store.scan(jobPrefix(m_ledger.domain), loadTimeout, [this, epoch](auto rows) {
-        (void)post([this, epoch, rows = std::move(rows)] { onLoaded(epoch, rows); });
+        deliver([this, epoch, rows = std::move(rows)] { onLoaded(epoch, rows); });
     });
 }
 
@@ -118,7 +137,7 @@
     // Finds rows whose insert was reported as unknown to the caller and took effect after all.
     m_store.scan(jobPrefix(m_ledger.domain), loadTimeout, [this](auto rows) {
         if (rows)
-            (void)post([this, rows = std::move(*rows)] { onReconciled(rows); });
+            deliver([this, rows = std::move(*rows)] { onReconciled(rows); });
     });
 }
 
@@ -164,7 +183,7 @@
                 event = WriteConflict { id };
             else if (outcome.status == TransactionStatus::Unknown)
                 event = WriteUnknown { id };
-            (void)post([this, event, record, outcome] {
+            deliver([this, event, record, outcome] {
                 if (outcome.status == TransactionStatus::Done)
                     onRecordStored(record, outcome.version);
                 feed(event);
@@ -189,11 +208,11 @@
     if (!mayLead()) {
         // Not sent at all, so it is proven not to run. The ledger takes the answer after this step.
         const StartAnswer refused { action.worker, action.attempt, StartOutcome::Refused, "lease lapsed" };
-        (void)post([this, refused] { feed(refused); });
+        deliver([this, refused] { feed(refused); });
         return;
     }
     m_backend.startTask(addressOf(action.worker), action,
-        [this](StartAnswer answer) { (void)post([this, answer] { feed(answer); }); });
+        [this](StartAnswer answer) { deliver([this, answer] { feed(answer); }); });
 }
 
 void JobService::perform(const SendRenew& action)
@@ -293,7 +312,7 @@
     m_store.putObject(object, toJson(finished.record), archiveTimeout, [this, entry](HttpResult result) {
         if (!result.response || result.response->status != 200)
             return; // the row stays; the next lead archives it
-        (void)post([this, entry] {
+        deliver([this, entry] {
             m_archived.push_back(entry);
             m_archived.back().removeAt = monotonicNow() + endedRowRetention;
         });
@@ -323,7 +342,7 @@
     m_removing = true;
     m_store.commit(
         std::move(transaction), archiveTimeout, [this, batch, trimmed](TransactionOutcome outcome) {
-            (void)post([this, batch, trimmed, outcome] {
+            deliver([this, batch, trimmed, outcome] {
                 m_removing = false;
                 if (outcome.status != TransactionStatus::Done || !m_ledger.leading)
                     return;
@@ -342,7 +361,7 @@
         if (!worker.listed || !m_polling.insert(id).second)
             continue;
         m_backend.report(worker.info.address, id, [this, id = id](std::optional<WorkerReport> report) {
-            (void)post([this, id, report = std::move(report)] {
+            deliver([this, id, report = std::move(report)] {
                 m_polling.erase(id);
                 if (report)
                     feed(*report);
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -63,6 +63,7 @@
     // Lead changes and the ledger.
     void tick();
     void followLead(Instant now);
+    void loseLead();
     void load(std::uint64_t epoch);
     void onLoaded(std::uint64_t epoch, const std::optional<std::vector<TableRow>>& rows);
     void reconcile();
@@ -122,7 +123,7 @@
     TeamTokens& m_tokens;
     JobLedger m_ledger;
     bool m_loading = false;
-    bool m_feeding = false;
+    Instant m_leadCoveredUntil {}; // as last seen
     std::uint64_t m_nextJob = 1;
     std::set<ServerId> m_polling; // workers with a report on its way
     std::map<JobId, std::deque<std::string>> m_explanations;
