--- /dev/null
+++ b/tools/quay-bench/Ledgers.cpp
@@ -0,0 +1,221 @@
+#include "quay-bench/Ledgers.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <limits>
+
+namespace quay::bench {
+
+namespace json = boost::json;
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+std::string stringAt(const json::value& value, const char* name)
+{
+    return std::string(value.at(name).as_string());
+}
+
+std::map<std::string, std::uint64_t> countsOf(const json::value& value)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& field : value.as_object())
+        counts[std::string(field.key())] = field.value().to_number<std::uint64_t>();
+    return counts;
+}
+
+std::int64_t endOf(const TaskRun& run)
+{
+    return run.endUs ? run.endUs : std::numeric_limits<std::int64_t>::max();
+}
+
+std::string jobOf(const std::string& task) { return task.substr(0, task.rfind('/')); }
+
+// A start or an end of a run, in order of time; ends come before starts of the same microsecond.
+struct Edge {
+    std::int64_t atUs = 0;
+    bool isStart = false;
+    const TaskRun* run = nullptr;
+};
+
+std::vector<Edge> edgesOf(const std::vector<const TaskRun*>& runs)
+{
+    std::vector<Edge> edges;
+    for (const auto* run : runs) {
+        edges.push_back({ run->startUs, true, run });
+        edges.push_back({ endOf(*run), false, run });
+    }
+    std::sort(edges.begin(), edges.end(), [](const Edge& a, const Edge& b) {
+        return a.atUs != b.atUs ? a.atUs < b.atUs : a.isStart < b.isStart;
+    });
+    return edges;
+}
+
+template <typename KeyOf>
+std::map<std::string, std::vector<const TaskRun*>> groupBy(const std::vector<TaskRun>& runs, KeyOf keyOf)
+{
+    std::map<std::string, std::vector<const TaskRun*>> groups;
+    for (const auto& run : runs)
+        groups[keyOf(run)].push_back(&run);
+    return groups;
+}
+
+void checkCapacity(const Ledgers& ledgers, const Resources& capacity, Lines& found)
+{
+    for (const auto& [worker, count] : ledgers.refusedForCapacity) {
+        if (count)
+            found.push_back(
+                "worker " + worker + " was sent " + std::to_string(count) + " starts that it can't hold");
+    }
+    for (const auto& [worker, runs] : groupBy(ledgers.runs, [](const TaskRun& r) { return r.worker; })) {
+        Resources used;
+        for (const auto& edge : edgesOf(runs)) {
+            edge.isStart ? used += edge.run->size : used -= edge.run->size;
+            if (edge.isStart && !used.fitsIn(capacity)) {
+                found.push_back("worker " + worker + " held more than its capacity");
+                break;
+            }
+        }
+    }
+}
+
+void checkSingleRun(const Ledgers& ledgers, Lines& found)
+{
+    for (const auto& [task, runs] : groupBy(ledgers.runs, [](const TaskRun& r) { return r.task; })) {
+        std::size_t running = 0;
+        for (const auto& edge : edgesOf(runs)) {
+            edge.isStart ? ++running : --running;
+            if (running > 1) {
+                found.push_back("task " + task + " ran in two places at once");
+                break;
+            }
+        }
+    }
+}
+
+// A run that surely ended without effect may be followed by another, even if the task is not idempotent.
+bool mayHaveTakenEffect(const TaskRun& run) { return run.why != "failed" && run.why != "stopped"; }
+
+void checkOnceTasks(const Ledgers& ledgers, const CallerView& callers, Lines& found)
+{
+    for (const auto& [task, runs] : groupBy(ledgers.runs, [](const TaskRun& r) { return r.task; })) {
+        if (!callers.onceJobs.count(jobOf(task)) || runs.size() < 2)
+            continue;
+        auto ordered = runs;
+        std::sort(ordered.begin(), ordered.end(),
+            [](const TaskRun* a, const TaskRun* b) { return a->startUs < b->startUs; });
+        ordered.pop_back();
+        if (std::any_of(
+                ordered.begin(), ordered.end(), [](const TaskRun* r) { return mayHaveTakenEffect(*r); }))
+            found.push_back("non-idempotent task " + task + " ran again after an attempt that may count");
+    }
+}
+
+void checkTeamLimits(const Ledgers& ledgers, const CallerView& callers, Lines& found)
+{
+    const auto limitOf = [&](const std::string& team) {
+        const auto it = callers.upperLimits.find(team);
+        return it == callers.upperLimits.end() ? 0 : it->second;
+    };
+    for (const auto& [team, runs] : groupBy(ledgers.runs, [](const TaskRun& r) { return r.team; })) {
+        std::uint64_t running = 0;
+        std::uint64_t most = 0;
+        for (const auto& edge : edgesOf(runs)) {
+            edge.isStart ? ++running : --running;
+            most = std::max(most, running);
+        }
+        if (most > limitOf(team))
+            found.push_back("team " + team + " had " + std::to_string(most) + " tasks running, its limit is "
+                + std::to_string(limitOf(team)));
+    }
+    for (const auto& executor : ledgers.executors) {
+        for (const auto& [team, busy] : executor.maxBusyByTeam) {
+            if (busy > limitOf(team))
+                found.push_back("team " + team + " alone was above its limit at executor " + executor.id);
+        }
+    }
+}
+
+void checkRequests(const Ledgers& ledgers, const CallerView& callers, Lines& found)
+{
+    std::map<std::string, std::uint64_t> runs;
+    for (const auto& executor : ledgers.executors) {
+        if (executor.slotViolations)
+            found.push_back("executor " + executor.id + " was sent " + std::to_string(executor.slotViolations)
+                + " requests beyond its slots");
+        for (const auto& [request, count] : executor.runsByRequest)
+            runs[request] += count;
+    }
+    for (const auto& [request, count] : runs) {
+        if (count > 1 && callers.onceRequests.count(request))
+            found.push_back("non-idempotent request " + request + " ran " + std::to_string(count) + " times");
+        const auto refused = callers.notRunRequests.find(request);
+        if (refused != callers.notRunRequests.end())
+            found.push_back(
+                "request " + request + " was refused with 'not run' (" + refused->second + ") and ran");
+    }
+    for (const auto& answer : callers.wrongAnswers)
+        found.push_back("wrong answer: " + answer);
+}
+
+} // namespace
+
+bool addWorkerLedger(Ledgers& ledgers, const std::string& text, Reason& reason)
+{
+    try {
+        const auto value = json::parse(text);
+        const auto worker = stringAt(value, "id");
+        ledgers.refusedForCapacity[worker] = value.at("capacity_violations").to_number<std::uint64_t>();
+        for (const auto& entry : value.at("entries").as_array()) {
+            TaskRun run;
+            run.worker = worker;
+            run.task = stringAt(entry, "task");
+            run.attempt = entry.at("attempt").to_number<std::uint32_t>();
+            run.team = stringAt(entry, "team");
+            run.size = { entry.at("cpu_milli").to_number<std::int64_t>(),
+                entry.at("memory_mb").to_number<std::int64_t>(),
+                entry.at("accelerators").to_number<std::int64_t>() };
+            run.startUs = entry.at("start_us").to_number<std::int64_t>();
+            run.endUs = entry.at("end_us").to_number<std::int64_t>();
+            run.why = stringAt(entry, "why");
+            ledgers.runs.push_back(std::move(run));
+        }
+        return true;
+    } catch (const std::exception& error) {
+        reason = Reason { ErrorKind::MalformedRequest, error.what() };
+        return false;
+    }
+}
+
+bool addExecutorLedger(Ledgers& ledgers, const std::string& text, Reason& reason)
+{
+    try {
+        const auto value = json::parse(text);
+        ExecutorCounts counts;
+        counts.id = stringAt(value, "id");
+        counts.served = value.at("served").to_number<std::uint64_t>();
+        counts.slotViolations = value.at("slot_violations").to_number<std::uint64_t>();
+        counts.runsByRequest = countsOf(value.at("runs_by_request"));
+        counts.maxBusyByTeam = countsOf(value.at("max_busy_by_team"));
+        ledgers.executors.push_back(std::move(counts));
+        return true;
+    } catch (const std::exception& error) {
+        reason = Reason { ErrorKind::MalformedRequest, error.what() };
+        return false;
+    }
+}
+
+std::vector<std::string> violations(
+    const Ledgers& ledgers, const CallerView& callers, const Resources& worker)
+{
+    Lines found;
+    checkCapacity(ledgers, worker, found);
+    checkSingleRun(ledgers, found);
+    checkOnceTasks(ledgers, callers, found);
+    checkTeamLimits(ledgers, callers, found);
+    checkRequests(ledgers, callers, found);
+    return found;
+}
+
+} // namespace quay::bench
