--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -28,6 +28,7 @@
     Duration retryBackoff = 1s; // doubled with each failure, up to maxBackoff
     Duration maxBackoff = 60s;
     Duration neverRunnableAfter = 60s; // a job that no listed worker could hold for so long fails
+    Duration unknownWriteBound = 10s; // a write of unknown outcome is tried again after it
     std::uint32_t maxRefusals = 16; // refused starts of a task before the job fails
 
     bool operator==(const LedgerSettings&) const = default;
@@ -39,6 +40,11 @@
     bool boundedLapse = true; // flight, clock and stop bounds are added to the lease
     bool ackAfterDurable = true; // ends are acknowledged only once recorded
     bool neverRetryUnknown = true; // non-idempotent work of unknown outcome is not run again
+    bool refusalNeedsProof = true; // a start without an answer doesn't count as refused
+    bool awaitFormerLead = true; // after a takeover, a former lead's messages and leases are waited for
+    bool countHeldRoom = true; // capacity is held from the decision on, not only once reported as used
+    bool closeSilent = true; // a worker that has not reported for the silence bound gets no new work
+    bool wholeGangs = true; // a gang whose placements don't all fit is taken back
 
     bool operator==(const LedgerRules&) const = default;
 };
@@ -82,15 +88,19 @@
     std::uint64_t writeId = 0;
     std::uint64_t version = 0;
 };
-/** Someone else wrote the row: this process is no longer lead; `leading` is false after the step. */
+/** Someone else wrote the row: this process is no longer lead; `leading` is false after the step. Ignored if
+ * the write isn't in flight. */
 struct WriteConflict {
     std::uint64_t writeId = 0;
 };
-/** The answer was lost; WriteDone, WriteConflict or WriteFailed follows after a read-back. */
+/** The answer was lost. WriteDone, WriteConflict or WriteFailed may follow after a read-back; without them
+ * the write is tried again after LedgerSettings::unknownWriteBound, and meets a conflict if it had taken
+ * effect. */
 struct WriteUnknown {
     std::uint64_t writeId = 0;
 };
-/** The write surely had no effect and won't have one; it is issued again with the next Tick. */
+/** The write had no effect as far as is known; it is issued again with the next Tick. If the first one takes
+ * effect after all, the second one meets a conflict. */
 struct WriteFailed {
     std::uint64_t writeId = 0;
 };
@@ -114,8 +124,8 @@
     StartOutcome outcome = StartOutcome::Unknown;
     std::string why; // of a refusal
 };
-/** Placements picked from pendingWork() and workerViews(). One team token a placement is held by the caller.
- */
+/** Placements picked from pendingWork() and workerViews(). One team token a placement is held by the caller;
+ * ReleaseTokens gives it back, but for jobs that findJob() no longer knows. */
 struct PlacementsChosen {
     std::vector<TaskPlacement> placements;
 };
@@ -306,6 +316,7 @@
     std::set<TaskRef> ready; // Pending, backoff over
     std::set<JobId> unwritten; // changed, to be written at the end of the step
     std::map<std::uint64_t, JobId> writes; // in flight
+    std::set<std::pair<Instant, std::uint64_t>> unknownWrites; // in flight, to be tried again then
     std::set<JobId> failedWrites; // to be written again with the next tick
     std::vector<JobId> finished; // final record durable, not taken yet
 };
