--- a/include/quay/core/Roster.h
+++ b/include/quay/core/Roster.h
@@ -28,6 +28,8 @@
     std::int64_t leaseMs = 0;
     std::uint64_t joinedEpoch = 0;
     std::uint64_t confirmedEpoch = 0; // latest epoch for which the member gave up what moved away
+    std::string address {}; // where peers reach it, "ip:port"; bound for as long as the process lives
+    std::string host {}; // the booted kernel and network namespace that `address` belongs to; may be empty
 
     bool operator==(const RosterMember&) const = default;
 };
@@ -57,6 +59,13 @@
 /** The division of executors that the record stands for. */
 OwnershipView viewOf(const RosterRecord& record);
 
+/**
+ * Earlier incarnations of a process that have surely ended: their entries name an address of the same booted
+ * kernel that this process holds now, and a process holds its address for as long as it lives.
+ */
+std::vector<MemberId> endedPredecessors(
+    const RosterRecord& record, const MemberId& self, const std::string& address, const std::string& host);
+
 /** True if every member has confirmed the record's epoch. */
 bool isInEffect(const RosterRecord& record);
 
@@ -231,10 +240,13 @@
     bool operator==(const SentRemoval&) const = default;
 };
 
-/** The ownership protocol of one process. Set domain, self and timing; step() keeps the rest. */
+/** The ownership protocol of one process. Set domain, self, its endpoint and timing; step() keeps the rest.
+ */
 struct RosterState {
     DomainId domain;
     MemberId self;
+    std::string address; // of this process, for its roster entry
+    std::string host; // as above
     RosterTiming timing;
     RosterRules rules;
 
--- a/src/core/Roster.cpp
+++ b/src/core/Roster.cpp
@@ -192,6 +192,8 @@
     RosterMember member;
     member.id = state.self;
     member.leaseMs = toMilliseconds(state.timing.lease);
+    member.address = state.address;
+    member.host = state.host;
     record.members.push_back(member);
     std::sort(record.members.begin(), record.members.end(),
         [](const auto& a, const auto& b) { return a.id < b.id; });
@@ -427,6 +429,7 @@
 void handle(RosterState& state, const roster::DrainRequested&, Instant, Actions&)
 {
     state.drainRequested = true;
+    state.lastHeartbeat.reset(); // the peers learn of it with the next tick
 }
 
 void handle(RosterState& state, const roster::PlatformListed& event, Instant, Actions&)
--- a/src/core/RosterRecord.cpp
+++ b/src/core/RosterRecord.cpp
@@ -27,7 +27,7 @@
 {
     return { { "id", member.id.text }, { "state", text(member.state) }, { "renewal", member.renewal },
         { "lease_ms", member.leaseMs }, { "joined", member.joinedEpoch },
-        { "confirmed", member.confirmedEpoch } };
+        { "confirmed", member.confirmedEpoch }, { "address", member.address }, { "host", member.host } };
 }
 
 RosterMember memberFromJson(const json::object& object)
@@ -39,6 +39,8 @@
     member.leaseMs = object.at("lease_ms").to_number<std::int64_t>();
     member.joinedEpoch = object.at("joined").to_number<std::uint64_t>();
     member.confirmedEpoch = object.at("confirmed").to_number<std::uint64_t>();
+    member.address = stringAt(object, "address");
+    member.host = stringAt(object, "host");
     return member;
 }
 
@@ -95,6 +97,18 @@
     return view;
 }
 
+std::vector<MemberId> endedPredecessors(
+    const RosterRecord& record, const MemberId& self, const std::string& address, const std::string& host)
+{
+    std::vector<MemberId> ended;
+    for (const auto& member : record.members) {
+        const bool samePlace = !host.empty() && member.host == host && member.address == address;
+        if (samePlace && member.id != self)
+            ended.push_back(member.id);
+    }
+    return ended;
+}
+
 bool isInEffect(const RosterRecord& record)
 {
     return std::all_of(record.members.begin(), record.members.end(),
--- a/src/service/Daemon.cpp
+++ b/src/service/Daemon.cpp
@@ -24,10 +24,13 @@
 
 namespace {
 
-constexpr auto drainCheckPeriod = std::chrono::milliseconds(50);
+constexpr auto checkPeriod = std::chrono::milliseconds(50);
 // The balancer needs this long to see the failing health check and to stop sending.
 constexpr auto balancerNoticeTime = std::chrono::milliseconds(1500);
+// Peers forward requests here until they have read the roster without this process.
+constexpr auto peerNoticeTime = std::chrono::milliseconds(2500);
 constexpr int exitWorkLeftBehind = 1;
+constexpr int exitRemoved = 3; // to be restarted by the service manager, as a new incarnation
 
 MemberId newIncarnation(const std::string& name)
 {
@@ -37,6 +40,16 @@
     return MemberId { text.str() };
 }
 
+// Answers must be definite well inside a lease.
+StoreLimits rosterStoreLimits()
+{
+    StoreLimits limits;
+    limits.minCommitInterval = std::chrono::milliseconds(5);
+    limits.requestTimeout = std::chrono::seconds(1);
+    limits.maxBackoff = std::chrono::milliseconds(250);
+    return limits;
+}
+
 // Written whole under another name first, so that a reader never sees half a file.
 void writePortFile(const std::string& path, const std::string& callers, const std::string& peers)
 {
@@ -59,12 +72,14 @@
 
     CallerService& callers() { return m_kernel.find<CallerService>("callers"); }
     PeerLink& peers() { return m_kernel.find<PeerLink>("peers"); }
+    MembershipService& membership() { return m_kernel.find<MembershipService>("membership"); }
     InteractiveService& interactive() { return m_kernel.find<InteractiveService>("interactive"); }
 
 private:
-    template <typename Service> void add(Service& service)
+    template <typename Service> void add(Service& service) { add(service.name(), service); }
+    template <typename Service> void add(const std::string& name, Service& service)
     {
-        m_kernel.add(service.name(), service);
+        m_kernel.add(name, service);
         m_duties.push_back(&service);
     }
 
@@ -74,6 +89,7 @@
     Identity m_self;
     PeerLink m_peers;
     StoreService m_store;
+    StoreService m_rosterStore; // of its own, so that leases don't wait behind job records
     BackendLink m_backend;
     MembershipService m_membership;
     ConfigurationService m_configuration;
@@ -87,7 +103,9 @@
     : m_self { newIncarnation(settings.name), settings.domain, {} }
     , m_peers(m_self.id, m_self.domain, settings.peerListen)
     , m_store(settings.tableAddress, StoreLimits {})
-    , m_membership(Identity { m_self.id, m_self.domain, m_peers.address() }, m_store)
+    , m_rosterStore(settings.tableAddress, rosterStoreLimits())
+    , m_membership(Identity { m_self.id, m_self.domain, m_peers.address() }, m_rosterStore, m_peers,
+          settings.vmListAddress)
     , m_configuration(m_store)
     , m_quota(m_membership, m_configuration, m_tokens)
     , m_interactive(m_membership, m_backend, m_peers, m_tokens)
@@ -96,6 +114,7 @@
 {
     add(m_peers);
     add(m_store);
+    add("roster-store", m_rosterStore);
     add(m_backend);
     add(m_membership);
     add(m_configuration);
@@ -115,12 +134,13 @@
 
 void Services::stopAll()
 {
-    m_peers.close();
     for (auto it = m_duties.rbegin(); it != m_duties.rend(); ++it)
         (*it)->stop();
+    // Last of all: whoever can bind the peer address next takes it that this process sends nothing more.
+    m_peers.close();
 }
 
-// The graceful shutdown: leave the balancer, finish what is in flight, go.
+// The graceful shutdown: leave the balancer, hand over ownership, finish what is in flight, go.
 class Shutdown {
 public:
     Shutdown(boost::asio::io_context& context, Services& services, Duration limit)
@@ -130,54 +150,97 @@
         , m_timer(context)
         , m_limit(limit)
     {
-        m_signals.async_wait([this](auto ec, int) {
-            if (!ec)
-                begin();
-        });
+        awaitSignal();
+        watch();
     }
 
     int exitCode() const { return m_exitCode; }
 
 private:
-    void begin()
+    void later(Duration delay, void (Shutdown::*next)())
     {
-        m_services.callers().leaveBalancer();
-        m_deadline = std::chrono::steady_clock::now() + m_limit;
-        m_signals.async_wait([this](auto ec, int) {
+        m_timer.expires_after(delay);
+        m_timer.async_wait([this, next](auto ec) {
             if (!ec)
-                finish();
+                (this->*next)();
         });
-        m_timer.expires_after(balancerNoticeTime);
-        m_timer.async_wait([this](auto ec) {
+    }
+
+    // The first signal starts the shutdown, the next one ends it.
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](auto ec, int) {
             if (ec)
                 return;
-            m_services.callers().drain();
-            check();
+            if (m_hasBegun)
+                finish();
+            else
+                begin("asked by a signal");
+            awaitSignal();
         });
     }
 
+    // While the process serves: does the roster or the platform want it to go?
+    void watch()
+    {
+        if (m_services.membership().hasLeft()) {
+            m_exitCode = exitRemoved;
+            begin("removed from the roster by others");
+        } else if (m_services.membership().isListedLeaving()) {
+            begin("the platform lists this VM as leaving");
+        } else {
+            later(checkPeriod, &Shutdown::watch);
+        }
+    }
+
+    void begin(const std::string& why)
+    {
+        std::cerr << "quayd: shuts down: " << why << std::endl;
+        m_hasBegun = true;
+        m_deadline = std::chrono::steady_clock::now() + m_limit;
+        m_services.callers().leaveBalancer();
+        m_services.membership().drain();
+        later(balancerNoticeTime, &Shutdown::stopTaking);
+    }
+
+    void stopTaking()
+    {
+        m_services.callers().drain();
+        awaitHandover();
+    }
+
+    bool isLate() const { return std::chrono::steady_clock::now() >= m_deadline; }
+
+    void awaitHandover()
+    {
+        if (isLate())
+            finish();
+        else if (m_services.membership().hasLeft())
+            later(peerNoticeTime, &Shutdown::awaitRequests);
+        else
+            later(checkPeriod, &Shutdown::awaitHandover);
+    }
+
     std::size_t inFlight() { return m_services.callers().inFlight() + m_services.interactive().inFlight(); }
 
-    void check()
+    void awaitRequests()
     {
-        if (!inFlight() || std::chrono::steady_clock::now() >= m_deadline) {
+        if (!inFlight() || isLate())
             finish();
-            return;
-        }
-        m_timer.expires_after(drainCheckPeriod);
-        m_timer.async_wait([this](auto ec) {
-            if (!ec)
-                check();
-        });
+        else
+            later(checkPeriod, &Shutdown::awaitRequests);
     }
 
     void finish()
     {
         const auto left = inFlight();
-        if (left) {
+        if (left)
             std::cerr << "quayd: " << left << " requests in flight were left behind\n";
+        const bool handedOver = m_services.membership().hasLeft();
+        if (!handedOver)
+            std::cerr << "quayd: ownership was not handed over; it passes on when the lease has lapsed\n";
+        if (left || !handedOver)
             m_exitCode = exitWorkLeftBehind;
-        }
         m_context.stop();
     }
 
@@ -186,6 +249,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     Duration m_limit;
+    bool m_hasBegun = false;
     Instant m_deadline {};
     int m_exitCode = 0;
 };
--- a/src/service/MembershipService.cpp
+++ b/src/service/MembershipService.cpp
@@ -1,124 +1,331 @@
 #include "service/MembershipService.h"
 
+#include "peer.pb.h"
 #include "platform/ServerListCodec.h"
 
-#include <boost/json.hpp>
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <thread>
 
 namespace quay {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr std::size_t ringCapacity = 4096;
-constexpr auto renewPeriod = std::chrono::milliseconds(500);
-constexpr auto readPeriod = std::chrono::milliseconds(500);
-constexpr auto lease = std::chrono::seconds(5);
+constexpr auto tickPeriod = std::chrono::milliseconds(50);
+constexpr auto scanPeriod = std::chrono::seconds(1);
+constexpr auto serverListPeriod = std::chrono::seconds(1);
+constexpr auto storeTimeout = std::chrono::seconds(2);
+constexpr auto serverListTimeout = std::chrono::seconds(2);
+constexpr std::size_t maxServerListBytes = 16UL * 1024 * 1024;
+constexpr std::size_t serverListConnections = 1;
 
 Instant monotonicNow() { return std::chrono::steady_clock::now(); }
 
-std::optional<TopologyMember> memberOf(const TableRow& row)
+// Names the booted kernel and its network namespace: within one, a listening
+// address belongs to one process at a time. Empty if the system doesn't tell.
+std::string hostIdentity()
 {
-    boost::system::error_code ec;
-    const auto value = json::parse(row.value, ec);
-    if (ec || !value.is_object())
+    std::string bootId;
+    std::ifstream("/proc/sys/kernel/random/boot_id") >> bootId;
+    std::error_code ec;
+    const auto network = std::filesystem::read_symlink("/proc/self/ns/net", ec);
+    return bootId.empty() || ec ? std::string() : bootId + "/" + network.string();
+}
+
+std::optional<RosterRecord> recordOf(const TableRow& row)
+{
+    Reason reason;
+    return parseRosterRecord(row.value, reason);
+}
+
+// A row that can't be read is not a missing row: nobody may start a new roster over it.
+std::optional<roster::ReadAnswered> answerOf(const std::optional<std::vector<TableRow>>& rows)
+{
+    if (!rows || rows->size() != 1)
         return std::nullopt;
-    const auto& object = value.get_object();
-    TopologyMember member;
-    member.id = MemberId { std::string(object.at("id").as_string()) };
-    member.domain = DomainId { std::string(object.at("domain").as_string()) };
-    member.peerAddress = std::string(object.at("address").as_string());
-    return member;
+    const auto& row = rows->front();
+    auto record = row.version ? recordOf(row) : std::nullopt;
+    if (row.version && !record)
+        return std::nullopt;
+    return roster::ReadAnswered { std::move(record), row.version };
+}
+
+std::string vmOf(const MemberId& id) { return id.text.substr(0, id.text.rfind('#')); }
+
+std::set<std::string> leavingVms(const FleetList& list)
+{
+    std::set<std::string> names;
+    for (const auto& server : list.servers) {
+        if (server.kind == ServerKind::Entry && server.leaving)
+            names.insert(server.id.text);
+    }
+    return names;
 }
 
 } // namespace
 
-MembershipService::MembershipService(Identity self, StoreService& store)
+MembershipService::MembershipService(
+    Identity self, StoreService& store, PeerLink& peers, std::string vmListAddress)
     : Duty("membership", ringCapacity)
     , m_self(std::move(self))
     , m_store(store)
+    , m_peers(peers)
+    , m_vmListAddress(std::move(vmListAddress))
+    , m_vmListClient(context(), serverListConnections, maxServerListBytes)
 {
-    every(renewPeriod, [this] { renew(); });
-    every(readPeriod, [this] {
-        readMembers();
-        readServers();
-    });
+    m_state.domain = m_self.domain;
+    m_state.self = m_self.id;
+    m_state.address = m_self.peerAddress;
+    m_state.host = hostIdentity();
+    every(tickPeriod, [this] { feed(roster::Tick {}); });
+    every(scanPeriod, [this] { scanRosters(); });
+    every(serverListPeriod, [this] { readServers(); });
+    const auto handler = [this](const wire::Envelope& envelope) { receive(envelope); };
+    m_peers.onMessage(wire::Envelope::kHeartbeat, handler);
+    m_peers.onMessage(wire::Envelope::kPromiseRequest, handler);
+    m_peers.onMessage(wire::Envelope::kPromise, handler);
 }
 
 void MembershipService::onStart()
 {
-    renew();
-    readMembers();
+    feed(roster::Tick {});
+    scanRosters();
     readServers();
 }
 
-void MembershipService::renew()
+void MembershipService::drain()
 {
+    // A full ring empties soon; the drain must not get lost.
+    while (!post([this] { feed(roster::DrainRequested {}); }))
+        std::this_thread::yield();
+}
+
+void MembershipService::feed(const RosterEvent& event)
+{
+    const auto yieldedEpoch = m_state.yieldedEpoch;
+    const auto actions = step(m_state, event, monotonicNow());
+    publish();
+    // The other services go on with what moves away until they can see the new ownership, so the wait
+    // before the confirmation counts from here, should this thread have been held up since the step.
+    if (m_state.yieldedEpoch != yieldedEpoch)
+        m_state.yieldedAt = monotonicNow();
+    for (const auto& action : actions)
+        perform(action);
+}
+
+void MembershipService::publish()
+{
+    auto ownership = ownershipOf(m_state, *m_fleet.get());
+    if (ownership != *m_ownership.get())
+        m_ownership.set(std::move(ownership));
+    publishTopology();
+}
+
+void MembershipService::publishTopology()
+{
+    auto topology = topologyOf(m_scans, m_state, monotonicNow());
+    if (topology != *m_topology.get())
+        m_topology.set(std::move(topology));
+}
+
+void MembershipService::perform(const RosterAction& action)
+{
+    std::visit([this](const auto& one) { perform(one); }, action);
+}
+
+// --- the store ---
+
+void MembershipService::perform(const roster::ReadRow&)
+{
+    const auto flight = ++m_flights;
+    m_openRead = flight;
+    // The timer covers an answer that finds this duty's ring full.
+    after(storeTimeout, [this, flight] { endRead(flight, roster::ReadFailed {}); });
+    m_store.read({ rosterKey(m_self.domain) }, storeTimeout, [this, flight](auto rows) {
+        (void)post([this, flight, rows = std::move(rows)] {
+            const auto answer = answerOf(rows);
+            endRead(flight, answer ? RosterEvent(*answer) : RosterEvent(roster::ReadFailed {}));
+        });
+    });
+}
+
+void MembershipService::endRead(std::uint64_t flight, const RosterEvent& event)
+{
+    if (m_openRead != flight)
+        return;
+    m_openRead = 0;
+    feed(event);
+    noteEndedPredecessors();
+}
+
+void MembershipService::perform(const roster::WriteRow& action)
+{
+    const auto flight = ++m_flights;
+    m_openWrite = flight;
     Transaction transaction;
-    const json::object row { { "id", m_self.id.text }, { "domain", m_self.domain.text },
-        { "address", m_self.peerAddress } };
-    transaction.puts.push_back(
-        { "member/" + m_self.domain.text + "/" + m_self.id.text, json::serialize(row) });
-    m_store.commit(std::move(transaction), 2s, [](TransactionOutcome) {});
+    transaction.checks.push_back({ rosterKey(m_self.domain), action.expectedVersion });
+    transaction.puts.push_back({ rosterKey(m_self.domain), toJson(action.record) });
+    after(storeTimeout, [this, flight] { endWrite(flight, roster::WriteUnknown {}); });
+    m_store.commit(std::move(transaction), storeTimeout, [this, flight](TransactionOutcome outcome) {
+        (void)post([this, flight, outcome] {
+            if (outcome.status == TransactionStatus::Done)
+                endWrite(flight, roster::WriteDone { outcome.version });
+            else if (outcome.status == TransactionStatus::Conflict)
+                readAfterConflict(flight);
+            else
+                endWrite(flight, roster::WriteUnknown {});
+        });
+    });
 }
 
-void MembershipService::readMembers()
+void MembershipService::readAfterConflict(std::uint64_t flight)
 {
-    const auto askedAt = monotonicNow();
-    m_store.scan("member/", 2s, [this, askedAt](auto rows) {
-        if (rows)
-            (void)post([this, rows = std::move(*rows), askedAt] { onMembers(rows, askedAt); });
+    m_store.read({ rosterKey(m_self.domain) }, storeTimeout, [this, flight](auto rows) {
+        (void)post([this, flight, rows = std::move(rows)] {
+            const auto answer = answerOf(rows);
+            if (answer)
+                endWrite(flight, roster::WriteConflicted { answer->record, answer->version });
+            else
+                endWrite(flight, roster::WriteUnknown {});
+        });
     });
 }
 
-void MembershipService::readServers()
+void MembershipService::endWrite(std::uint64_t flight, const RosterEvent& event)
+{
+    if (m_openWrite != flight)
+        return;
+    m_openWrite = 0;
+    feed(event);
+}
+
+void MembershipService::noteEndedPredecessors()
+{
+    if (!m_state.known)
+        return;
+    for (const auto& id : endedPredecessors(*m_state.known, m_self.id, m_state.address, m_state.host))
+        feed(roster::PredecessorEnded { id });
+}
+
+// --- peers ---
+
+void MembershipService::send(const MemberId& to, wire::Envelope envelope)
+{
+    const auto* member = m_state.known ? findMember(*m_state.known, to) : nullptr;
+    if (member)
+        (void)m_peers.send(member->address, std::move(envelope));
+}
+
+void MembershipService::perform(const roster::SendHeartbeat& action)
+{
+    wire::Envelope envelope;
+    auto& heartbeat = *envelope.mutable_heartbeat();
+    heartbeat.set_to(action.to.text);
+    heartbeat.set_version(action.version);
+    heartbeat.set_leaving(action.leaving);
+    send(action.to, std::move(envelope));
+}
+
+void MembershipService::perform(const roster::SendPromiseRequest& action)
 {
-    m_store.getServers(2s, [this](HttpResult result) {
-        Reason reason;
-        if (!result.response || result.response->status != 200)
+    wire::Envelope envelope;
+    auto& request = *envelope.mutable_promise_request();
+    request.set_to(action.to.text);
+    request.set_request(action.request);
+    const auto length = std::chrono::duration_cast<std::chrono::microseconds>(action.length);
+    request.set_length_us(static_cast<std::uint64_t>(length.count()));
+    send(action.to, std::move(envelope));
+}
+
+void MembershipService::perform(const roster::SendPromise& action)
+{
+    wire::Envelope envelope;
+    envelope.mutable_promise()->set_to(action.to.text);
+    envelope.mutable_promise()->set_request(action.request);
+    send(action.to, std::move(envelope));
+}
+
+void MembershipService::receive(const wire::Envelope& envelope)
+{
+    const MemberId from { envelope.sender() };
+    std::string to;
+    RosterEvent event;
+    if (envelope.has_heartbeat()) {
+        const auto& heartbeat = envelope.heartbeat();
+        to = heartbeat.to();
+        event = roster::HeartbeatReceived { from, heartbeat.version(), heartbeat.leaving() };
+    } else if (envelope.has_promise_request()) {
+        const auto& request = envelope.promise_request();
+        to = request.to();
+        event = roster::PromiseRequested { from, request.request(),
+            std::chrono::microseconds(request.length_us()) };
+    } else {
+        to = envelope.promise().to();
+        event = roster::PromiseGranted { from, envelope.promise().request() };
+    }
+    // Request numbers start anew with each incarnation: a promise to an earlier one is not ours.
+    if (to == m_self.id.text)
+        (void)post([this, event] { feed(event); });
+}
+
+void MembershipService::perform(const roster::PublishOwnership& action)
+{
+    if (action.removed)
+        m_hasLeft = true;
+}
+
+// --- the other periodic reads ---
+
+void MembershipService::scanRosters()
+{
+    m_store.scan(rosterKey(DomainId {}), storeTimeout, [this](auto rows) {
+        if (!rows)
             return;
-        if (auto list = decodeServerList(result.response->body, reason))
-            m_fleet.set(std::move(*list));
+        std::vector<RosterRecord> records;
+        for (const auto& row : *rows) {
+            if (auto record = recordOf(row))
+                records.push_back(std::move(*record));
+        }
+        (void)post([this, records = std::move(records)] {
+            noteScan(m_scans, records, monotonicNow());
+            publishTopology();
+        });
     });
 }
 
-void MembershipService::onMembers(const std::vector<TableRow>& rows, Instant askedAt)
+void MembershipService::readServers()
 {
-    Topology topology;
-    for (const auto& row : rows) {
-        auto& sighting = m_sightings[row.key];
-        if (sighting.version != row.version)
-            sighting = { row.version, askedAt };
-        const auto member = memberOf(row);
-        if (!member || sighting.changedAt + lease < askedAt)
-            continue;
-        topology.members.push_back(*member);
-        topology.leads.emplace(member->domain, member->id); // rows come in key order: the first leads
-    }
-    publishOwnership(topology, askedAt);
-    m_topology.set(std::move(topology));
+    HttpRequest request;
+    request.target = "/v1/vms";
+    m_vmListClient.send(
+        m_vmListAddress, std::move(request), serverListTimeout, [this](const HttpResult& result) {
+            Reason reason;
+            if (!result.response || result.response->status != 200)
+                return;
+            if (auto list = decodeServerList(result.response->body, reason))
+                onServers(*list);
+        });
 }
 
-void MembershipService::publishOwnership(const Topology& topology, Instant askedAt)
+void MembershipService::onServers(const FleetList& list)
 {
-    Ownership ownership;
-    const auto* lead = topology.leadOf(m_self.domain);
-    ownership.leads = lead && lead->id == m_self.id;
-    ownership.epoch = 1;
-    ownership.validUntil = askedAt + lease;
-    std::vector<MemberId> peers;
-    for (const auto& member : topology.members) {
-        if (member.domain == m_self.domain)
-            peers.push_back(member.id);
-    }
-    const auto fleet = m_fleet.get();
-    for (const auto& server : fleet->servers) {
-        if (peers.empty() || server.kind != ServerKind::Executor || server.domain != m_self.domain)
-            continue;
-        if (peers[std::hash<ServerId>()(server.id) % peers.size()] == m_self.id)
-            ownership.executors.insert(server.id);
+    m_fleet.set(list);
+    // The list lags: a VM that was replaced under its old name may still be listed as leaving. So the flag
+    // counts only for a process that was seen before it was set.
+    const auto leaving = leavingVms(list);
+    roster::PlatformListed listed;
+    for (const auto& member : m_topology.get()->members) {
+        if (!leaving.count(vmOf(member.id)))
+            m_listedStaying.insert(member.id);
+        else if (m_listedStaying.count(member.id))
+            listed.leaving.push_back(member.id);
     }
-    m_ownership.set(std::move(ownership));
+    std::erase_if(m_listedStaying, [&](const auto& id) { return !m_topology.get()->find(id); });
+    const bool self = std::count(listed.leaving.begin(), listed.leaving.end(), m_self.id) > 0;
+    m_isListedLeaving = m_isListedLeaving || self;
+    feed(listed);
 }
 
 } // namespace quay
--- a/src/service/MembershipService.h
+++ b/src/service/MembershipService.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "net/HttpClient.h"
+#include "net/PeerLink.h"
 #include "platform/StoreService.h"
+#include "quay/core/Roster.h"
 #include "quay/kernel/Duty.h"
 #include "quay/kernel/Published.h"
 #include "service/Topology.h"
 
-#include <map>
+#include <atomic>
+#include <set>
 #include <string>
 
 namespace quay {
@@ -17,32 +21,71 @@
     std::string peerAddress;
 };
 
-/** Keeps this process in the roster and publishes the topology, the VM list and what this process owns. */
+/**
+ * Keeps this process in the roster of its failure domain and publishes the topology, the VM list
+ * and what this process owns. It performs what the roster core (core/Roster.h) decides.
+ */
 class MembershipService : public Duty {
 public:
-    MembershipService(Identity self, StoreService& store);
+    /**
+     * @param store should serve nobody else: conflicts on the roster row are normal, and leases must not wait
+     *     behind other writes
+     * @param vmListAddress of the platform's VM list, "ip:port"
+     */
+    MembershipService(Identity self, StoreService& store, PeerLink& peers, std::string vmListAddress);
 
     const Identity& self() const { return m_self; }
     const Published<Topology>& topology() const { return m_topology; }
     const Published<Ownership>& ownership() const { return m_ownership; }
     const Published<FleetList>& fleet() const { return m_fleet; }
 
-private:
-    struct Sighting {
-        std::uint64_t version = 0;
-        Instant changedAt {};
-    };
+    /** Hands over what this process owns and leaves the roster. Callable from any thread. */
+    void drain();
+
+    /** True once this process is out of the roster for good: after a drain, or because others removed it. */
+    bool hasLeft() const { return m_hasLeft; }
 
+    /** True once the platform listed this process's VM as leaving. */
+    bool isListedLeaving() const { return m_isListedLeaving; }
+
+private:
     void onStart() override;
-    void renew();
-    void readMembers();
+
+    void feed(const RosterEvent& event);
+    void publish();
+    void publishTopology();
+    void perform(const RosterAction& action);
+    void perform(const roster::ReadRow& action);
+    void perform(const roster::WriteRow& action);
+    void perform(const roster::SendHeartbeat& action);
+    void perform(const roster::SendPromiseRequest& action);
+    void perform(const roster::SendPromise& action);
+    void perform(const roster::PublishOwnership& action);
+    void send(const MemberId& to, wire::Envelope envelope);
+
+    void endRead(std::uint64_t flight, const RosterEvent& event);
+    void endWrite(std::uint64_t flight, const RosterEvent& event);
+    void readAfterConflict(std::uint64_t flight);
+    void noteEndedPredecessors();
+    void receive(const wire::Envelope& envelope);
+
+    void scanRosters();
     void readServers();
-    void onMembers(const std::vector<TableRow>& rows, Instant askedAt);
-    void publishOwnership(const Topology& topology, Instant askedAt);
+    void onServers(const FleetList& list);
 
     Identity m_self;
     StoreService& m_store;
-    std::map<std::string, Sighting> m_sightings; // by row key
+    PeerLink& m_peers;
+    std::string m_vmListAddress;
+    HttpClient m_vmListClient;
+    RosterState m_state;
+    RosterScans m_scans;
+    std::set<MemberId> m_listedStaying; // members whose VM the platform has not always listed as leaving
+    std::uint64_t m_flights = 0; // store requests so far
+    std::uint64_t m_openRead = 0; // the flight that is waited for; 0 if none
+    std::uint64_t m_openWrite = 0;
+    std::atomic<bool> m_hasLeft = false;
+    std::atomic<bool> m_isListedLeaving = false;
     Published<Topology> m_topology;
     Published<Ownership> m_ownership;
     Published<FleetList> m_fleet;
--- a/src/service/Topology.cpp
+++ b/src/service/Topology.cpp
@@ -4,6 +4,38 @@
 
 namespace quay {
 
+namespace {
+
+// Two renewals and a scan may be missed before a member of another domain is suspected.
+constexpr auto renewalSilenceLimit = std::chrono::seconds(6);
+// Renewals can't be seen while the scans fail, so after a gap each member gets its time anew.
+constexpr auto scanGap = std::chrono::seconds(3);
+
+bool isSilent(const RosterScans& scans, const MemberId& id)
+{
+    const auto it = scans.renewals.find(id);
+    return it != scans.renewals.end() && scans.lastScan - it->second.since > renewalSilenceLimit;
+}
+
+bool isMarkedLeaving(const RosterState& own, const MemberId& id)
+{
+    const auto it = own.detector.peers.find(id);
+    return it != own.detector.peers.end() && it->second.leaving;
+}
+
+void addDomain(Topology& topology, const RosterRecord& record)
+{
+    for (const auto& row : record.members) {
+        TopologyMember member { row.id, record.domain, row.address };
+        member.leaving = row.state == MemberState::Draining;
+        topology.members.push_back(std::move(member));
+    }
+    if (!record.lead.empty())
+        topology.leads[record.domain] = record.lead;
+}
+
+} // namespace
+
 const TopologyMember* Topology::find(const MemberId& id) const
 {
     auto it
@@ -14,7 +46,59 @@
 const TopologyMember* Topology::leadOf(const DomainId& domain) const
 {
     auto it = leads.find(domain);
-    return it == leads.end() ? nullptr : find(it->second);
+    const auto* lead = it == leads.end() ? nullptr : find(it->second);
+    return lead && !lead->suspected ? lead : nullptr;
+}
+
+void noteScan(RosterScans& scans, const std::vector<RosterRecord>& records, Instant now)
+{
+    const bool anew = now - scans.lastScan > scanGap;
+    std::map<MemberId, RenewalObservation> renewals;
+    scans.records.clear();
+    for (const auto& record : records) {
+        scans.records[record.domain] = record;
+        for (const auto& member : record.members) {
+            const auto seen = scans.renewals.find(member.id);
+            const bool unchanged
+                = !anew && seen != scans.renewals.end() && seen->second.renewal == member.renewal;
+            renewals[member.id] = { member.renewal, unchanged ? seen->second.since : now };
+        }
+    }
+    scans.renewals = std::move(renewals);
+    scans.lastScan = now;
+}
+
+Topology topologyOf(const RosterScans& scans, const RosterState& own, Instant now)
+{
+    Topology topology;
+    const bool knowsOwn = own.known && !own.removed;
+    for (const auto& [domain, record] : scans.records) {
+        if (domain != own.domain || !knowsOwn)
+            addDomain(topology, record);
+    }
+    if (knowsOwn)
+        addDomain(topology, *own.known);
+    for (auto& member : topology.members) {
+        const bool hearsIt = knowsOwn && member.domain == own.domain;
+        member.suspected = hearsIt ? isSuspected(own.detector, member.id, now) : isSilent(scans, member.id);
+        member.leaving = member.leaving || isMarkedLeaving(own, member.id);
+    }
+    return topology;
+}
+
+Ownership ownershipOf(const RosterState& own, const FleetList& fleet)
+{
+    Ownership ownership;
+    ownership.epoch = fencingToken(own);
+    ownership.validUntil = coveredUntil(own).value_or(Instant {});
+    ownership.leads = ownsInEveryView(own, LeadDuty {});
+    for (const auto& server : fleet.servers) {
+        const bool takesWork
+            = server.kind == ServerKind::Executor && server.domain == own.domain && !server.leaving;
+        if (takesWork && ownsInEveryView(own, server.id))
+            ownership.executors.insert(server.id);
+    }
+    return ownership;
 }
 
 } // namespace quay
--- a/src/service/Topology.h
+++ b/src/service/Topology.h
@@ -2,6 +2,7 @@
 
 #include "quay/core/Fleet.h"
 #include "quay/core/Ids.h"
+#include "quay/core/Roster.h"
 #include "quay/core/Time.h"
 
 #include <cstdint>
@@ -12,25 +13,30 @@
 
 namespace quay {
 
-/** One live entry VM process, of any failure domain. */
+/** One entry VM process in a roster, of any failure domain. */
 struct TopologyMember {
     MemberId id;
     DomainId domain;
     std::string peerAddress;
+    bool leaving = false; // drains, or its VM is listed as leaving
+    bool suspected = false; // silent for too long; a hint, it may live and own things
 
     bool operator==(const TopologyMember&) const = default;
+
+    /** True if new work may be forwarded to it. */
+    bool isUsable() const { return !leaving && !suspected; }
 };
 
 /** Who is there, and who leads each failure domain. A lagging view; it grants nothing. */
 struct Topology {
-    std::vector<TopologyMember> members;
+    std::vector<TopologyMember> members; // of all rosters, the suspected ones too
     std::map<DomainId, MemberId> leads;
 
     bool operator==(const Topology&) const = default;
 
     /** The member, or nullptr. */
     const TopologyMember* find(const MemberId& id) const;
-    /** The lead of a domain, or nullptr. */
+    /** The lead of a domain if it seems reachable, or nullptr. */
     const TopologyMember* leadOf(const DomainId& domain) const;
 };
 
@@ -50,4 +56,25 @@
     }
 };
 
+/**
+ * The rosters of all failure domains as scanned from the store. Members of other domains send no heartbeats
+ * here; their renewals tell whether they live.
+ */
+struct RosterScans {
+    std::map<DomainId, RosterRecord> records;
+    std::map<MemberId, RenewalObservation> renewals;
+    Instant lastScan {};
+
+    bool operator==(const RosterScans&) const = default;
+};
+
+/** Takes in a scan that was answered at `now`. */
+void noteScan(RosterScans& scans, const std::vector<RosterRecord>& records, Instant now);
+
+/** Everybody in the rosters; the own domain as this member's newest row and heartbeats tell. */
+Topology topologyOf(const RosterScans& scans, const RosterState& own, Instant now);
+
+/** What the member owns by its roster. Executors that are leaving get no new work and are left out. */
+Ownership ownershipOf(const RosterState& own, const FleetList& fleet);
+
 } // namespace quay
--- /dev/null
+++ b/tests/contract/MembershipTest.cpp
@@ -0,0 +1,160 @@
+#include "net/PeerLink.h"
+#include "service/Topology.h"
+
+#include <doctest/doctest.h>
+
+using namespace quay;
+
+namespace {
+
+const MemberId self { "a#1" };
+const MemberId peer { "b#1" };
+const MemberId farMember { "c#1" };
+const DomainId near { "d1" };
+const DomainId far { "d2" };
+constexpr auto address = "10.0.0.1:7000";
+constexpr auto host = "boot-1/net:[1]";
+
+RosterMember member(const MemberId& id, std::uint64_t renewal = 1)
+{
+    RosterMember row;
+    row.id = id;
+    row.renewal = renewal;
+    row.address = id.text + ":7000";
+    return row;
+}
+
+RosterRecord record(const DomainId& domain, std::vector<RosterMember> members)
+{
+    RosterRecord row { domain, 1, members.front().id, std::move(members) };
+    return row;
+}
+
+Instant at(Duration sinceStart) { return Instant {} + 1000s + sinceStart; }
+
+RosterState joinedState()
+{
+    RosterState state;
+    state.domain = near;
+    state.self = self;
+    state.known = record(near, { member(self), member(peer) });
+    state.held = { viewOf(*state.known) };
+    state.leaseStart = at(0s);
+    return state;
+}
+
+ServerInfo executor(const std::string& id, const DomainId& domain, bool leaving)
+{
+    ServerInfo server;
+    server.id = ServerId { id };
+    server.kind = ServerKind::Executor;
+    server.domain = domain;
+    server.leaving = leaving;
+    return server;
+}
+
+} // namespace
+
+TEST_CASE("a predecessor has ended only if this process holds its address on the same booted kernel")
+{
+    struct Row {
+        const char* id;
+        const char* address;
+        const char* host;
+        bool ended;
+    };
+    const Row rows[] = {
+        { "a#0", address, host, true }, { "old-name#0", address, host, true },
+        { "a#0", address, "boot-2/net:[1]", false }, // another boot, or another VM of that name
+        { "a#0", address, "boot-1/net:[2]", false }, { "a#0", address, "", false },
+        { "a#0", "10.0.0.1:7001", host, false }, { "a#1", address, host, false }, // this process
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.id);
+        CAPTURE(row.address);
+        CAPTURE(row.host);
+        auto entry = member(MemberId { row.id });
+        entry.address = row.address;
+        entry.host = row.host;
+        const auto ended = endedPredecessors(record(near, { entry }), self, address, host);
+        CHECK(ended.size() == (row.ended ? 1 : 0));
+    }
+    auto unknownHost = member(MemberId { "a#0" });
+    unknownHost.address = address;
+    CHECK(endedPredecessors(record(near, { unknownHost }), self, address, {}).empty());
+}
+
+TEST_CASE("a peer address belongs to one process at a time")
+{
+    const PeerLink first(self, near, "127.0.0.1:0");
+    CHECK_THROWS_AS(PeerLink(peer, near, first.address()), std::runtime_error);
+}
+
+TEST_CASE("members of other domains are suspected by their renewals, but not for a gap in the scans")
+{
+    struct Row {
+        std::vector<Duration> scans;
+        std::uint64_t renewalStep;
+        bool suspected;
+    };
+    const Row rows[] = {
+        { { 0s, 1s, 2s, 3s, 4s, 5s, 6s }, 0, false },
+        { { 0s, 1s, 2s, 3s, 4s, 5s, 6s, 7s }, 0, true },
+        { { 0s, 1s, 2s, 3s, 4s, 5s, 6s, 7s }, 1, false },
+        { { 0s, 1s, 2s, 20s, 21s, 22s }, 0, false },
+        { { 0s, 20s, 21s, 22s, 23s, 24s, 25s, 26s, 27s }, 0, true },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.scans.size());
+        CAPTURE(row.renewalStep);
+        RosterScans scans;
+        std::uint64_t renewal = 1;
+        for (const auto& time : row.scans)
+            noteScan(scans, { record(far, { member(farMember, renewal += row.renewalStep) }) }, at(time));
+        const auto topology = topologyOf(scans, joinedState(), at(row.scans.back()));
+        REQUIRE(topology.find(farMember));
+        CHECK(topology.find(farMember)->suspected == row.suspected);
+        CHECK((topology.leadOf(far) == nullptr) == row.suspected);
+    }
+}
+
+TEST_CASE("members of the own domain are suspected and leave by their heartbeats")
+{
+    auto state = joinedState();
+    RosterScans scans;
+    noteHeartbeat(state.detector, peer, false, at(0s));
+    for (int i = 0; i <= 100; ++i)
+        noteTick(state.detector, at(i * 50ms));
+    CHECK(topologyOf(scans, state, at(5s)).find(peer)->suspected);
+    noteHeartbeat(state.detector, peer, false, at(5s));
+    CHECK(topologyOf(scans, state, at(5s)).find(peer)->isUsable());
+    noteHeartbeat(state.detector, peer, true, at(5s));
+    CHECK_FALSE(topologyOf(scans, state, at(5s)).find(peer)->isUsable());
+    CHECK_FALSE(topologyOf(scans, state, at(5s)).find(peer)->suspected);
+}
+
+TEST_CASE("ownership ends with the lease and leaves out what moves away or leaves")
+{
+    auto state = joinedState();
+    FleetList fleet;
+    for (int i = 0; i < 16; ++i) {
+        const auto name = "x" + std::to_string(i);
+        fleet.servers.push_back(executor(name, near, false));
+        fleet.servers.push_back(executor("leaving-" + name, near, true));
+        fleet.servers.push_back(executor("far-" + name, far, false));
+    }
+    const auto ownership = ownershipOf(state, fleet);
+    CHECK(ownership.epoch == 1);
+    CHECK(ownership.mayLead(at(6s) - 1ns));
+    CHECK_FALSE(ownership.mayLead(at(6s)));
+    CHECK_FALSE(ownership.executors.empty());
+    CHECK(ownership.executors.size() < 16);
+    for (const auto& id : ownership.executors)
+        CHECK(ownerOf(state.held.front(), id) == self);
+
+    // A pending epoch in which this member owns nothing takes everything away at once.
+    state.held.push_back(OwnershipView { 2, { peer }, peer });
+    CHECK_FALSE(ownershipOf(state, fleet).leads);
+    CHECK(ownershipOf(state, fleet).executors.empty());
+    CHECK(ownershipOf(state, fleet).epoch == 1);
+}
--- a/tests/cores/RosterTest.cpp
+++ b/tests/cores/RosterTest.cpp
@@ -51,7 +51,8 @@
 {
     RosterRecord record { DomainId { "d1" }, 7, MemberId { "a#1" }, {} };
     record.members.push_back({ MemberId { "a#1" }, MemberState::Active, 12, 6000, 3, 7 });
-    record.members.push_back({ MemberId { "b#\"2" }, MemberState::Draining, 5, 6000, 4, 6 });
+    record.members.push_back(
+        { MemberId { "b#\"2" }, MemberState::Draining, 5, 6000, 4, 6, "10.0.0.2:7000", "boot/net" });
     return record;
 }
 
--- /dev/null
+++ b/tests/processes/FailoverRequestsTest.cpp
@@ -0,0 +1,191 @@
+#include "LocalFleet.h"
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+
+using namespace quay;
+using namespace quay::test;
+
+namespace {
+
+constexpr auto healthTimeout = 1s;
+
+/** Callers behind a balancer: each request goes to the first entry VM, from `first` on, whose health check
+ * passes. */
+class Callers {
+public:
+    Callers(const LocalFleet& fleet, std::size_t first, std::string target, std::string key)
+        : m_fleet(fleet)
+        , m_first(first)
+        , m_target(std::move(target))
+        , m_key(std::move(key))
+    {
+        for (int i = 0; i < threadCount; ++i)
+            m_threads.emplace_back([this, i] { run(i); });
+    }
+
+    ~Callers() { stop(); }
+
+    void stop()
+    {
+        m_stop = true;
+        for (auto& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+    std::size_t answered() const { return m_answered; }
+
+    /** What was answered with anything but the whole echo of the request, or not at all. */
+    std::vector<std::string> failures() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_failures;
+    }
+
+private:
+    static constexpr int threadCount = 4;
+
+    std::string healthyAddress() const
+    {
+        const auto& entries = m_fleet.entries();
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            const auto& address = entries[(m_first + i) % entries.size()].callerAddress;
+            const auto health = httpCall(address, httpGet("/healthz"), healthTimeout);
+            if (health && health->status == 200)
+                return address;
+        }
+        return {};
+    }
+
+    void run(int thread)
+    {
+        for (int i = 0; !m_stop; ++i) {
+            const auto body = std::to_string(thread) + "-" + std::to_string(i);
+            const auto address = healthyAddress();
+            const auto response = httpCall(address, httpPost(m_target, body, m_key));
+            ++m_answered;
+            if (response && response->status == 200 && response->body == "echo:" + body)
+                continue;
+            std::lock_guard lock(m_mutex);
+            m_failures.push_back(body + " at " + address + ": "
+                + (response ? std::to_string(response->status) + " " + response->body : "no answer"));
+        }
+    }
+
+    const LocalFleet& m_fleet;
+    std::size_t m_first;
+    std::string m_target;
+    std::string m_key;
+    std::atomic<bool> m_stop = false;
+    std::atomic<std::size_t> m_answered = 0;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_failures;
+    std::vector<std::thread> m_threads;
+};
+
+void waitForMore(const Callers& callers, std::size_t count)
+{
+    const auto target = callers.answered() + count;
+    waitFor("more requests are answered", [&] { return callers.answered() >= target; });
+}
+
+void judge(const Callers& callers)
+{
+    for (const auto& failure : callers.failures())
+        FAIL_CHECK(failure);
+}
+
+void waitForAnswers(const LocalFleet& fleet, const std::string& target, const std::string& key)
+{
+    waitFor("every entry VM answers requests", [&] {
+        for (const auto& entry : fleet.entries()) {
+            const auto response = httpCall(entry.callerAddress, httpPost(target, "x", key));
+            if (!response || response->status != 200)
+                return false;
+        }
+        return true;
+    });
+}
+
+constexpr auto lookup = "/v1/ask?queue=lookup";
+constexpr auto openQueue = "/v1/ask?queue=prices";
+
+} // namespace
+
+TEST_CASE("SIGTERM under load of interactive requests: every request is answered, exit 0")
+{
+    LocalFleet fleet({ .executorsPerDomain = 6, .serviceMs = 50 });
+    waitForAnswers(fleet, lookup, clinicKey);
+    Callers callers(fleet, 0, lookup, clinicKey);
+    waitForMore(callers, 50);
+    fleet.signal(0, SIGTERM);
+    CHECK(fleet.waitForExit(0) == 0);
+    waitForMore(callers, 50);
+    callers.stop();
+    judge(callers);
+}
+
+TEST_CASE("a second SIGTERM ends at once with exit 1 when work is left")
+{
+    LocalFleet fleet({ .serviceMs = 3000 });
+    std::thread caller([&] {
+        auto request = httpPost(lookup, "slow", clinicKey);
+        request.headers["Deadline-Ms"] = "20000";
+        (void)httpCall(fleet.entry(0).callerAddress, std::move(request), 20s);
+    });
+    const auto requestRuns = [&] {
+        for (const auto& executor : fleet.executors()) {
+            if (fleet.ledger(executor).at("max_busy").to_number<std::uint64_t>())
+                return true;
+        }
+        return false;
+    };
+    waitFor("the request runs", requestRuns);
+    fleet.signal(0, SIGTERM);
+    waitFor("the health check fails", [&] {
+        const auto health = httpCall(fleet.entry(0).callerAddress, httpGet("/healthz"), healthTimeout);
+        return health && health->status != 200;
+    });
+    fleet.signal(0, SIGTERM);
+    CHECK(fleet.waitForExit(0) == 1);
+    caller.join();
+}
+
+TEST_CASE("the store is down for longer than every lease while all members live: work goes on")
+{
+    LocalFleet fleet({ .executorsPerDomain = 6 });
+    waitForAnswers(fleet, openQueue, {});
+    constexpr auto endless
+        = R"({"queue":"nightly","kind":"service","idempotent":true,"payload":"{\"run_ms\":0}"})";
+    const auto job = fleet.submit(0, endless, agentsKey, "outage");
+    const auto starts = [&] {
+        std::vector<std::int64_t> ends;
+        for (const auto& worker : fleet.workers()) {
+            for (const auto& item : fleet.ledger(worker).at("entries").as_array())
+                ends.push_back(item.at("end_us").as_int64());
+        }
+        return ends;
+    };
+    waitFor("the job runs", [&] { return !starts().empty(); });
+
+    fleet.setPlatformFaults(R"({"down":true})");
+    const auto outageStart = std::chrono::steady_clock::now();
+    Callers callers(fleet, 0, openQueue, {});
+    // The length of the outage, not a time limit for a verdict: three leases and more.
+    constexpr auto outage = 20s;
+    waitFor("the outage has lasted", [&] { return std::chrono::steady_clock::now() - outageStart > outage; });
+    waitForMore(callers, 50);
+    callers.stop();
+    judge(callers);
+    CHECK(starts() == std::vector<std::int64_t> { 0 }); // started once, and it runs still
+
+    fleet.setPlatformFaults("{}");
+    waitForAnswers(fleet, lookup, clinicKey);
+    CHECK(fleet.isRunning(0));
+    CHECK(fleet.isRunning(1));
+    CHECK(fleet.violations().empty());
+}
--- /dev/null
+++ b/tests/processes/FailoverTest.cpp
@@ -0,0 +1,172 @@
+#include "LocalFleet.h"
+
+#include "platform/ServerListCodec.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace quay;
+using namespace quay::test;
+
+namespace {
+
+constexpr auto idempotentTasks
+    = R"({"queue":"nightly","tasks":3,"idempotent":true,"cpu_milli":500,"payload":"{\"run_ms\":1500}"})";
+constexpr auto singleRunTasks
+    = R"({"queue":"nightly","tasks":3,"cpu_milli":500,"payload":"{\"run_ms\":1500}"})";
+constexpr int jobsOfEachKind = 3;
+
+struct Submitted {
+    std::string job;
+    bool idempotent = false;
+};
+
+std::vector<Submitted> submitJobs(LocalFleet& fleet, std::size_t entry, const std::string& prefix)
+{
+    std::vector<Submitted> jobs;
+    for (int i = 0; i < jobsOfEachKind; ++i) {
+        const auto name = prefix + std::to_string(i);
+        jobs.push_back({ fleet.submit(entry, idempotentTasks, agentsKey, name + "-idempotent"), true });
+        jobs.push_back({ fleet.submit(entry, singleRunTasks, agentsKey, name + "-single"), false });
+    }
+    return jobs;
+}
+
+std::map<std::string, int> startsByTask(const LocalFleet& fleet)
+{
+    std::map<std::string, int> starts;
+    for (const auto& worker : fleet.workers()) {
+        for (const auto& item : fleet.ledger(worker).at("entries").as_array())
+            ++starts[std::string(item.at("task").as_string())];
+    }
+    return starts;
+}
+
+bool belongsTo(const std::string& task, const std::string& job) { return task.starts_with(job); }
+
+// No job is lost: idempotent ones succeed; of the others each ends, and no task of theirs ran twice.
+void awaitAndJudge(LocalFleet& fleet, std::size_t viewer, const std::vector<Submitted>& jobs)
+{
+    for (const auto& [job, idempotent] : jobs) {
+        CAPTURE(job);
+        waitFor("job " + job + " has ended", [&, job = job] {
+            const auto state = fleet.jobState(viewer, job, agentsKey);
+            return !state.empty() && state != "active";
+        });
+        if (idempotent)
+            CHECK(fleet.jobState(viewer, job, agentsKey) == "succeeded");
+    }
+    for (const auto& [task, starts] : startsByTask(fleet)) {
+        for (const auto& [job, idempotent] : jobs) {
+            if (!idempotent && belongsTo(task, job))
+                CHECK_MESSAGE(starts == 1, task);
+        }
+    }
+    for (const auto& violation : fleet.violations())
+        FAIL_CHECK(violation);
+}
+
+std::size_t otherThan(std::size_t entry) { return entry == 0 ? 1 : 0; }
+
+std::size_t leadIndex(LocalFleet& fleet, std::size_t viewer)
+{
+    std::optional<std::size_t> lead;
+    waitFor("the domain has a lead", [&] { return (lead = fleet.leadOf("d1", viewer)).has_value(); });
+    return *lead;
+}
+
+void waitForOtherLead(LocalFleet& fleet, std::size_t viewer, std::size_t oldLead)
+{
+    waitFor("another entry VM leads", [&] {
+        const auto lead = fleet.leadOf("d1", viewer);
+        return lead && *lead != oldLead;
+    });
+}
+
+std::size_t memberCount(LocalFleet& fleet, std::size_t viewer)
+{
+    const auto view = fleet.fleetView(viewer);
+    return view.is_object() ? view.at("members").as_array().size() : 0;
+}
+
+void waitForMembers(LocalFleet& fleet, std::size_t viewer, std::size_t count)
+{
+    waitFor(std::to_string(count) + " members are in the roster",
+        [&] { return memberCount(fleet, viewer) == count; });
+}
+
+} // namespace
+
+TEST_CASE("after kill -9 of the lead another entry VM takes over: no job lost, no task twice at once")
+{
+    LocalFleet fleet({ .entriesPerDomain = 3 });
+    const auto lead = leadIndex(fleet, 0);
+    const auto viewer = otherThan(lead);
+    const auto jobs = submitJobs(fleet, viewer, "killed-");
+    waitFor("tasks run", [&] { return !startsByTask(fleet).empty(); });
+    fleet.signal(lead, SIGKILL);
+    waitForOtherLead(fleet, viewer, lead);
+    awaitAndJudge(fleet, viewer, jobs);
+
+    fleet.restart(lead);
+    waitForMembers(fleet, viewer, 3);
+    awaitAndJudge(fleet, lead, submitJobs(fleet, lead, "after-"));
+}
+
+TEST_CASE("a lead that was stopped past its lease does no harm and leaves with its own exit code")
+{
+    LocalFleet fleet({ .entriesPerDomain = 3 });
+    const auto lead = leadIndex(fleet, 0);
+    const auto viewer = otherThan(lead);
+    const auto jobs = submitJobs(fleet, viewer, "stopped-");
+    waitFor("tasks run", [&] { return !startsByTask(fleet).empty(); });
+    fleet.signal(lead, SIGSTOP);
+    waitForOtherLead(fleet, viewer, lead);
+    fleet.signal(lead, SIGCONT);
+    CHECK(fleet.waitForExit(lead) == 3);
+    awaitAndJudge(fleet, viewer, jobs);
+
+    fleet.restart(lead);
+    waitForMembers(fleet, viewer, 3);
+}
+
+TEST_CASE("a lead that drains hands over while its jobs run")
+{
+    LocalFleet fleet({ .entriesPerDomain = 2 });
+    const auto lead = leadIndex(fleet, 0);
+    const auto viewer = otherThan(lead);
+    const auto jobs = submitJobs(fleet, viewer, "drained-");
+    waitFor("tasks run", [&] { return !startsByTask(fleet).empty(); });
+    fleet.signal(lead, SIGTERM);
+    CHECK(fleet.waitForExit(lead) == 0);
+    waitForMembers(fleet, viewer, 1);
+    awaitAndJudge(fleet, viewer, jobs);
+}
+
+TEST_CASE("a VM that the platform lists as leaving drains by itself")
+{
+    LocalFleet fleet({});
+    const auto lead = leadIndex(fleet, 0);
+    const auto viewer = otherThan(lead);
+    const auto& vm = fleet.entry(lead);
+    const auto list = [&](bool leaving) {
+        ServerInfo row;
+        row.id = ServerId { vm.name };
+        row.kind = ServerKind::Entry;
+        row.domain = DomainId { vm.domain };
+        row.address = vm.peerAddress;
+        row.leaving = leaving;
+        return httpCall(fleet.platformAddress(), httpPost("/v1/vms", encodeServer(row)));
+    };
+    const auto added = list(false);
+    REQUIRE(added);
+    REQUIRE_MESSAGE(added->status == 200, added->body);
+    waitFor("the VM list shows the entry VM", [&] {
+        const auto view = fleet.fleetView(lead);
+        return view.is_object() && view.at("servers_by_domain").at("d1").as_int64() == 6;
+    });
+    REQUIRE(list(true));
+    CHECK(fleet.waitForExit(lead) == 0);
+    waitForOtherLead(fleet, viewer, lead);
+    waitForMembers(fleet, viewer, 1);
+}
