--- a/demo.sh
+++ b/demo.sh
@@ -7,7 +7,11 @@
 cmake --build --preset release > /dev/null
 work=$(mktemp -d)
 pids=()
+daemons=()
 finish() {
+    # The daemons first: their drain needs the table service.
+    for pid in "${daemons[@]}"; do kill "$pid" 2> /dev/null || true; done
+    for pid in "${daemons[@]}"; do wait "$pid" || true; done
     for pid in "${pids[@]}"; do kill "$pid" 2> /dev/null || true; done
     wait || true
     rm -rf "$work"
@@ -39,7 +43,7 @@
 platform=$(head -1 "$work/platform")
 
 for domain in d1 d2; do
-    build/standin/quay-standin backend --domain $domain --platform "$platform" --workers 4 --executors 2 \
+    build/standin/quay-standin backend --domain $domain --platform "$platform" --workers 4 --executors 6 \
         --port-file "$work/backend-$domain" > /dev/null &
     pids+=($!)
     for n in 1 2; do
@@ -54,7 +58,7 @@
 vm_list = "$platform"
 T
         build/daemons/quayd --settings "$work/$domain-$n.toml" &
-        pids+=($!)
+        daemons+=($!)
     done
 done
 for domain in d1 d2; do
--- a/src/service/MembershipService.cpp
+++ b/src/service/MembershipService.cpp
@@ -79,7 +79,10 @@
     m_state.self = m_self.id;
     m_state.address = m_self.peerAddress;
     m_state.host = hostIdentity();
-    every(tickPeriod, [this] { feed(roster::Tick {}); });
+    every(tickPeriod, [this] {
+        feed(roster::Tick {});
+        publishTopology();
+    });
     every(scanPeriod, [this] { scanRosters(); });
     every(serverListPeriod, [this] { readServers(); });
     const auto handler = [this](const wire::Envelope& envelope) { receive(envelope); };
@@ -120,12 +123,11 @@
     auto ownership = ownershipOf(m_state, *m_fleet.get());
     if (ownership != *m_ownership.get())
         m_ownership.set(std::move(ownership));
-    publishTopology();
 }
 
 void MembershipService::publishTopology()
 {
-    auto topology = topologyOf(m_scans, m_state, monotonicNow());
+    auto topology = topologyOf(m_scans, m_state, *m_fleet.get(), monotonicNow());
     if (topology != *m_topology.get())
         m_topology.set(std::move(topology));
 }
--- a/src/service/Topology.cpp
+++ b/src/service/Topology.cpp
@@ -23,11 +23,29 @@
     return it != own.detector.peers.end() && it->second.leaving;
 }
 
-void addDomain(Topology& topology, const RosterRecord& record)
+bool takesWork(const ServerInfo& server, const DomainId& domain)
 {
+    return server.kind == ServerKind::Executor && server.domain == domain && !server.leaving;
+}
+
+std::map<MemberId, std::uint32_t> slotsByOwner(const RosterRecord& record, const FleetList& fleet)
+{
+    const auto view = viewOf(record);
+    std::map<MemberId, std::uint32_t> slots;
+    for (const auto& server : fleet.servers) {
+        if (takesWork(server, record.domain))
+            slots[ownerOf(view, server.id)] += server.slots;
+    }
+    return slots;
+}
+
+void addDomain(Topology& topology, const RosterRecord& record, const FleetList& fleet)
+{
+    auto slots = slotsByOwner(record, fleet);
     for (const auto& row : record.members) {
         TopologyMember member { row.id, record.domain, row.address };
         member.leaving = row.state == MemberState::Draining;
+        member.slots = slots[row.id];
         topology.members.push_back(std::move(member));
     }
     if (!record.lead.empty())
@@ -68,16 +86,16 @@
     scans.lastScan = now;
 }
 
-Topology topologyOf(const RosterScans& scans, const RosterState& own, Instant now)
+Topology topologyOf(const RosterScans& scans, const RosterState& own, const FleetList& fleet, Instant now)
 {
     Topology topology;
     const bool knowsOwn = own.known && !own.removed;
     for (const auto& [domain, record] : scans.records) {
         if (domain != own.domain || !knowsOwn)
-            addDomain(topology, record);
+            addDomain(topology, record, fleet);
     }
     if (knowsOwn)
-        addDomain(topology, *own.known);
+        addDomain(topology, *own.known, fleet);
     for (auto& member : topology.members) {
         const bool hearsIt = knowsOwn && member.domain == own.domain;
         member.suspected = hearsIt ? isSuspected(own.detector, member.id, now) : isSilent(scans, member.id);
@@ -93,9 +111,7 @@
     ownership.validUntil = coveredUntil(own).value_or(Instant {});
     ownership.leads = ownsInEveryView(own, LeadDuty {});
     for (const auto& server : fleet.servers) {
-        const bool takesWork
-            = server.kind == ServerKind::Executor && server.domain == own.domain && !server.leaving;
-        if (takesWork && ownsInEveryView(own, server.id))
+        if (takesWork(server, own.domain) && ownsInEveryView(own, server.id))
             ownership.executors.insert(server.id);
     }
     return ownership;
--- a/src/service/Topology.h
+++ b/src/service/Topology.h
@@ -20,6 +20,7 @@
     std::string peerAddress;
     bool leaving = false; // drains, or its VM is listed as leaving
     bool suspected = false; // silent for too long; a hint, it may live and own things
+    std::uint32_t slots = 0; // of the executors that it owns by its roster
 
     bool operator==(const TopologyMember&) const = default;
 
@@ -72,7 +73,7 @@
 void noteScan(RosterScans& scans, const std::vector<RosterRecord>& records, Instant now);
 
 /** Everybody in the rosters; the own domain as this member's newest row and heartbeats tell. */
-Topology topologyOf(const RosterScans& scans, const RosterState& own, Instant now);
+Topology topologyOf(const RosterScans& scans, const RosterState& own, const FleetList& fleet, Instant now);
 
 /** What the member owns by its roster. Executors that are leaving get no new work and are left out. */
 Ownership ownershipOf(const RosterState& own, const FleetList& fleet);
