--- a/include/quay/telemetry/Event.h
+++ b/include/quay/telemetry/Event.h
@@ -23,6 +23,7 @@
     DaemonStopped = 1003,
     WorkLeftBehind = 1004,
     SettingsRejected = 1005,
+    NotHandedOver = 1006,
     RequestRefused = 1101,
     RequestFailed = 1102,
     LeadGained = 1201,
--- a/src/telemetry/Event.cpp
+++ b/src/telemetry/Event.cpp
@@ -14,7 +14,7 @@
 constexpr std::array table {
     EventEntry { DaemonStarted, "daemon_started", Info, "member domain callers peers",
         "the daemon listens for callers and peers", "nothing to do" },
-    EventEntry { DaemonDraining, "daemon_draining", Info, "in_flight",
+    EventEntry { DaemonDraining, "daemon_draining", Info, "why in_flight",
         "a graceful shutdown began; the health check fails from now on",
         "wait for daemon_stopped; a second SIGTERM ends it at once" },
     EventEntry { DaemonStopped, "daemon_stopped", Info, "exit_code", "the daemon ends", "nothing to do" },
@@ -23,6 +23,9 @@
         "raise limits.drain_limit_ms if the requests are that long" },
     EventEntry { SettingsRejected, "settings_rejected", Error, "detail", "the settings file has errors",
         "correct the named lines and start the daemon again" },
+    EventEntry { NotHandedOver, "not_handed_over", Warning, "member",
+        "the process ended before another member had taken over what it owned",
+        "its part passes on when its lease has lapsed" },
     EventEntry { RequestRefused, "request_refused", Debug, "kind route trace",
         "a caller's request was not run", "the answer to the caller names the remedy" },
     EventEntry { RequestFailed, "request_failed", Warning, "kind route trace",
--- a/tests/processes/LocalFleet.cpp
+++ b/tests/processes/LocalFleet.cpp
@@ -5,11 +5,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <thread>
 
 namespace quay::test {
@@ -164,7 +166,10 @@
     auto child = std::make_unique<Child>();
     const std::vector<std::string> arguments(words.begin() + 1, words.end());
     child->handle = process::child(
-        process::exe = words.front(), process::args = arguments, process::std_out > process::null);
+        process::exe = words.front(), process::args = arguments, process::std_out > process::null, process::extend::on_exec_setup = [](auto&) {
+            // A test program that crashes takes its children along.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        });
     return child;
 }
 
