--- a/tests/processes/FailoverRequestsTest.cpp
+++ b/tests/processes/FailoverRequestsTest.cpp
@@ -165,7 +165,8 @@
     const auto starts = [&] {
         std::vector<std::int64_t> ends;
         for (const auto& worker : fleet.workers()) {
-            for (const auto& item : fleet.ledger(worker).at("entries").as_array())
+            const auto ledger = fleet.ledger(worker);
+            for (const auto& item : ledger.at("entries").as_array())
                 ends.push_back(item.at("end_us").as_int64());
         }
         return ends;
--- a/tests/processes/FailoverTest.cpp
+++ b/tests/processes/FailoverTest.cpp
@@ -36,7 +36,8 @@
 {
     std::map<std::string, int> starts;
     for (const auto& worker : fleet.workers()) {
-        for (const auto& item : fleet.ledger(worker).at("entries").as_array())
+        const auto ledger = fleet.ledger(worker);
+        for (const auto& item : ledger.at("entries").as_array())
             ++starts[std::string(item.at("task").as_string())];
     }
     return starts;
