HTTP client: its idle connections end with it

An idle connection held its client and the client held it, so neither was ever freed. Found by the outage test: after 4096 requests by clients of one call the server's connections were all taken until their idle timeout, and callers got no answer for 10 s.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -52,6 +52,7 @@
     asio::io_context& context;
     std::size_t maxConnections;
     std::size_t maxResponseBytes;
+    bool closed = false; // no connection is kept any more
     std::map<std::string, Pool> pools;
 };
 
@@ -201,7 +202,7 @@
 {
     auto exchange = std::move(m_exchange);
     auto& pool = m_client->pools[m_address];
-    if (keep) {
+    if (keep && !m_client->closed) {
         m_stream.expires_never();
         pool.idle.push_back(shared_from_this());
     } else {
@@ -252,7 +253,13 @@
 {
 }
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient()
+{
+    // An idle connection holds its client and the client holds it: the ring is cut here.
+    m_impl->closed = true;
+    for (auto& [address, pool] : m_impl->pools)
+        pool.idle.clear();
+}
 
 void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, Done done)
 {
--- /dev/null
+++ b/tests/contract/HttpClientTest.cpp
@@ -0,0 +1,41 @@
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+
+using namespace quay;
+
+namespace {
+
+long openFiles()
+{
+    const std::filesystem::directory_iterator files("/proc/self/fd");
+    return std::distance(begin(files), end(files));
+}
+
+} // namespace
+
+TEST_CASE("a client takes its idle connections with it")
+{
+    boost::asio::io_context context(1);
+    HttpServer server(context, "127.0.0.1:0", HttpLimits {},
+        [](const HttpRequest&, const Respond& respond) { respond(HttpResponse {}); });
+    server.start();
+    const auto call = [&] {
+        HttpClient client(context, 1, 1024);
+        bool answered = false;
+        client.send(server.address(), HttpRequest {}, 10s,
+            [&](const HttpResult& result) { answered = result.response.has_value(); });
+        while (!answered)
+            context.run_one();
+    };
+    call();
+    while (context.poll_one()) { }
+    const auto before = openFiles();
+    for (int i = 0; i < 20; ++i)
+        call();
+    // The server's ends close when it has read the ends of its connections.
+    while (openFiles() > before && context.run_one_for(10s)) { }
+    CHECK(openFiles() <= before);
+}
