--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t ringCapacity = 1024;
 constexpr std::uint32_t maxDeadlineMs = 300'000;
 constexpr std::size_t maxRequestIdBytes = 128;
+constexpr std::uint64_t maxWatchWaitMs = 30'000;
+constexpr auto bootstrapId = "(no configuration yet)"; // no key has a blank in its id
 constexpr std::string_view bearer = "Bearer ";
 
 HttpLimits limitsOf(const Settings& settings)
@@ -31,7 +33,37 @@
     return response;
 }
 
-bool isOperatorPath(const std::string& path) { return path == "/v1/fleet" || path == "/v1/config"; }
+bool isOperatorPath(const std::string& path)
+{
+    return path == "/v1/fleet" || path == "/v1/config" || path == "/v1/config/status" || path == "/v1/teams"
+        || path.starts_with("/v1/traces");
+}
+
+// The route of a request without ids, so that the number of metrics is bounded.
+std::string routeName(const HttpRequest& request)
+{
+    const auto path = request.path();
+    if (path == "/v1/ask")
+        return "ask";
+    if (path == "/v1/watch")
+        return "watch";
+    if (path == "/v1/jobs")
+        return request.method == "POST" ? "submit" : "list";
+    if (path.starts_with("/v1/jobs/"))
+        return path.ends_with("/cancel") ? "cancel" : path.ends_with("/explain") ? "explain" : "status";
+    return isOperatorPath(path) ? "operator" : "other";
+}
+
+// The error kind in the body of a refusal; "none" for success.
+std::string errorKindOf(const HttpResponse& response)
+{
+    if (response.status < 300)
+        return "none";
+    boost::system::error_code ec;
+    const auto value = json::parse(response.body, ec);
+    const auto* error = !ec && value.is_object() ? value.get_object().if_contains("error") : nullptr;
+    return error ? std::string(error->at("kind").as_string()) : "other";
+}
 
 bool takesKind(QueueKind queue, JobKind job) { return queue == QueueKind::Any || text(queue) == text(job); }
 
@@ -49,6 +81,27 @@
     return number;
 }
 
+// Reads a query parameter that must be a whole number; 0 if it is absent.
+std::optional<std::uint64_t> numberQuery(const HttpRequest& request, const std::string& name, Reason& reason)
+{
+    const auto value = request.query(name);
+    std::uint64_t number = 0;
+    const auto [rest, ec] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (!value.empty() && (ec != std::errc() || rest != value.data() + value.size()))
+        return fail(reason, ErrorKind::MalformedRequest, name + " must be a whole number");
+    return number;
+}
+
+JobService::Done relay(const Respond& respond)
+{
+    return [respond](JobReply reply) {
+        HttpResponse response;
+        response.status = reply.status;
+        response.body = std::move(reply.body);
+        respond(std::move(response));
+    };
+}
+
 std::optional<bool> booleanHeader(
     const HttpRequest& request, const std::string& name, bool fallback, Reason& reason)
 {
@@ -79,12 +132,15 @@
 } // namespace
 
 CallerService::CallerService(const Settings& settings, MembershipService& membership,
-    ConfigurationService& configuration, InteractiveService& interactive, JobService& jobs)
+    ConfigurationService& configuration, QuotaService& quota, InteractiveService& interactive,
+    JobService& jobs, Telemetry telemetry)
     : Duty("callers", ringCapacity)
     , m_membership(membership)
     , m_configuration(configuration)
+    , m_quota(quota)
     , m_interactive(interactive)
     , m_jobs(jobs)
+    , m_telemetry(telemetry)
     , m_server(context(), settings.listen, limitsOf(settings),
           [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
 {
@@ -93,14 +149,58 @@
 void CallerService::handle(HttpRequest request, Respond respond)
 {
     const auto path = request.path();
-    if (path == "/healthz")
+    if (path == "/healthz") {
         health(respond);
-    else if (path == "/v1/ask" && request.method == "POST")
+        return;
+    }
+    if (path == "/metrics") {
+        showMetrics(respond);
+        return;
+    }
+    auto span = m_telemetry.traces.begin("entry", parseTraceparent(request.header("traceparent")));
+    request.headers["traceparent"] = traceparent(span.context);
+    const auto answer = observed(request, std::move(span), std::move(respond));
+    route(request, answer);
+}
+
+// Counts, times and traces the answer on its way to the caller.
+Respond CallerService::observed(const HttpRequest& request, Span span, Respond respond)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    const auto name = routeName(request);
+    auto& duration = m_telemetry.metrics.histogram("quay_request_duration_seconds",
+        "Time from a request's last byte to its answer", "route=\"" + name + "\"");
+    return [this, begun, name, &duration, span = std::move(span), respond = std::move(respond)](
+               HttpResponse response) {
+        duration.record(std::chrono::steady_clock::now() - begun);
+        const auto kind = errorKindOf(response);
+        m_telemetry.metrics
+            .counter("quay_requests_total", "Requests answered, by route and error kind",
+                "route=\"" + name + "\",kind=\"" + kind + "\"")
+            .add();
+        if (kind != "none") {
+            const auto event = response.status == 502 || response.status == 504 ? EventId::RequestFailed
+                                                                                : EventId::RequestRefused;
+            m_telemetry.log.write(
+                event, { { "kind", kind }, { "route", name }, { "trace", span.context.traceId } });
+        }
+        response.headers["Traceparent"] = traceparent(span.context);
+        m_telemetry.traces.end(span, kind != "none", kind == "none" ? name : kind);
+        respond(std::move(response));
+    };
+}
+
+void CallerService::route(const HttpRequest& request, const Respond& respond)
+{
+    const auto path = request.path();
+    if (path == "/v1/ask" && request.method == "POST")
         ask(request, respond);
     else if (path == "/v1/jobs" && request.method == "POST")
         submit(request, respond);
     else if (path == "/v1/jobs" || path.starts_with("/v1/jobs/"))
         jobCall(request, respond);
+    else if (path == "/v1/watch")
+        watch(request, respond);
     else if (!handleOperator(request, respond))
         respond(errorResponse(Reason { ErrorKind::NotFound, request.method + " " + path }));
 }
@@ -111,12 +211,19 @@
     if (!isOperatorPath(path))
         return false;
     Reason reason;
-    if (!operatorKey(request, reason))
+    const auto speaker = operatorKey(request, reason);
+    if (!speaker)
         respond(errorResponse(reason));
     else if (path == "/v1/fleet")
         showFleet(respond);
+    else if (path.starts_with("/v1/traces"))
+        showTrace(request, respond);
+    else if (path == "/v1/teams")
+        showTeams(respond);
+    else if (path == "/v1/config/status")
+        showRollout(respond);
     else if (request.method == "POST")
-        applyConfiguration(request, respond);
+        applyConfiguration(request, *speaker, respond);
     else
         showConfiguration(respond);
     return true;
@@ -141,7 +248,7 @@
     const auto active = m_configuration.active().get();
     // The very first configuration has to come from somebody: without one there is no key to show.
     if (active->known && !active->configuration.version)
-        return KeyMatch { "bootstrap", KeyRole::Operator, {} };
+        return KeyMatch { bootstrapId, KeyRole::Operator, {} };
     auto match = key(request, reason);
     if (match && match->role != KeyRole::Operator)
         return fail(reason, ErrorKind::NotOperator, match->id);
@@ -238,12 +345,27 @@
     spec->team = call.team;
     spec->requestId = call.requestId;
     call.spec = std::move(*spec);
-    m_jobs.call(std::move(call), [respond](JobReply reply) {
-        HttpResponse response;
-        response.status = reply.status;
-        response.body = std::move(reply.body);
-        respond(std::move(response));
-    });
+    m_jobs.call(std::move(call), relay(respond));
+}
+
+void CallerService::watch(const HttpRequest& request, const Respond& respond)
+{
+    Reason reason;
+    const auto match = key(request, reason);
+    const auto cursor = numberQuery(request, "cursor", reason);
+    const auto waitMs = numberQuery(request, "wait_ms", reason);
+    if (!match || !cursor || !waitMs) {
+        respond(errorResponse(reason));
+        return;
+    }
+    JobCall call;
+    call.operation = JobOperation::Watch;
+    call.team = match->team;
+    call.cursor = *cursor;
+    call.waitMs = static_cast<std::uint32_t>(std::min<std::uint64_t>(*waitMs, maxWatchWaitMs));
+    const auto domain = request.query("domain");
+    call.domain = domain.empty() ? m_membership.self().domain : DomainId { domain };
+    m_jobs.call(std::move(call), relay(respond));
 }
 
 void CallerService::jobCall(const HttpRequest& request, const Respond& respond)
@@ -277,12 +399,7 @@
         }
         call.domain = *domain;
     }
-    m_jobs.call(std::move(call), [respond](JobReply reply) {
-        HttpResponse response;
-        response.status = reply.status;
-        response.body = std::move(reply.body);
-        respond(std::move(response));
-    });
+    m_jobs.call(std::move(call), relay(respond));
 }
 
 void CallerService::health(const Respond& respond)
@@ -315,14 +432,78 @@
             { "configuration_version", m_configuration.active().get()->configuration.version } }));
 }
 
+void CallerService::showMetrics(const Respond& respond)
+{
+    HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = m_telemetry.metrics.page();
+    respond(std::move(response));
+}
+
+void CallerService::showTrace(const HttpRequest& request, const Respond& respond)
+{
+    const std::string prefix = "/v1/traces/";
+    const auto path = request.path();
+    HttpResponse response;
+    response.contentType = "application/x-ndjson";
+    if (!path.starts_with(prefix)) {
+        response.body = m_telemetry.traces.exportLines();
+        respond(std::move(response));
+        return;
+    }
+    for (const auto& span : m_telemetry.traces.find(path.substr(prefix.size())))
+        response.body += toJson(span) + "\n";
+    respond(std::move(response));
+}
+
+// The accepted document, also while a prepared one restricts it: changes build on the whole document.
 void CallerService::showConfiguration(const Respond& respond)
 {
     HttpResponse response;
-    response.body = toJson(m_configuration.active().get()->configuration);
+    response.body = toJson(m_configuration.view().get()->accepted.row.document);
     respond(std::move(response));
 }
 
-void CallerService::applyConfiguration(const HttpRequest& request, const Respond& respond)
+void CallerService::showRollout(const Respond& respond)
+{
+    m_configuration.status([this, respond](const std::vector<MemberRollout>& members) {
+        const auto view = m_configuration.view().get();
+        json::array list;
+        for (const auto& member : members) {
+            json::object entry { { "id", member.id.text }, { "domain", member.domain.text },
+                { "answered", member.answered } };
+            if (member.answered) {
+                entry["seen"] = member.seen;
+                entry["in_force"] = member.inForce;
+                entry["fresh"] = member.fresh;
+            }
+            list.push_back(std::move(entry));
+        }
+        json::array voters;
+        for (const auto& voter : view->accepted.row.voters)
+            voters.emplace_back(voter);
+        json::object status { { "version", view->accepted.row.document.version },
+            { "prepared_version", nullptr }, { "voters", voters }, { "members", list } };
+        if (view->pending())
+            status["prepared_version"] = view->prepared.row.document.version;
+        respond(jsonResponse(status));
+    });
+}
+
+void CallerService::showTeams(const Respond& respond)
+{
+    json::array teams;
+    for (const auto& [team, standing] : *m_quota.standings().get()) {
+        teams.push_back(
+            json::object { { "team", team.text }, { "limit", standing.limit }, { "target", standing.target },
+                { "granted", standing.granted }, { "granted_here", standing.grantedHere },
+                { "running_here", standing.running }, { "inherited_here", standing.inherited } });
+    }
+    respond(jsonResponse({ { "teams", teams } }));
+}
+
+void CallerService::applyConfiguration(
+    const HttpRequest& request, const KeyMatch& speaker, const Respond& respond)
 {
     Reason reason;
     auto next = parseConfiguration(request.body, reason);
@@ -332,6 +513,11 @@
     }
     // The document's own version names the version that the change builds on.
     const auto base = next->version;
+    // Unchecked, only the very first configuration is taken, also if our view is behind.
+    if (base && speaker.id == bootstrapId) {
+        respond(errorResponse(Reason { ErrorKind::MissingKey, {} }));
+        return;
+    }
     m_configuration.apply(
         base, std::move(*next), [respond](std::optional<std::uint64_t> version, Reason why) {
             if (version)
--- a/tests/processes/LocalFleet.cpp
+++ b/tests/processes/LocalFleet.cpp
@@ -185,8 +185,9 @@
 void LocalFleet::startBackend(const std::string& domain)
 {
     const auto ports = m_directory + "/" + domain + ".ports";
-    m_standins.push_back(spawn({ QUAY_BINARY_DIR "/standin/quay-standin", "backend", "--domain", domain,
-        "--platform", m_platformAddress, "--workers", std::to_string(m_plan.workersPerDomain), "--executors",
+    const std::string program = QUAY_BINARY_DIR "/standin/quay-standin";
+    m_standins.push_back(spawn({ program, "backend", "--domain", domain, "--platform", m_platformAddress,
+        "--workers", std::to_string(m_plan.workersPerDomain), "--executors",
         std::to_string(m_plan.executorsPerDomain), "--slots", std::to_string(m_plan.slots), "--service-ms",
         std::to_string(m_plan.serviceMs), "--cpu-milli", std::to_string(m_plan.cpuMilli), "--memory-mb",
         std::to_string(m_plan.memoryMb), "--port-file", ports }));
@@ -209,7 +210,8 @@
              << "\"\n"
              << m_plan.extraSettings;
     settings.close();
-    m_daemons[entryIndex] = spawn({ QUAY_BINARY_DIR "/daemons/quayd", "--settings", vm.settingsFile });
+    const std::string program = QUAY_BINARY_DIR "/daemons/quayd";
+    m_daemons[entryIndex] = spawn({ program, "--settings", vm.settingsFile });
     std::istringstream lines(waitForFile(ports));
     std::string word;
     lines >> word >> vm.callerAddress >> word >> vm.peerAddress;
@@ -300,7 +302,7 @@
         MESSAGE(error.explain());
     REQUIRE(compiled.configuration);
     const auto& address = entry(entryIndex).callerAddress;
-    const auto current = httpCall(address, httpGet("/v1/config", operatorKey));
+    auto current = httpCall(address, httpGet("/v1/config", operatorKey));
     if (!current || current->status != 200)
         return current;
     Reason reason;
