--- a/tests/processes/FailoverRequestsTest.cpp
+++ b/tests/processes/FailoverRequestsTest.cpp
@@ -132,10 +132,14 @@
 TEST_CASE("a second SIGTERM ends at once with exit 1 when work is left")
 {
     LocalFleet fleet({ .serviceMs = 3000 });
+    std::atomic<bool> started = false;
+    // Sent again until one runs: a fleet that has just started may refuse the first ones.
     std::thread caller([&] {
-        auto request = httpPost(lookup, "slow", clinicKey);
-        request.headers["Deadline-Ms"] = "20000";
-        (void)httpCall(fleet.entry(0).callerAddress, std::move(request), 20s);
+        while (!started) {
+            auto request = httpPost(lookup, "slow", clinicKey);
+            request.headers["Deadline-Ms"] = "20000";
+            (void)httpCall(fleet.entry(0).callerAddress, std::move(request), 20s);
+        }
     });
     const auto requestRuns = [&] {
         for (const auto& executor : fleet.executors()) {
@@ -145,6 +149,7 @@
         return false;
     };
     waitFor("the request runs", requestRuns);
+    started = true;
     fleet.signal(0, SIGTERM);
     waitFor("the health check fails", [&] {
         const auto health = httpCall(fleet.entry(0).callerAddress, httpGet("/healthz"), healthTimeout);
