TLS on the callers' port, renewed without a restart

Callers spoke plain HTTP, which only fits a fleet behind a balancer that ends TLS. With [tls] in the settings the port now speaks HTTPS only, TLS 1.2 or newer; quayctl verifies it with --ca, QUAY_CA or an https:// address. Plain HTTP stays the default.

Ways weighed: a session template over two stream types (two copies of every handler in the binary, and the set of sessions needs a base class), or one stream type that holds TLS or not. The second keeps one session and one client connection; both check at each read whether TLS is there. Certificates: a signal, or a look at the files' content every ten seconds. The look needs no process id and sees the second write of a pair; broken files leave the certificate before in use and are told once.

--- a/include/quay/telemetry/Event.h
+++ b/include/quay/telemetry/Event.h
@@ -44,6 +44,8 @@
     ServerEjected = 1701,
     ServerRestored = 1702,
     PeerMessageDropped = 1801,
+    CertificateReplaced = 1901,
+    CertificateRejected = 1902,
 };
 
 /** One row of the event table. */
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,8 +1,11 @@
 #include "net/HttpClient.h"
 
+#include "net/TlsOptionalStream.h"
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/ssl/host_name_verification.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -40,10 +43,11 @@
 } // namespace
 
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
-    Impl(asio::io_context& io, std::size_t connections, std::size_t responseBytes)
+    Impl(asio::io_context& io, std::size_t connections, std::size_t responseBytes, TlsContext tlsContext)
         : context(io)
         , maxConnections(connections)
         , maxResponseBytes(responseBytes)
+        , tls(std::move(tlsContext))
     {
     }
 
@@ -52,6 +56,7 @@
     asio::io_context& context;
     std::size_t maxConnections;
     std::size_t maxResponseBytes;
+    TlsContext tls; // null: plain HTTP
     std::map<std::string, Pool> pools;
 };
 
@@ -72,7 +77,7 @@
     Connection(std::shared_ptr<HttpClient::Impl> client, std::string address)
         : m_client(std::move(client))
         , m_address(std::move(address))
-        , m_stream(m_client->context)
+        , m_stream(m_client->context, m_client->tls)
     {
     }
 
@@ -83,6 +88,7 @@
 
 private:
     void connect();
+    void handshake(const std::string& host);
     void write();
     void read();
     void finish(HttpResult result, bool keep);
@@ -90,7 +96,7 @@
 
     std::shared_ptr<HttpClient::Impl> m_client;
     std::string m_address;
-    beast::tcp_stream m_stream;
+    TlsOptionalStream m_stream;
     beast::flat_buffer m_buffer;
     ExchangePointer m_exchange;
     http::request<http::string_body> m_message;
@@ -131,17 +137,33 @@
         finish(failure(false, "'" + m_address + "' is not IP:PORT"), false);
         return;
     }
-    m_stream.expires_at(m_exchange->deadline);
-    m_stream.async_connect(tcp::endpoint(ip, port), [self = shared_from_this()](beast::error_code error) {
-        if (error) {
-            self->finish(failure(false, self->m_address + ": " + error.message()), false);
-            return;
-        }
-        beast::error_code ignored;
-        self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        self->m_connected = true;
-        self->write();
-    });
+    m_stream.tcp().expires_at(m_exchange->deadline);
+    m_stream.tcp().async_connect(
+        tcp::endpoint(ip, port), [self = shared_from_this(), host](beast::error_code error) {
+            if (error) {
+                self->finish(failure(false, self->m_address + ": " + error.message()), false);
+                return;
+            }
+            beast::error_code ignored;
+            self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+            self->handshake(host);
+        });
+}
+
+// No byte of the request is sent before the server's certificate is verified.
+void Connection::handshake(const std::string& host)
+{
+    if (m_stream.isSecure())
+        m_stream.setVerification(asio::ssl::host_name_verification(host));
+    m_stream.asyncHandshake(
+        asio::ssl::stream_base::client, [self = shared_from_this()](beast::error_code ec) {
+            if (ec) {
+                self->finish(failure(false, self->m_address + ": TLS: " + ec.message()), false);
+                return;
+            }
+            self->m_connected = true;
+            self->write();
+        });
 }
 
 void Connection::write()
@@ -156,7 +178,7 @@
         m_message.set(name, value);
     m_message.body() = std::move(m_exchange->request.body);
     m_message.prepare_payload();
-    m_stream.expires_at(m_exchange->deadline);
+    m_stream.tcp().expires_at(m_exchange->deadline);
     http::async_write(m_stream, m_message, [self = shared_from_this()](beast::error_code ec, std::size_t) {
         if (ec)
             self->finish(failure(true, self->m_address + ": " + ec.message()), false);
@@ -202,10 +224,10 @@
     auto exchange = std::move(m_exchange);
     auto& pool = m_client->pools[m_address];
     if (keep) {
-        m_stream.expires_never();
+        m_stream.tcp().expires_never();
         pool.idle.push_back(shared_from_this());
     } else {
-        m_stream.close();
+        m_stream.tcp().close();
         --pool.open;
     }
     m_client->dispatch(m_address);
@@ -246,9 +268,9 @@
     }
 }
 
-HttpClient::HttpClient(
-    asio::io_context& context, std::size_t maxConnectionsPerAddress, std::size_t maxResponseBytes)
-    : m_impl(std::make_shared<Impl>(context, maxConnectionsPerAddress, maxResponseBytes))
+HttpClient::HttpClient(asio::io_context& context, std::size_t maxConnectionsPerAddress,
+    std::size_t maxResponseBytes, TlsContext tls)
+    : m_impl(std::make_shared<Impl>(context, maxConnectionsPerAddress, maxResponseBytes, std::move(tls)))
 {
 }
 
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpMessage.h"
+#include "net/TlsCertificate.h"
 #include "quay/core/Time.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,8 @@
 /**
  * An HTTP/1.1 client that keeps connections alive and pools them by address.
  * It never retries: what may be sent again is decided by its user.
+ * With a TLS context it speaks HTTPS only, and refuses a server whose certificate is not of a trusted CA
+ * or not for the address it calls.
  *
  * Usage: `client.send("127.0.0.1:80", request, 2s, [](HttpResult result) { ... });`
  */
@@ -22,8 +25,8 @@
 
     using Done = std::function<void(HttpResult)>;
 
-    HttpClient(
-        boost::asio::io_context& context, std::size_t maxConnectionsPerAddress, std::size_t maxResponseBytes);
+    HttpClient(boost::asio::io_context& context, std::size_t maxConnectionsPerAddress,
+        std::size_t maxResponseBytes, TlsContext tls = nullptr);
     ~HttpClient();
 
     /**
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "net/HttpServer.h"
 
+#include "net/TlsOptionalStream.h"
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -37,7 +39,8 @@
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(asio::io_context& io, const std::string& address, HttpLimits theLimits, HttpHandler theHandler);
+    Impl(asio::io_context& io, const std::string& address, HttpLimits theLimits, HttpHandler theHandler,
+        std::shared_ptr<const TlsCertificate> theCertificate);
 
     void accept();
 
@@ -45,6 +48,7 @@
     tcp::acceptor acceptor;
     HttpLimits limits;
     HttpHandler handler;
+    std::shared_ptr<const TlsCertificate> certificate; // null: plain HTTP
     std::set<std::shared_ptr<Session>> sessions;
     std::atomic<std::size_t> inFlight = 0;
     bool draining = false;
@@ -52,24 +56,26 @@
 
 namespace {
 
-// One connection. Reads a request, waits for its answer, writes it, reads the next.
+// One connection. After the handshake it reads a request, waits for its answer, writes it, reads the next.
 class Session : public std::enable_shared_from_this<Session> {
 public:
     Session(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server);
 
-    void read();
+    void begin();
     void closeIfIdle();
 
 private:
+    void read();
     void onRead(beast::error_code ec);
     void answer(HttpResponse response);
     void onWritten(beast::error_code ec);
     void close();
+    void closeNow();
     void linger();
     HttpRequest takeRequest();
     void refuseUnreadable(beast::error_code ec);
 
-    beast::tcp_stream m_stream;
+    TlsOptionalStream m_stream;
     std::shared_ptr<HttpServer::Impl> m_server;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -84,7 +90,7 @@
 } // namespace
 
 Session::Session(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server)
-    : m_stream(std::move(socket))
+    : m_stream(std::move(socket), server->certificate ? server->certificate->current() : nullptr)
     , m_server(std::move(server))
     , m_buffer(m_server->limits.maxHeaderBytes + m_server->limits.maxBodyBytes)
 {
@@ -92,12 +98,24 @@
     m_stream.socket().set_option(tcp::no_delay(true), ec);
 }
 
+void Session::begin()
+{
+    m_stream.tcp().expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
+    m_stream.asyncHandshake(
+        asio::ssl::stream_base::server, [self = shared_from_this()](beast::error_code ec) {
+            if (ec)
+                self->closeNow();
+            else
+                self->read();
+        });
+}
+
 void Session::read()
 {
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
     m_parser->body_limit(m_server->limits.maxBodyBytes);
-    m_stream.expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
+    m_stream.tcp().expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
     http::async_read(m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onRead(ec); });
 }
@@ -140,7 +158,7 @@
     m_busy = true;
     ++m_server->inFlight;
     m_keepAlive = m_parser->get().keep_alive();
-    m_stream.expires_never(); // the answer's time limit is the handler's matter
+    m_stream.tcp().expires_never(); // the answer's time limit is the handler's matter
     const auto number = ++m_requestNumber;
     auto respond = [self = shared_from_this(), number](HttpResponse response) {
         auto& context = self->m_server->context;
@@ -164,7 +182,7 @@
     m_response.keep_alive(m_keepAlive);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
-    m_stream.expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
+    m_stream.tcp().expires_after(std::chrono::milliseconds(m_server->limits.idleTimeoutMs));
     http::async_write(m_stream, m_response,
         [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onWritten(ec); });
 }
@@ -176,7 +194,7 @@
     if (!ec && m_unread) {
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_stream.expires_after(lingerTime);
+        m_stream.tcp().expires_after(lingerTime);
         m_discarded.resize(lingerBufferBytes);
         linger();
         return;
@@ -204,23 +222,34 @@
 void Session::closeIfIdle()
 {
     if (!m_busy && !m_buffer.size())
-        m_stream.cancel();
+        m_stream.tcp().cancel();
 }
 
 void Session::close()
+{
+    if (!m_stream.isSecure()) {
+        closeNow();
+        return;
+    }
+    m_stream.tcp().expires_after(lingerTime);
+    m_stream.asyncCloseNotify([self = shared_from_this()](beast::error_code) { self->closeNow(); });
+}
+
+void Session::closeNow()
 {
     beast::error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    m_stream.close();
+    m_stream.tcp().close();
     m_server->sessions.erase(shared_from_this());
 }
 
-HttpServer::Impl::Impl(
-    asio::io_context& io, const std::string& address, HttpLimits theLimits, HttpHandler theHandler)
+HttpServer::Impl::Impl(asio::io_context& io, const std::string& address, HttpLimits theLimits,
+    HttpHandler theHandler, std::shared_ptr<const TlsCertificate> theCertificate)
     : context(io)
     , acceptor(io)
     , limits(theLimits)
     , handler(std::move(theHandler))
+    , certificate(std::move(theCertificate))
 {
     std::string host;
     std::uint16_t port = 0;
@@ -241,7 +270,7 @@
         if (!ec && self->sessions.size() < self->limits.maxConnections) {
             auto session = std::make_shared<Session>(std::move(socket), self);
             self->sessions.insert(session);
-            session->read();
+            session->begin();
             self->accept();
             return;
         }
@@ -250,9 +279,9 @@
     });
 }
 
-HttpServer::HttpServer(
-    asio::io_context& context, const std::string& address, HttpLimits limits, HttpHandler handler)
-    : m_impl(std::make_shared<Impl>(context, address, limits, std::move(handler)))
+HttpServer::HttpServer(asio::io_context& context, const std::string& address, HttpLimits limits,
+    HttpHandler handler, std::shared_ptr<const TlsCertificate> certificate)
+    : m_impl(std::make_shared<Impl>(context, address, limits, std::move(handler), std::move(certificate)))
 {
 }
 
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpMessage.h"
+#include "net/TlsCertificate.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -25,9 +26,12 @@
 public:
     struct Impl; // defined beside the implementation
 
-    /** Binds at once; throws boost::system::system_error if the address can't be bound. */
-    HttpServer(
-        boost::asio::io_context& context, const std::string& address, HttpLimits limits, HttpHandler handler);
+    /**
+     * Binds at once; throws boost::system::system_error if the address can't be bound.
+     * With a certificate every connection begins with a TLS handshake, inside the idle timeout.
+     */
+    HttpServer(boost::asio::io_context& context, const std::string& address, HttpLimits limits,
+        HttpHandler handler, std::shared_ptr<const TlsCertificate> certificate = nullptr);
     ~HttpServer();
 
     /** Begins to accept. */
--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t maxDeadlineMs = 300'000;
 constexpr std::size_t maxRequestIdBytes = 128;
 constexpr std::uint64_t maxWatchWaitMs = 30'000;
+constexpr auto certificateCheckPeriod = std::chrono::seconds(10);
 constexpr std::string_view bearer = "Bearer ";
 
 HttpLimits limitsOf(const Settings& settings)
@@ -135,9 +136,24 @@
     , m_interactive(interactive)
     , m_jobs(jobs)
     , m_telemetry(telemetry)
-    , m_server(context(), settings.listen, limitsOf(settings),
-          [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); })
+    , m_certificate(settings.tls.enabled() ? std::make_shared<TlsCertificate>(settings.tls) : nullptr)
+    , m_server(
+          context(), settings.listen, limitsOf(settings),
+          [this](HttpRequest request, Respond respond) { handle(std::move(request), std::move(respond)); },
+          m_certificate)
 {
+    if (m_certificate)
+        every(certificateCheckPeriod, [this] { refreshCertificate(); });
+}
+
+void CallerService::refreshCertificate()
+{
+    std::string detail;
+    const auto change = m_certificate->refresh(detail);
+    if (change == TlsCertificate::Change::Replaced)
+        m_telemetry.log.write(EventId::CertificateReplaced, { { "expiry", m_certificate->expiry() } });
+    if (change == TlsCertificate::Change::Broken)
+        m_telemetry.log.write(EventId::CertificateRejected, { { "detail", detail } });
 }
 
 void CallerService::handle(HttpRequest request, Respond respond)
--- a/src/service/CallerService.h
+++ b/src/service/CallerService.h
@@ -47,6 +47,7 @@
         QueueConfig queue;
     };
 
+    void refreshCertificate();
     void handle(HttpRequest request, Respond respond);
     void route(const HttpRequest& request, const Respond& respond);
     Respond observed(const HttpRequest& request, Span span, Respond respond);
@@ -71,6 +72,7 @@
     JobService& m_jobs;
     Telemetry m_telemetry;
     std::atomic<bool> m_leaving = false;
+    std::shared_ptr<TlsCertificate> m_certificate; // null: plain HTTP
     HttpServer m_server;
 };
 
--- a/src/telemetry/Event.cpp
+++ b/src/telemetry/Event.cpp
@@ -72,6 +72,11 @@
         "an ejected backend server gets work again", "nothing to do" },
     EventEntry { PeerMessageDropped, "peer_message_dropped", Debug, "peer",
         "a message to a peer could not be queued", "normal while a peer is down" },
+    EventEntry { CertificateReplaced, "certificate_replaced", Info, "expiry",
+        "new connections of callers use the new TLS certificate", "nothing to do" },
+    EventEntry { CertificateRejected, "certificate_rejected", Error, "detail",
+        "the TLS files changed and can't be used; the certificate before stays in use",
+        "correct the files; see docs/operators/tls.md" },
 };
 
 } // namespace
--- a/tools/quayctl/Client.h
+++ b/tools/quayctl/Client.h
@@ -11,12 +11,20 @@
 struct Target {
     std::string address; // "ip:port" of an entry VM or of the balancer
     std::string key;
+    bool secure = false; // HTTPS
+    std::string caFile; // with HTTPS: the CAs to trust; empty: those of the system
     int timeoutMs = 30'000;
 };
 
 /** Sends one request and waits for its answer; without an answer the reason is set. */
 std::optional<HttpResponse> call(const Target& target, HttpRequest request, Reason& reason);
 
+/**
+ * Sets the address of a target from IP:PORT, http://IP:PORT or https://IP:PORT.
+ * A CA file without a scheme means HTTPS. False for http:// with a CA file.
+ */
+bool setAddress(Target& target, const std::string& address);
+
 /** Shorthands for the usual requests. */
 HttpRequest getRequest(std::string path);
 HttpRequest postRequest(std::string path, std::string body);
--- a/tools/quayctl/main.cpp
+++ b/tools/quayctl/main.cpp
@@ -42,7 +42,7 @@
     std::string words;
     for (const auto& command : commands())
         words += command.name + " ";
-    std::cout << "complete -W '" << words << "--address --output --help' quayctl\n";
+    std::cout << "complete -W '" << words << "--address --ca --output --help' quayctl\n";
     return ExitOk;
 }
 
@@ -64,7 +64,7 @@
     }
     std::cout << "\n"
               << description
-              << "\nEnvironment: QUAY_ADDRESS, QUAY_KEY, QUAY_KEY_FILE.\n"
+              << "\nEnvironment: QUAY_ADDRESS, QUAY_CA, QUAY_KEY, QUAY_KEY_FILE.\n"
                  "Exit codes: 0 done, 1 refused (not run), 2 usage, 3 outcome unknown, 4 no answer, 5 job "
                  "ended badly.\n";
 }
@@ -100,13 +100,14 @@
 {
     Invocation invocation;
     std::string output;
+    std::string address;
     options::options_description description("Options");
     auto add = description.add_options();
     add("help", "show this text");
-    add("address",
-        options::value(&invocation.target.address)
-            ->default_value(environment("QUAY_ADDRESS", "127.0.0.1:8080")),
-        "entry VM or balancer, IP:PORT");
+    add("address", options::value(&address)->default_value(environment("QUAY_ADDRESS", "127.0.0.1:8080")),
+        "entry VM or balancer, [http[s]://]IP:PORT");
+    add("ca", options::value(&invocation.target.caFile)->default_value(environment("QUAY_CA", "")),
+        "file of the CAs to trust; speaks HTTPS");
     add("output", options::value(&output)->default_value("table"), "table or json");
     // Global options stand before the command; everything from the command on is the command's own.
     int globals = 1;
@@ -128,6 +129,10 @@
         std::cerr << "quayctl: --output is table or json\n";
         return ExitUsage;
     }
+    if (!setAddress(invocation.target, address)) {
+        std::cerr << "quayctl: a CA file and an http:// address contradict each other\n";
+        return ExitUsage;
+    }
     invocation.output = output == "json" ? Output::Json : Output::Table;
     invocation.target.key = keyFromEnvironment();
     const auto* command = findCommand(invocation.words);
