--- /dev/null
+++ b/tests/fuzz/FuzzConfigCompiler.cpp
@@ -0,0 +1,20 @@
+#include "fuzz/Fuzz.h"
+#include "quay/core/ConfigCompiler.h"
+
+using namespace quay;
+
+// What the compiler accepts is a document that every entry VM can read back.
+int fuzzConfigCompiler(const std::uint8_t* data, std::size_t size)
+{
+    const auto result = compileConfiguration({ "base.toml", fuzz::toText(data, size) }, {});
+    fuzz::require(result.configuration.has_value() == result.errors.empty(), "either a result or errors");
+    for (const auto& error : result.errors)
+        fuzz::require(!error.explain().empty(), "an error explains itself");
+    if (!result.configuration)
+        return 0;
+    Reason reason;
+    const auto again = parseConfiguration(toJson(*result.configuration), reason);
+    fuzz::require(again && *again == *result.configuration, "parse(print(compiled)) == compiled");
+    fuzz::require(diff(*result.configuration, *again).empty(), "equal configurations do not differ");
+    return 1;
+}
--- /dev/null
+++ b/tests/fuzz/FuzzJobSpec.cpp
@@ -0,0 +1,21 @@
+#include "fuzz/Fuzz.h"
+#include "quay/core/Job.h"
+
+using namespace quay;
+
+// A specification that was accepted must survive the store inside a record.
+int fuzzJobSpec(const std::uint8_t* data, std::size_t size)
+{
+    Reason reason;
+    const auto spec = parseJobSpec(fuzz::toText(data, size), reason);
+    if (!spec) {
+        fuzz::require(reason.kind != ErrorKind::None, "a refusal has a kind");
+        return 0;
+    }
+    JobRecord record;
+    record.spec = *spec;
+    record.tasks.resize(spec->taskCount);
+    const auto again = parseJobRecord(toJson(record), reason);
+    fuzz::require(again && *again == record, "an accepted specification survives the store");
+    return 1;
+}
--- /dev/null
+++ b/tests/fuzz/FuzzPeerEnvelope.cpp
@@ -0,0 +1,36 @@
+#include "fuzz/Fuzz.h"
+#include "peer.pb.h"
+#include "quay/core/Job.h"
+#include "quay/telemetry/Trace.h"
+
+using namespace quay;
+
+namespace {
+
+// What the handlers of the payloads do with their texts, whose sender may be of any version.
+void readPayload(const wire::Envelope& envelope)
+{
+    Reason reason;
+    if (envelope.has_job_forward() && parseJobRecord(envelope.job_forward().record(), reason))
+        fuzz::require(reason.kind == ErrorKind::None, "a record that parses has no reason");
+    if (envelope.has_ask_forward())
+        parseTraceparent(envelope.ask_forward().traceparent());
+    if (envelope.has_ask_answer())
+        fuzz::require(!describe(static_cast<ErrorKind>(envelope.ask_answer().kind())).name.empty(),
+            "every number has a row, also a newer peer's");
+}
+
+} // namespace
+
+int fuzzPeerEnvelope(const std::uint8_t* data, std::size_t size)
+{
+    wire::Envelope envelope;
+    if (!envelope.ParseFromArray(data, static_cast<int>(size)))
+        return 0;
+    readPayload(envelope);
+    wire::Envelope again;
+    fuzz::require(again.ParseFromString(envelope.SerializeAsString()), "what was read can be sent on");
+    fuzz::require(
+        again.SerializeAsString() == envelope.SerializeAsString(), "parse(print(envelope)) == envelope");
+    return 1;
+}
