--- a/tests/contract/BackendContractTest.cpp
+++ b/tests/contract/BackendContractTest.cpp
@@ -35,7 +35,7 @@
     return message;
 }
 
-StartAnswer start(BackendLink& link, const std::string& address, SendStart message)
+StartAnswer startTask(BackendLink& link, const std::string& address, SendStart message)
 {
     return await<StartAnswer>([&](auto done) { link.startTask(address, std::move(message), done); });
 }
@@ -52,7 +52,7 @@
 WorkerReport reportUntil(BackendLink& link, const std::string& address, Predicate reached)
 {
     while (true) {
-        const auto current = report(link, address);
+        auto current = report(link, address);
         if (reached(current))
             return current;
         std::this_thread::sleep_for(10ms);
@@ -63,7 +63,7 @@
 
 TEST_CASE("a worker accepts, refuses and repeats starts as its contract says")
 {
-    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    WorkerThread worker(workerInfo(), "127.0.0.1:0", Duration::zero());
     const auto& address = worker.get().info().address;
     BackendLink link;
     link.start();
@@ -81,7 +81,7 @@
     };
     for (const auto& row : rows) {
         CAPTURE(row.what);
-        CHECK(start(link, address, row.message).outcome == row.expected);
+        CHECK(startTask(link, address, row.message).outcome == row.expected);
     }
     CHECK(report(link, address).running.size() == 2);
     CHECK(report(link, address).epoch == 5);
@@ -89,30 +89,54 @@
 
 TEST_CASE("an ended attempt is reported until acknowledged, and is not started again")
 {
-    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    WorkerThread worker(workerInfo(), "127.0.0.1:0", Duration::zero());
     const auto& address = worker.get().info().address;
     BackendLink link;
     link.start();
     const auto message = startOf("a", 1, 1, { 100, 100, 0 }, R"({"run_ms":1,"output":"done"})");
-    CHECK(start(link, address, message).outcome == StartOutcome::Accepted);
+    CHECK(startTask(link, address, message).outcome == StartOutcome::Accepted);
     const auto ended = reportUntil(link, address, [](const auto& current) { return !current.ended.empty(); });
     CHECK(ended.ended.front() == EndedTask { message.attempt, true, "done" });
-    CHECK(start(link, address, message).outcome == StartOutcome::Refused);
+    CHECK(startTask(link, address, message).outcome == StartOutcome::Refused);
     link.acknowledge(address, SendAck { ServerId { "w" }, { message.attempt } });
     reportUntil(link, address, [](const auto& current) { return current.ended.empty(); });
+    CHECK(startTask(link, address, message).outcome == StartOutcome::Refused);
+}
+
+TEST_CASE("a refused or stopped attempt never starts later, and a new worker waits before its first start")
+{
+    WorkerThread worker(workerInfo(), "127.0.0.1:0", Duration::zero());
+    const auto& address = worker.get().info().address;
+    BackendLink link;
+    link.start();
+    const auto large = startOf("large", 1, 1, { 900, 100, 0 });
+    const auto other = startOf("other", 1, 1, { 900, 100, 0 });
+    CHECK(startTask(link, address, other).outcome == StartOutcome::Accepted);
+    CHECK(startTask(link, address, large).outcome == StartOutcome::Refused);
+    link.stopTask(address, SendStop { ServerId { "w" }, other.attempt });
+    reportUntil(link, address, [](const auto& current) { return current.running.empty(); });
+    CHECK(startTask(link, address, large).outcome == StartOutcome::Refused); // there is room now
+
+    const auto early = startOf("early", 1, 1, { 100, 100, 0 });
+    CHECK(postTo(address, "/v1/stop", R"({"task":"early","attempt":1})")
+        == 200); // answered before the start is sent
+    CHECK(startTask(link, address, early).outcome == StartOutcome::Refused);
+
+    WorkerThread fresh(workerInfo(), "127.0.0.1:0", std::chrono::hours(1));
+    CHECK(startTask(link, fresh.get().info().address, early).outcome == StartOutcome::Refused);
 }
 
 TEST_CASE("a task stops when it is told to, and when its lease lapses")
 {
-    WorkerThread worker(workerInfo(), "127.0.0.1:0");
+    WorkerThread worker(workerInfo(), "127.0.0.1:0", Duration::zero());
     const auto& address = worker.get().info().address;
     BackendLink link;
     link.start();
     const auto stopped = startOf("a", 1, 1, { 100, 100, 0 });
     auto lapsing = startOf("b", 1, 1, { 100, 100, 0 });
     lapsing.leaseMs = 50;
-    CHECK(start(link, address, stopped).outcome == StartOutcome::Accepted);
-    CHECK(start(link, address, lapsing).outcome == StartOutcome::Accepted);
+    CHECK(startTask(link, address, stopped).outcome == StartOutcome::Accepted);
+    CHECK(startTask(link, address, lapsing).outcome == StartOutcome::Accepted);
     link.stopTask(address, SendStop { ServerId { "w" }, stopped.attempt });
     const auto ended
         = reportUntil(link, address, [](const auto& current) { return current.ended.size() == 2; });
@@ -125,8 +149,8 @@
     BackendLink link;
     link.start();
     // Port 1 of this machine has no listener: the connection is refused before any byte is sent.
-    CHECK(start(link, "127.0.0.1:1", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
-    CHECK(start(link, "nowhere", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
+    CHECK(startTask(link, "127.0.0.1:1", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
+    CHECK(startTask(link, "nowhere", startOf("a", 1, 1, {})).outcome == StartOutcome::Refused);
 }
 
 TEST_CASE("an executor answers the whole body, refuses beyond its slots, and says who it is")
--- a/tests/processes/WholePathTest.cpp
+++ b/tests/processes/WholePathTest.cpp
@@ -1,5 +1,7 @@
 #include "LocalFleet.h"
 
+#include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace quay;
@@ -136,9 +138,9 @@
             return nullptr;
         return json::parse(response->body);
     };
-    std::vector<std::string> jobs;
-    for (int i = 0; i < 5; ++i)
-        jobs.push_back(fleet.submit(0, R"({"queue":"nightly"})", agentsKey, "watch-" + std::to_string(i)));
+    std::array<std::string, 5> jobs;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+        jobs[i] = fleet.submit(0, R"({"queue":"nightly"})", agentsKey, "watch-" + std::to_string(i));
     std::map<std::string, std::string> states;
     std::uint64_t cursor = 0;
     std::size_t entry = 0;
--- a/tools/quayctl/Command.h
+++ b/tools/quayctl/Command.h
@@ -68,7 +68,12 @@
 int runConfigDiff(const Invocation& invocation);
 int runConfigApply(const Invocation& invocation);
 int runConfigStatus(const Invocation& invocation);
+int runConfigShow(const Invocation& invocation);
 int runKeyHash(const Invocation& invocation);
+int runKeyAdd(const Invocation& invocation);
+int runKeyWithdraw(const Invocation& invocation);
+int runTeamSet(const Invocation& invocation);
+int runTeamList(const Invocation& invocation);
 int runFleet(const Invocation& invocation);
 int runCompletion(const Invocation& invocation);
 
--- a/tools/quayctl/OperatorCommands.cpp
+++ b/tools/quayctl/OperatorCommands.cpp
@@ -1,4 +1,5 @@
 #include "Command.h"
+#include "Document.h"
 
 #include "quay/core/ConfigCompiler.h"
 
@@ -35,6 +36,37 @@
     return result.configuration;
 }
 
+// What stands on the command line of `config apply` besides the files.
+struct ApplyWords {
+    std::vector<std::string> files;
+    bool wait = false;
+    std::optional<std::uint64_t> base; // a prepared version to replace
+};
+
+std::optional<ApplyWords> applyWords(const std::vector<std::string>& all)
+{
+    const std::string baseOption = "--base=";
+    ApplyWords words;
+    for (const auto& word : all) {
+        if (word == "--wait") {
+            words.wait = true;
+        } else if (word.starts_with(baseOption)) {
+            const auto digits = word.substr(baseOption.size());
+            if (digits.empty() || digits.size() > 18
+                || digits.find_first_not_of("0123456789") != digits.npos) {
+                std::cerr << "quayctl: --base takes the number of a version; see 'quayctl config status'\n";
+                return std::nullopt;
+            }
+            words.base = std::stoull(digits);
+        } else {
+            words.files.push_back(word);
+        }
+    }
+    return words;
+}
+
+} // namespace
+
 std::optional<Configuration> currentConfiguration(const Invocation& invocation, int& code)
 {
     Reason reason;
@@ -48,8 +80,6 @@
     return current;
 }
 
-} // namespace
-
 int runConfigCheck(const Invocation& invocation)
 {
     const auto configuration = compileFiles(invocation.words);
@@ -77,32 +107,18 @@
 
 int runConfigApply(const Invocation& invocation)
 {
-    auto next = compileFiles(invocation.words);
+    const auto words = applyWords(invocation.words);
+    if (!words)
+        return ExitUsage;
+    auto next = compileFiles(words->files);
     if (!next)
         return ExitUsage;
     int code = ExitOk;
     const auto current = currentConfiguration(invocation, code);
     if (!current)
         return code;
-    for (const auto& line : diff(*current, *next))
-        std::cerr << line << "\n";
-    next->version = current->version;
-    Reason reason;
-    const auto response = call(invocation.target, postRequest("/v1/config", toJson(*next)), reason);
-    code = report(response, reason);
-    if (code == ExitOk)
-        print(invocation, response->body);
-    return code;
-}
-
-int runConfigStatus(const Invocation& invocation)
-{
-    Reason reason;
-    const auto response = call(invocation.target, getRequest("/v1/config"), reason);
-    const int code = report(response, reason);
-    if (code == ExitOk)
-        print(invocation, response->body);
-    return code;
+    next->version = words->base.value_or(current->version);
+    return applyDocument(invocation, *current, *next, words->wait);
 }
 
 int runKeyHash(const Invocation&)
