--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -56,6 +56,7 @@
     asio::io_context& context;
     std::size_t maxConnections;
     std::size_t maxResponseBytes;
+    TlsContext tls; // null: plain HTTP
     bool closed = false; // no connection is kept any more
     std::map<std::string, Pool> pools;
 };
@@ -224,7 +225,7 @@
     auto exchange = std::move(m_exchange);
     auto& pool = m_client->pools[m_address];
     if (keep && !m_client->closed) {
-        m_stream.expires_never();
+        m_stream.tcp().expires_never();
         pool.idle.push_back(shared_from_this());
     } else {
         m_stream.tcp().close();
@@ -238,6 +239,7 @@
 
 void HttpClient::Impl::dispatch(const std::string& address)
 {
+    const auto self = shared_from_this(); // a connection let go below may be the last to hold this client
     auto& pool = pools[address];
     while (!pool.waiting.empty()) {
         std::shared_ptr<Connection> connection;
