--- a/include/quay/core/Admission.h
+++ b/include/quay/core/Admission.h
@@ -32,6 +32,7 @@
 struct TeamQueue {
     std::uint32_t weight = 1; // share weight
     std::uint32_t credit = 0; // requests that may still leave in this turn
+    std::size_t maxWaiting = 0; // 0: the settings' maxQueuedPerTeam
     std::deque<QueuedRequest> waiting;
 
     bool operator==(const TeamQueue&) const = default;
@@ -68,6 +69,9 @@
 /** Sets a team's share weight; at least 1. Takes effect with the team's next turn. */
 void setWeight(AdmissionState& state, const TeamId& team, std::uint32_t weight);
 
+/** Bounds the team's own queue; 0 stands for the settings' bound. Requests that wait already stay. */
+void setMaxWaiting(AdmissionState& state, const TeamId& team, std::size_t maxWaiting);
+
 /** How long a new request of the team would wait for a slot. Duration::max() if there are no slots. */
 Duration estimateWait(const AdmissionState& state, const TeamId& team, const SlotCapacity& capacity);
 
@@ -81,4 +85,7 @@
  */
 std::optional<QueuedRequest> dequeue(AdmissionState& state, std::vector<QueuedRequest>& expired, Instant now);
 
+/** Removes all requests whose deadline has passed, wherever they stand in their queue. They did not run. */
+std::vector<QueuedRequest> takeExpired(AdmissionState& state, Instant now);
+
 } // namespace quay
--- a/include/quay/core/FairShare.h
+++ b/include/quay/core/FairShare.h
@@ -19,26 +19,26 @@
 };
 
 /** What one team holds now and held in the recent past. */
-struct TeamUsage {
+struct ShareUsage {
     double weight = 1;
     Resources running;
     std::uint32_t runningTasks = 0;
     AverageResources average; // exponential moving average of `running`, valid at `averagedAt`
     Instant averagedAt {};
 
-    bool operator==(const TeamUsage&) const = default;
+    bool operator==(const ShareUsage&) const = default;
 };
 
 /** The average brought forward to `now`; a past `now` leaves it as it is. */
-AverageResources averageAt(const TeamUsage& usage, Duration halfLife, Instant now);
+AverageResources averageAt(const ShareUsage& usage, Duration halfLife, Instant now);
 
 /** Usage after `tasks` more tasks started that hold `amount` together. */
-TeamUsage charged(
-    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now);
+ShareUsage charged(
+    ShareUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now);
 
 /** Usage after `tasks` tasks ended. Never falls below zero. */
-TeamUsage released(
-    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now);
+ShareUsage released(
+    ShareUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now);
 
 /** The largest fraction of `total` that `amount` is in any dimension; dimensions the fleet lacks don't count.
  */
@@ -49,11 +49,11 @@
  * It is the dominant share of what the team holds now plus what it held on average, over its weight.
  * The first term makes it weighted max-min at this moment, the second repays teams that got less lately.
  */
-double shareScore(const TeamUsage& usage, const Resources& total, Duration halfLife, Instant now);
+double shareScore(const ShareUsage& usage, const Resources& total, Duration halfLife, Instant now);
 
 /** The usage of all teams. A plain value; the free functions above do the arithmetic. */
 struct FairShare {
-    std::unordered_map<TeamId, TeamUsage> teams;
+    std::unordered_map<TeamId, ShareUsage> teams;
     Duration halfLife = std::chrono::minutes(10);
 
     bool operator==(const FairShare&) const = default;
--- a/include/quay/core/InteractiveRouter.h
+++ b/include/quay/core/InteractiveRouter.h
@@ -125,6 +125,9 @@
 /** Frees the slot of an answered (or surely ended) request and learns from it. */
 void onAnswer(RouterState& state, const ServerId& executor, bool succeeded, Duration latency);
 
+/** Frees the slot of a request that was not sent after all; nothing is learned from it. */
+void onNotSent(RouterState& state, const ServerId& executor);
+
 /** Ejects and readmits executors by their failure rates; to be called about once a second. */
 std::vector<HealthChange> checkExecutors(RouterState& state, Instant now);
 
--- a/include/quay/core/Placement.h
+++ b/include/quay/core/Placement.h
@@ -157,7 +157,7 @@
     void release(const TeamId& team, const Resources& amount, Instant now);
 
     /** What a team holds and held; a team that is not known holds nothing. */
-    TeamUsage usageOf(const TeamId& team) const;
+    ShareUsage usageOf(const TeamId& team) const;
 
     const PlacementPolicy& policy() const { return m_policy; }
     const WorkerIndex& workers() const { return m_index; }
--- a/include/quay/core/TeamTokens.h
+++ b/include/quay/core/TeamTokens.h
@@ -32,6 +32,9 @@
     /** Takes n units; false if the grant is in use, lowered, or the lease has lapsed. */
     bool tryAcquire(const TeamId& team, std::int64_t n, Instant now);
 
+    /** Units that may be taken now; another thread may take them first. */
+    std::int64_t available(const TeamId& team, Instant now);
+
     /** Gives n units back after their work has surely ended. */
     void release(const TeamId& team, std::int64_t n);
 
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -1,6 +1,7 @@
 #include "quay/core/Admission.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace quay {
 
@@ -53,6 +54,11 @@
     queue.weight = wanted;
 }
 
+void setMaxWaiting(AdmissionState& state, const TeamId& team, std::size_t maxWaiting)
+{
+    state.queues[team].maxWaiting = maxWaiting;
+}
+
 // Example: 8 slots of 20 ms give 400 answers a second. A team with a quarter of the waiting weight gets 100
 // of them, so with 9 requests ahead a new one waits for about 100 ms.
 Duration estimateWait(const AdmissionState& state, const TeamId& team, const SlotCapacity& capacity)
@@ -78,7 +84,8 @@
 {
     const Duration wait = estimateWait(state, request.team, capacity);
     TeamQueue& queue = state.queues[request.team];
-    if (queue.waiting.size() >= state.settings.maxQueuedPerTeam)
+    const std::size_t maxWaiting = queue.maxWaiting ? queue.maxWaiting : state.settings.maxQueuedPerTeam;
+    if (queue.waiting.size() >= maxWaiting)
         return AdmissionRefusal { ErrorKind::QueueFull, retryAfterMs(state, wait) };
     const Duration left = request.deadline - now;
     if (left <= capacity.serviceTime || wait > left - capacity.serviceTime)
@@ -114,4 +121,23 @@
     return std::nullopt;
 }
 
+std::vector<QueuedRequest> takeExpired(AdmissionState& state, Instant now)
+{
+    std::vector<QueuedRequest> expired;
+    for (auto& [team, queue] : state.queues) {
+        if (queue.waiting.empty())
+            continue;
+        const std::size_t before = queue.waiting.size();
+        const auto isExpired = [now](const QueuedRequest& request) { return request.deadline <= now; };
+        std::copy_if(queue.waiting.begin(), queue.waiting.end(), std::back_inserter(expired), isExpired);
+        std::erase_if(queue.waiting, isExpired);
+        state.queued -= before - queue.waiting.size();
+        if (!queue.waiting.empty())
+            continue;
+        std::erase(state.turns, team);
+        state.activeWeight -= queue.weight;
+    }
+    return expired;
+}
+
 } // namespace quay
--- a/src/core/ConfigCompiler.cpp
+++ b/src/core/ConfigCompiler.cpp
@@ -197,8 +197,8 @@
     if (!reader)
         return;
     reader->integer("retry_percent", 0, 100, policy.retryPercent);
-    reader->choice("placement", { "pack", "spread" }, policy.placement);
-    reader->choice("routing", { "two_choices", "least_loaded", "round_robin" }, policy.routing);
+    reader->choice("placement", { "pack", "first_fit", "random" }, policy.placement);
+    reader->choice("routing", { "two_choices", "random", "first_fit" }, policy.routing);
     reader->finish();
 }
 
--- a/src/core/FairShare.cpp
+++ b/src/core/FairShare.cpp
@@ -18,7 +18,7 @@
 }
 
 // The average must be brought forward before `running` changes: up to `now` the old amount was held.
-TeamUsage broughtForward(TeamUsage usage, Duration halfLife, Instant now)
+ShareUsage broughtForward(ShareUsage usage, Duration halfLife, Instant now)
 {
     usage.average = averageAt(usage, halfLife, now);
     usage.averagedAt = std::max(usage.averagedAt, now);
@@ -27,7 +27,7 @@
 
 } // namespace
 
-AverageResources averageAt(const TeamUsage& usage, Duration halfLife, Instant now)
+AverageResources averageAt(const ShareUsage& usage, Duration halfLife, Instant now)
 {
     if (now <= usage.averagedAt || halfLife <= Duration::zero())
         return usage.average;
@@ -40,8 +40,8 @@
         blend(usage.average.accelerators, usage.running.accelerators, kept) };
 }
 
-TeamUsage charged(
-    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
+ShareUsage charged(
+    ShareUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
 {
     usage = broughtForward(usage, halfLife, now);
     usage.running += amount;
@@ -49,8 +49,8 @@
     return usage;
 }
 
-TeamUsage released(
-    TeamUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
+ShareUsage released(
+    ShareUsage usage, const Resources& amount, std::uint32_t tasks, Duration halfLife, Instant now)
 {
     usage = broughtForward(usage, halfLife, now);
     usage.running = atLeastZero(usage.running - amount);
@@ -64,7 +64,7 @@
         fraction(amount.accelerators, total.accelerators) });
 }
 
-double shareScore(const TeamUsage& usage, const Resources& total, Duration halfLife, Instant now)
+double shareScore(const ShareUsage& usage, const Resources& total, Duration halfLife, Instant now)
 {
     auto held = averageAt(usage, halfLife, now);
     held.cpuMilli += static_cast<double>(usage.running.cpuMilli);
--- a/src/core/InteractiveRouter.cpp
+++ b/src/core/InteractiveRouter.cpp
@@ -83,6 +83,15 @@
     updateAvailable(state, position);
 }
 
+void forgetIfDone(RouterState& state, std::size_t position)
+{
+    const Executor& executor = state.executors[position];
+    if (executor.owned || executor.outstanding > 0)
+        return;
+    state.executors.erase(state.executors.begin() + static_cast<std::ptrdiff_t>(position));
+    rebuild(state);
+}
+
 // Expected time to an answer: the usual latency, stretched by the part of the slots in use.
 // An executor without measurements counts with the average of all.
 double loadScore(const RouterState& state, const Executor& executor)
@@ -218,10 +227,17 @@
         answered.latency = movingAverage(answered.latency, latency);
         state.serviceTime = movingAverage(state.serviceTime, latency);
     }
-    if (!answered.owned && answered.outstanding == 0) {
-        state.executors.erase(state.executors.begin() + static_cast<std::ptrdiff_t>(position));
-        rebuild(state);
-    }
+    forgetIfDone(state, position);
+}
+
+void onNotSent(RouterState& state, const ServerId& executor)
+{
+    const auto found = state.positions.find(executor);
+    if (found == state.positions.end() || state.executors[found->second].outstanding == 0)
+        return;
+    const std::size_t position = found->second;
+    setOutstanding(state, position, state.executors[position].outstanding - 1);
+    forgetIfDone(state, position);
 }
 
 std::vector<HealthChange> checkExecutors(RouterState& state, Instant now)
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -16,7 +16,7 @@
 
 // The jobs that are served one after the other: those of one team, or all of them (FIFO).
 struct Line {
-    TeamUsage* usage = nullptr; // of the team; null under FIFO
+    ShareUsage* usage = nullptr; // of the team; null under FIFO
     std::vector<std::uint32_t> jobs; // numbers in `pending`, oldest first
     std::size_t next = 0;
     std::uint32_t placedOfNext = 0;
--- a/src/core/PlacementState.cpp
+++ b/src/core/PlacementState.cpp
@@ -94,10 +94,10 @@
     return it == m_serviceRacks.end() ? nullptr : &it->second;
 }
 
-TeamUsage PlacementState::usageOf(const TeamId& team) const
+ShareUsage PlacementState::usageOf(const TeamId& team) const
 {
     const auto it = m_fairShare.teams.find(team);
-    return it == m_fairShare.teams.end() ? TeamUsage {} : it->second;
+    return it == m_fairShare.teams.end() ? ShareUsage {} : it->second;
 }
 
 Resources countedUsage(const Resources& declared, const Resources& countedBefore, const Resources& reported)
--- a/src/core/TeamTokens.cpp
+++ b/src/core/TeamTokens.cpp
@@ -28,6 +28,17 @@
     return true;
 }
 
+std::int64_t TeamTokens::available(const TeamId& team, Instant now)
+{
+    Shard& shard = shardOf(team);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.counters.find(team);
+    if (found == shard.counters.end() || !maySpend(now))
+        return 0;
+    const Counter& counter = found->second;
+    return std::max<std::int64_t>(0, std::min(counter.granted, counter.ceiling) - counter.running);
+}
+
 void TeamTokens::release(const TeamId& team, std::int64_t n)
 {
     Shard& shard = shardOf(team);
--- a/src/service/BackendLink.cpp
+++ b/src/service/BackendLink.cpp
@@ -73,6 +73,19 @@
     return answer;
 }
 
+std::optional<std::uint32_t> busyOf(const HttpResult& result)
+{
+    if (!result.response || result.response->status != 200)
+        return std::nullopt;
+    boost::system::error_code ec;
+    const auto value = json::parse(result.response->body, ec);
+    const auto* object = ec ? nullptr : value.if_object();
+    const auto* busy = object ? object->if_contains("busy") : nullptr;
+    if (!busy || !(busy->is_int64() || busy->is_uint64()))
+        return std::nullopt;
+    return busy->to_number<std::uint32_t>(ec);
+}
+
 TaskAttempt attemptOf(const json::object& object)
 {
     return { TaskId { std::string(object.at("task").as_string()) },
@@ -126,6 +139,17 @@
         done(HttpResult { std::nullopt, false, Reason { ErrorKind::Overloaded, "backend link" } });
 }
 
+void BackendLink::executorBusy(const std::string& address, BusyDone done)
+{
+    HttpRequest request;
+    request.target = "/v1/status";
+    const bool queued = post([this, address, request, done] {
+        m_workers.send(address, request, workerTimeout, [done](HttpResult result) { done(busyOf(result)); });
+    });
+    if (!queued)
+        done(std::nullopt);
+}
+
 void BackendLink::start(const std::string& address, SendStart message, StartDone done)
 {
     const bool queued = post([this, address, message, done] {
--- a/src/service/BackendLink.h
+++ b/src/service/BackendLink.h
@@ -22,6 +22,7 @@
 class BackendLink : public Duty {
 public:
     using ExecuteDone = std::function<void(HttpResult)>;
+    using BusyDone = std::function<void(std::optional<std::uint32_t>)>;
     using StartDone = std::function<void(StartAnswer)>;
     using ReportDone = std::function<void(std::optional<WorkerReport>)>;
 
@@ -30,6 +31,9 @@
     /** Sends an interactive request to an executor. `done` runs on this link's thread, exactly once. */
     void execute(const std::string& address, ExecuteRequest request, Duration timeout, ExecuteDone done);
 
+    /** Asks an executor for its own count of busy slots; nullopt if it doesn't answer. */
+    void executorBusy(const std::string& address, BusyDone done);
+
     /** Starts a task; Unknown unless the worker answered or no byte was sent. */
     void start(const std::string& address, SendStart message, StartDone done);
 
--- a/src/service/Daemon.cpp
+++ b/src/service/Daemon.cpp
@@ -90,8 +90,8 @@
     , m_membership(Identity { m_self.id, m_self.domain, m_peers.address() }, m_store)
     , m_configuration(m_store)
     , m_quota(m_membership, m_configuration, m_tokens)
-    , m_interactive(m_membership, m_backend, m_peers, m_tokens)
-    , m_jobs(m_membership, m_store, m_backend, m_peers, m_tokens)
+    , m_interactive(m_membership, m_configuration, m_backend, m_peers, m_tokens)
+    , m_jobs(m_membership, m_configuration, m_store, m_backend, m_peers, m_tokens)
     , m_callers(settings, m_membership, m_configuration, m_interactive, m_jobs)
 {
     add(m_peers);
--- a/src/service/InteractiveService.cpp
+++ b/src/service/InteractiveService.cpp
@@ -6,232 +6,248 @@
 
 namespace {
 
-constexpr std::size_t ringCapacity = 16 * 1024;
-constexpr std::size_t maxWaiting = 8192;
-constexpr auto refreshPeriod = std::chrono::milliseconds(200);
+// Each request in flight has at most a few tasks in the ring (its admission and the answers of its attempts),
+// so that an answer always finds room; only new requests are refused.
+constexpr std::size_t maxInFlight = 16 * 1024;
+constexpr std::size_t ringCapacity = 8 * maxInFlight;
+constexpr auto refreshPeriod = std::chrono::milliseconds(100);
 constexpr auto expiryPeriod = std::chrono::milliseconds(20);
-constexpr int retryAfterMs = 500;
+constexpr auto healthPeriod = std::chrono::seconds(1);
+constexpr auto advertPeriod = std::chrono::milliseconds(100);
+constexpr auto answerGrace = std::chrono::milliseconds(200); // for an attempt to report its own timeout
+constexpr int overloadRetryAfterMs = 500;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusRefused = 503; // the executor had no slot; it did not run
 
 Instant monotonicNow() { return std::chrono::steady_clock::now(); }
 
 AskReply refusal(ErrorKind kind, std::string detail = {})
 {
-    return AskReply { Reason { kind, std::move(detail) }, {}, retryAfterMs };
+    return AskReply { Reason { kind, std::move(detail) }, {}, overloadRetryAfterMs };
 }
 
-wire::Envelope encode(const AskCall& call)
+bool isRefused(const HttpResult& result)
 {
-    wire::Envelope envelope;
-    auto& forward = *envelope.mutable_ask_forward();
-    forward.set_team(call.team.text);
-    forward.set_queue(call.queue.text);
-    forward.set_body(call.body);
-    forward.set_idempotent(call.idempotent);
-    forward.set_deadline_ms(static_cast<std::uint32_t>(toMilliseconds(call.deadline - monotonicNow())));
-    forward.set_attempt(call.attempt);
-    forward.set_traceparent(call.traceparent);
-    forward.set_request_id(call.requestId);
-    return envelope;
+    return result.response && result.response->status == statusRefused;
 }
 
-AskCall decode(const wire::AskForward& forward)
+Reason failureOf(const HttpResult& result)
 {
-    AskCall call;
-    call.team = TeamId { forward.team() };
-    call.queue = QueueId { forward.queue() };
-    call.body = forward.body();
-    call.idempotent = forward.idempotent();
-    call.deadline = monotonicNow() + std::chrono::milliseconds(forward.deadline_ms());
-    call.attempt = forward.attempt();
-    call.traceparent = forward.traceparent();
-    call.requestId = forward.request_id();
-    call.forwarded = true;
-    return call;
-}
-
-AskReply replyOf(const HttpResult& result, const AskCall& call)
-{
-    if (!result.response) {
-        const bool unknown = result.mayHaveArrived && !call.idempotent;
-        return refusal(unknown ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity, result.reason.detail);
-    }
-    if (result.response->status == 200)
-        return AskReply { {}, result.response->body, 0 };
-    if (result.response->status == 503) // the executor had no slot; it did not run
-        return refusal(ErrorKind::NoCapacity, "executor is full");
-    return refusal(ErrorKind::OutcomeUnknown, "executor answered " + std::to_string(result.response->status));
+    if (isRefused(result))
+        return { ErrorKind::NoCapacity, "the executor is full" };
+    if (result.response)
+        return { ErrorKind::OutcomeUnknown, "executor answered " + std::to_string(result.response->status) };
+    return { result.mayHaveArrived ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity,
+        result.reason.detail };
 }
 
 } // namespace
 
-InteractiveService::InteractiveService(
-    MembershipService& membership, BackendLink& backend, PeerLink& peers, TeamTokens& tokens)
+InteractiveService::InteractiveService(MembershipService& membership, ConfigurationService& configuration,
+    BackendLink& backend, PeerLink& peers, TeamTokens& tokens)
     : Duty("interactive", ringCapacity)
     , m_membership(membership)
+    , m_configuration(configuration)
     , m_backend(backend)
     , m_peers(peers)
     , m_tokens(tokens)
+    , m_router(makeRouter(RouterSettings {}))
+    , m_random(std::random_device {}())
 {
-    every(refreshPeriod, [this] {
-        refreshExecutors();
-        dispatch();
-    });
+    every(refreshPeriod, [this] { refresh(); });
     every(expiryPeriod, [this] { expire(); });
+    every(healthPeriod, [this] { checkHealth(); });
+    every(advertPeriod, [this] { advertise(); });
     m_peers.onMessage(
         wire::Envelope::kAskForward, [this](const wire::Envelope& envelope) { onForward(envelope); });
+    m_peers.onMessage(
+        wire::Envelope::kFreeSlots, [this](const wire::Envelope& envelope) { onFreeSlots(envelope); });
 }
 
 void InteractiveService::ask(AskCall call, Done done)
 {
-    ++m_inFlight;
-    const auto finish = [this, done = std::move(done)](AskReply reply) {
+    if (++m_inFlight > maxInFlight) {
         --m_inFlight;
-        done(std::move(reply));
-    };
-    if (!post([this, call = std::move(call), finish]() mutable { admit(std::move(call), finish); }))
-        finish(refusal(ErrorKind::Overloaded));
+        done(refusal(ErrorKind::Overloaded));
+        return;
+    }
+    const bool queued
+        = post([this, call = std::move(call), done]() mutable { admit(std::move(call), done); });
+    if (queued)
+        return;
+    --m_inFlight;
+    done(refusal(ErrorKind::Overloaded));
 }
 
 void InteractiveService::admit(AskCall call, Done done)
 {
-    if (m_queue.size() >= maxWaiting) {
-        done(refusal(ErrorKind::QueueFull));
-        return;
-    }
-    if (!call.forwarded) {
+    if (!call.hops) {
         if (!m_tokens.tryAcquire(call.team, 1, monotonicNow())) {
+            --m_inFlight;
             done(refusal(ErrorKind::QuotaExhausted, call.team.text));
             return;
         }
-        done = [this, team = call.team, done = std::move(done)](AskReply reply) {
-            m_tokens.release(team, 1);
-            done(std::move(reply));
-        };
+        ++m_counters.accepted;
+        earnRetryTokens(m_retryBudgets[call.team], m_retrySettings);
     }
-    m_queue.push_back({ std::move(call), std::move(done) });
-    dispatch();
+    const auto id = m_nextId++;
+    m_requests.emplace(id, Request { std::move(call), std::move(done), {}, false });
+    route(id);
+    dispatchWaiting();
 }
 
-void InteractiveService::refreshExecutors()
+// Own slots first; a peer's if one there is sooner; else the team's queue here.
+void InteractiveService::route(std::uint64_t id)
 {
-    const auto ownership = m_membership.ownership().get();
-    for (auto& [id, executor] : m_executors)
-        executor.open = false;
-    const auto fleet = m_membership.fleet().get();
-    for (const auto& server : fleet->servers) {
-        if (server.kind != ServerKind::Executor || !ownership->executors.count(server.id))
-            continue;
-        auto& executor = m_executors[server.id];
-        executor.address = server.address;
-        executor.slots = server.slots;
-        executor.open = !server.leaving;
-    }
-    std::erase_if(
-        m_executors, [](const auto& item) { return !item.second.open && !item.second.outstanding; });
+    const auto& request = m_requests.at(id);
+    const auto capacity = slotCapacity(m_router);
+    const auto wait = estimateWait(m_router.admission, request.call.team, capacity);
+    const bool mayForward = !request.call.hops && !request.isKept;
+    if (wait > Duration::zero() && mayForward && forward(id, wait))
+        return;
+    const QueuedRequest queued { id, request.call.team, request.call.deadline };
+    const auto refused = addRequest(m_router, queued, monotonicNow());
+    if (!refused)
+        return;
+    const bool isRetry = request.lastFailure.kind != ErrorKind::None;
+    auto reason = isRetry ? request.lastFailure : Reason { refused->kind, {} };
+    if (!isRetry && !capacity.slots)
+        reason = { ErrorKind::NoCapacity, "no executor slot in reach" };
+    finish(id, AskReply { std::move(reason), {}, static_cast<int>(refused->retryAfterMs) });
 }
 
-InteractiveService::Executor* InteractiveService::pick(ServerId& id)
+void InteractiveService::dispatchWaiting()
 {
-    Executor* best = nullptr;
-    for (auto& [candidate, executor] : m_executors) {
-        if (!executor.open || executor.outstanding >= executor.slots)
+    std::vector<std::uint64_t> unsent;
+    const auto result = dispatch(m_router, monotonicNow(), m_random);
+    for (const auto& request : result.expired)
+        finish(request.id, refusal(ErrorKind::DeadlineExceeded));
+    for (const auto& next : result.dispatches) {
+        if (send(next))
             continue;
-        if (best && best->outstanding <= executor.outstanding)
-            continue;
-        best = &executor;
-        id = candidate;
+        onNotSent(m_router, next.executor);
+        unsent.push_back(next.request.id);
     }
-    return best;
-}
-
-void InteractiveService::dispatch()
-{
-    while (!m_queue.empty()) {
-        if (m_executors.empty()) {
-            if (!forward(m_queue.front()))
-                return;
-            m_queue.pop_front();
-            continue;
-        }
-        ServerId id;
-        auto* executor = pick(id);
-        if (!executor || !m_membership.ownership().get()->mayUse(id, monotonicNow()))
-            return;
-        auto waiting = std::move(m_queue.front());
-        m_queue.pop_front();
-        send(id, *executor, std::move(waiting));
+    m_freeSlots = m_router.freeSlots;
+    if (unsent.empty())
+        return;
+    // The ownership ended between two looks: without the lost executors they find another way.
+    followOwnership();
+    for (const auto id : unsent) {
+        if (m_requests.count(id))
+            route(id);
     }
 }
 
-void InteractiveService::send(const ServerId& id, Executor& executor, Waiting waiting)
+bool InteractiveService::send(const Dispatch& dispatch)
 {
-    ++executor.outstanding;
-    auto call = std::make_shared<AskCall>(std::move(waiting.call));
-    ExecuteRequest request { call->team, call->requestId, call->traceparent, call->body };
-    m_backend.execute(executor.address, std::move(request), call->deadline - monotonicNow(),
-        [this, id, call, done = std::move(waiting.done)](HttpResult result) {
-            auto shared = std::make_shared<HttpResult>(std::move(result));
-            if (!post([this, id, call, done, shared] { onExecuted(id, *call, done, std::move(*shared)); }))
-                done(refusal(ErrorKind::OutcomeUnknown, "overloaded"));
+    const auto found = m_requests.find(dispatch.request.id);
+    const auto now = monotonicNow();
+    if (found == m_requests.end() || !m_membership.ownership().get()->mayUse(dispatch.executor, now))
+        return false;
+    auto& backend = m_backends.at(dispatch.executor);
+    ++backend.sends;
+    ++m_counters.sent;
+    const auto& call = found->second.call;
+    const AttemptKey key { dispatch.request.id, call.attempt };
+    ExecuteRequest request { call.team, call.requestId, call.traceparent, call.body };
+    m_backend.execute(backend.info.address, std::move(request), call.deadline - now,
+        [this, key, executor = dispatch.executor, now](HttpResult result) {
+            auto shared = std::make_shared<const HttpResult>(std::move(result));
+            (void)post([this, key, executor, now, shared] { onExecuted(key, executor, now, *shared); });
         });
+    return true;
 }
 
-void InteractiveService::onExecuted(
-    const ServerId& id, const AskCall& call, const Done& done, HttpResult result)
+InteractiveService::Request* InteractiveService::find(const AttemptKey& key)
 {
-    --m_executors[id].outstanding;
-    done(replyOf(result, call));
-    dispatch();
+    const auto found = m_requests.find(key.id);
+    if (found != m_requests.end() && found->second.call.attempt == key.attempt)
+        return &found->second;
+    ++m_counters.answersForNobody;
+    return nullptr;
 }
 
-void InteractiveService::expire()
+// Frees the slot and learns from the answer; true if it is the executor's answer to the caller.
+bool InteractiveService::learn(const ServerId& executor, Instant sentAt, const HttpResult& result)
 {
+    const bool succeeded = result.response && result.response->status == statusOk;
     const auto now = monotonicNow();
-    while (!m_queue.empty() && m_queue.front().call.deadline <= now) {
-        auto waiting = std::move(m_queue.front());
-        m_queue.pop_front();
-        waiting.done(refusal(ErrorKind::DeadlineExceeded));
+    if (isRefused(result))
+        onNotSent(m_router, executor);
+    else
+        onAnswer(m_router, executor, succeeded, now - sentAt);
+    const bool slotIsOpen = isRefused(result) || (!result.response && result.mayHaveArrived);
+    const auto backend = m_backends.find(executor);
+    if (slotIsOpen && backend != m_backends.end()) {
+        countLost(backend->second.gate, now);
+        applyExecutors();
     }
+    return succeeded;
 }
 
-bool InteractiveService::forward(Waiting& waiting)
+void InteractiveService::onExecuted(
+    const AttemptKey& key, const ServerId& executor, Instant sentAt, const HttpResult& result)
 {
-    if (waiting.call.forwarded)
-        return false;
-    const auto topology = m_membership.topology().get();
-    std::vector<const TopologyMember*> peers;
-    for (const auto& member : topology->members) {
-        if (member.id != m_membership.self().id)
-            peers.push_back(&member);
+    const bool succeeded = learn(executor, sentAt, result);
+    if (find(key)) {
+        if (succeeded)
+            finish(key.id, AskReply { {}, result.response->body, 0 });
+        else
+            onFailure(key.id, failureOf(result), overloadRetryAfterMs);
     }
-    if (peers.empty())
-        return false;
-    const auto& peer = *peers[m_nextPeer++ % peers.size()];
-    const auto timeout = waiting.call.deadline - monotonicNow();
-    const bool idempotent = waiting.call.idempotent;
-    return m_peers.request(peer.peerAddress, encode(waiting.call), timeout,
-        [done = waiting.done, idempotent](std::unique_ptr<wire::Envelope> answer) {
-            if (!answer) {
-                done(refusal(
-                    idempotent ? ErrorKind::OwnerUnreachable : ErrorKind::OutcomeUnknown, "no answer"));
-                return;
-            }
-            const auto& reply = answer->ask_answer();
-            const auto kind = describe(static_cast<ErrorKind>(reply.kind())).kind;
-            done(AskReply { Reason { kind, reply.detail() }, reply.body(), retryAfterMs });
-        });
+    dispatchWaiting();
+}
+
+void InteractiveService::onFailure(std::uint64_t id, Reason failure, int retryAfterMs)
+{
+    auto& request = m_requests.at(id);
+    auto& call = request.call;
+    const AskReply reply { failure, {}, retryAfterMs };
+    if (call.hops) {
+        finish(id, reply);
+        return;
+    }
+    const RequestAttempt attempt { call.attempt, call.idempotent, call.deadline };
+    const auto decision = tryRetry(m_retryBudgets[call.team], m_retrySettings, attempt,
+        describe(failure.kind).disposition, m_router.serviceTime, monotonicNow());
+    if (decision == RetryDecision::BudgetExhausted)
+        ++m_counters.retriesOverBudget;
+    if (decision != RetryDecision::Retry) {
+        finish(id, reply);
+        return;
+    }
+    ++m_counters.retries;
+    ++call.attempt;
+    request.lastFailure = std::move(failure);
+    route(id);
 }
 
-void InteractiveService::onForward(const wire::Envelope& envelope)
+void InteractiveService::finish(std::uint64_t id, AskReply reply)
 {
-    auto request = std::make_shared<wire::Envelope>(envelope);
-    ask(decode(envelope.ask_forward()), [this, request](AskReply reply) {
-        wire::Envelope answer;
-        answer.mutable_ask_answer()->set_kind(static_cast<std::uint32_t>(reply.reason.kind));
-        answer.mutable_ask_answer()->set_body(reply.body);
-        answer.mutable_ask_answer()->set_detail(reply.reason.detail);
-        m_peers.answer(request->reply_to(), *request, std::move(answer));
-    });
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    const Request request = std::move(found->second);
+    m_requests.erase(found);
+    if (!request.call.hops)
+        m_tokens.release(request.call.team, 1);
+    --m_inFlight;
+    request.done(std::move(reply));
+}
+
+void InteractiveService::expire()
+{
+    const auto now = monotonicNow();
+    for (const auto& request : takeExpired(m_router.admission, now))
+        finish(request.id, refusal(ErrorKind::DeadlineExceeded));
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [id, request] : m_requests) {
+        if (request.call.deadline + answerGrace <= now)
+            overdue.push_back(id);
+    }
+    for (const auto id : overdue)
+        finish(id, refusal(ErrorKind::OutcomeUnknown, "no answer before the deadline"));
 }
 
 } // namespace quay
--- a/src/service/InteractiveService.h
+++ b/src/service/InteractiveService.h
@@ -1,15 +1,23 @@
 #pragma once
 
 #include "net/PeerLink.h"
+#include "quay/core/InteractiveRouter.h"
+#include "quay/core/RetryBudget.h"
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Duty.h"
 #include "service/BackendLink.h"
+#include "service/ConfigurationService.h"
+#include "service/ExecutorGate.h"
 #include "service/MembershipService.h"
 
-#include <deque>
+#include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
+#include <random>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace quay {
 
@@ -23,7 +31,7 @@
     bool idempotent = false;
     Instant deadline {};
     std::uint32_t attempt = 1;
-    bool forwarded = false; // came from a peer, which holds the team's token
+    std::uint32_t hops = 0; // over 0: came from a peer, which holds the caller and the team's token
 };
 
 /** The answer to an AskCall. */
@@ -33,13 +41,28 @@
     int retryAfterMs = 0;
 };
 
-/** Routes interactive requests to executor slots that this process owns, or to a peer that owns some. */
+/** Counts of the interactive path, readable from any thread. */
+struct InteractiveCounters {
+    std::atomic<std::uint64_t> accepted = 0; // of callers
+    std::atomic<std::uint64_t> sent = 0; // to executors
+    std::atomic<std::uint64_t> retries = 0;
+    std::atomic<std::uint64_t> retriesOverBudget = 0; // that the retry budget refused
+    std::atomic<std::uint64_t> forwarded = 0; // to peers
+    std::atomic<std::uint64_t> forwardsRefused = 0; // by peers, as surely not run
+    std::atomic<std::uint64_t> answersForNobody = 0; // late or doubled
+    std::atomic<std::uint64_t> ejections = 0;
+};
+
+/**
+ * Routes interactive requests to the executor slots that this process owns, or one hop to a peer with
+ * free slots. The process that holds the caller decides on retries.
+ */
 class InteractiveService : public Duty {
 public:
     using Done = std::function<void(AskReply)>;
 
-    InteractiveService(
-        MembershipService& membership, BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
+    InteractiveService(MembershipService& membership, ConfigurationService& configuration,
+        BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
 
     /** Takes a request from any thread; `done` is called exactly once, on any thread. */
     void ask(AskCall call, Done done);
@@ -47,36 +70,87 @@
     /** Requests taken and not yet answered. */
     std::size_t inFlight() const { return m_inFlight; }
 
+    const InteractiveCounters& counters() const { return m_counters; }
+
 private:
-    struct Waiting {
+    /** A request that is not answered yet. */
+    struct Request {
         AskCall call;
         Done done;
+        Reason lastFailure; // of the attempt before
+        bool isKept = false; // a peer had no room for it after all; it isn't forwarded again
+    };
+    /** One attempt of a request; answers of any other attempt belong to nobody. */
+    struct AttemptKey {
+        std::uint64_t id = 0;
+        std::uint32_t attempt = 0;
     };
-    struct Executor {
-        std::string address;
-        std::uint32_t slots = 0;
-        std::uint32_t outstanding = 0;
-        bool open = false; // owned, and not leaving
+    /** An executor beside what the router keeps of it. */
+    struct Backend {
+        ServerInfo info;
+        ExecutorGate gate;
+        std::uint64_t sends = 0;
+        bool isOwned = false;
+        bool isAsking = false;
+    };
+    /** What a peer told of itself. */
+    struct Peer {
+        std::uint32_t freeSlots = 0;
+        Instant toldAt {};
+        Duration roundTrip = Duration::zero(); // zero: not measured yet
     };
 
+    // The way of a request.
     void admit(AskCall call, Done done);
-    void refreshExecutors();
-    void dispatch();
+    void route(std::uint64_t id);
+    void dispatchWaiting();
+    bool send(const Dispatch& dispatch);
+    void onExecuted(
+        const AttemptKey& key, const ServerId& executor, Instant sentAt, const HttpResult& result);
+    bool learn(const ServerId& executor, Instant sentAt, const HttpResult& result);
+    void onFailure(std::uint64_t id, Reason failure, int retryAfterMs);
+    void finish(std::uint64_t id, AskReply reply);
+    Request* find(const AttemptKey& key);
     void expire();
-    Executor* pick(ServerId& id);
-    void send(const ServerId& id, Executor& executor, Waiting waiting);
-    void onExecuted(const ServerId& id, const AskCall& call, const Done& done, HttpResult result);
-    bool forward(Waiting& waiting);
+
+    // Executors.
+    void refresh();
+    void followConfiguration();
+    void followOwnership();
+    void applyExecutors();
+    void askStatus(const ServerId& id, Backend& backend);
+    void onStatus(
+        const ServerId& id, Instant askedAt, std::uint64_t sends, std::optional<std::uint32_t> busy);
+    std::uint32_t outstandingOf(const ServerId& executor) const;
+    void checkHealth();
+
+    // Peers.
+    bool forward(std::uint64_t id, Duration wait);
+    std::vector<ForwardPeer> forwardPeers(const Topology& topology) const;
+    void onForwardAnswer(const AttemptKey& key, const MemberId& peer, std::shared_ptr<wire::Envelope> answer);
     void onForward(const wire::Envelope& envelope);
+    void advertise();
+    void advertiseTo(const TopologyMember& member);
+    void onFreeSlots(const wire::Envelope& envelope);
 
     MembershipService& m_membership;
+    ConfigurationService& m_configuration;
     BackendLink& m_backend;
     PeerLink& m_peers;
     TeamTokens& m_tokens;
-    std::map<ServerId, Executor> m_executors;
-    std::deque<Waiting> m_queue;
+    RouterState m_router;
+    RetryBudgetSettings m_retrySettings;
+    std::map<TeamId, RetryBudget> m_retryBudgets;
+    std::unordered_map<std::uint64_t, Request> m_requests;
+    std::map<ServerId, Backend> m_backends;
+    std::map<MemberId, Peer> m_peerViews;
+    std::uint64_t m_nextId = 1;
+    std::uint64_t m_advertRound = 0;
+    std::uint64_t m_configurationVersion = 0;
+    std::mt19937_64 m_random;
     std::atomic<std::size_t> m_inFlight = 0;
-    std::size_t m_nextPeer = 0;
+    std::atomic<std::uint32_t> m_freeSlots = 0; // as advertised
+    InteractiveCounters m_counters;
 };
 
 } // namespace quay
--- /dev/null
+++ b/src/service/InteractiveServiceExecutors.cpp
@@ -0,0 +1,124 @@
+#include "service/InteractiveService.h"
+
+#include <algorithm>
+
+namespace quay {
+
+namespace {
+
+constexpr std::int64_t millitokensPerPercent = 10;
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+RoutingPolicy routingPolicy(const std::string& name)
+{
+    if (name == "random")
+        return RoutingPolicy::Random;
+    if (name == "first_fit")
+        return RoutingPolicy::FirstFit;
+    return RoutingPolicy::TwoChoices;
+}
+
+} // namespace
+
+void InteractiveService::refresh()
+{
+    followConfiguration();
+    followOwnership();
+    for (auto& [id, backend] : m_backends) {
+        if (backend.isOwned && !backend.isAsking && wantsStatus(backend.gate))
+            askStatus(id, backend);
+    }
+    dispatchWaiting();
+}
+
+void InteractiveService::followConfiguration()
+{
+    const auto active = m_configuration.active().get();
+    const auto& configuration = active->configuration;
+    if (!active->known || configuration.version == m_configurationVersion)
+        return;
+    m_configurationVersion = configuration.version;
+    for (const auto& [team, config] : configuration.teams) {
+        setWeight(m_router.admission, team, config.share);
+        setMaxWaiting(m_router.admission, team, config.maxQueued);
+    }
+    m_router.settings.policy = routingPolicy(configuration.policy.routing);
+    m_retrySettings.earnedMillitokens = configuration.policy.retryPercent * millitokensPerPercent;
+}
+
+// Executors that were gained start with a closed gate; lost ones stay until their requests have ended.
+void InteractiveService::followOwnership()
+{
+    const auto now = monotonicNow();
+    const auto ownership = m_membership.ownership().get();
+    const auto fleet = m_membership.fleet().get();
+    for (auto& [id, backend] : m_backends)
+        backend.isOwned = backend.isOwned && ownership->mayUse(id, now);
+    for (const auto& server : fleet->servers) {
+        if (server.kind != ServerKind::Executor || !ownership->mayUse(server.id, now))
+            continue;
+        auto& backend = m_backends[server.id];
+        if (!backend.isOwned)
+            backend.gate = takenOver(now);
+        backend.isOwned = true;
+        backend.info = server;
+    }
+    std::erase_if(
+        m_backends, [this](const auto& item) { return !item.second.isOwned && !outstandingOf(item.first); });
+    applyExecutors();
+}
+
+void InteractiveService::applyExecutors()
+{
+    const auto now = monotonicNow();
+    std::vector<ExecutorInfo> infos;
+    for (const auto& [id, backend] : m_backends) {
+        if (backend.isOwned)
+            infos.push_back({ id, usableSlots(backend.gate, backend.info.slots, now), backend.info.leaving });
+    }
+    setExecutors(m_router, infos);
+    m_freeSlots = m_router.freeSlots;
+}
+
+std::uint32_t InteractiveService::outstandingOf(const ServerId& executor) const
+{
+    const auto found = m_router.positions.find(executor);
+    return found == m_router.positions.end() ? 0 : m_router.executors[found->second].outstanding;
+}
+
+void InteractiveService::askStatus(const ServerId& id, Backend& backend)
+{
+    backend.isAsking = true;
+    const auto askedAt = monotonicNow();
+    // With something outstanding now the count is of no use for an exact answer.
+    const auto sends = outstandingOf(id) ? UINT64_MAX : backend.sends;
+    m_backend.executorBusy(
+        backend.info.address, [this, id, askedAt, sends](std::optional<std::uint32_t> busy) {
+            (void)post([this, id, askedAt, sends, busy] { onStatus(id, askedAt, sends, busy); });
+        });
+}
+
+void InteractiveService::onStatus(
+    const ServerId& id, Instant askedAt, std::uint64_t sends, std::optional<std::uint32_t> busy)
+{
+    const auto found = m_backends.find(id);
+    if (found == m_backends.end())
+        return;
+    auto& backend = found->second;
+    backend.isAsking = false;
+    if (!busy)
+        return;
+    takeStatus(backend.gate, { *busy, askedAt, sends == backend.sends });
+    applyExecutors();
+    dispatchWaiting();
+}
+
+void InteractiveService::checkHealth()
+{
+    for (const auto& change : checkExecutors(m_router, monotonicNow()))
+        m_counters.ejections += change.state == HealthState::Ejected ? 1 : 0;
+    dispatchWaiting();
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/service/InteractiveServicePeers.cpp
@@ -0,0 +1,196 @@
+#include "service/InteractiveService.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+
+namespace quay {
+
+namespace {
+
+constexpr std::uint64_t roundsPerDistantAdvert = 5; // members of other domains are told every fifth time
+constexpr auto advertTimeout = std::chrono::seconds(1);
+constexpr auto advertLife = std::chrono::milliseconds(2500);
+constexpr auto nearRoundTrip = std::chrono::milliseconds(1); // until measured
+constexpr auto distantRoundTrip = std::chrono::milliseconds(5);
+constexpr auto distantLinkPrice = std::chrono::milliseconds(20);
+constexpr int averageWeight = 8; // a new sample counts for an eighth
+
+Instant monotonicNow() { return std::chrono::steady_clock::now(); }
+
+wire::Envelope encode(const AskCall& call)
+{
+    wire::Envelope envelope;
+    auto& forward = *envelope.mutable_ask_forward();
+    forward.set_team(call.team.text);
+    forward.set_queue(call.queue.text);
+    forward.set_body(call.body);
+    forward.set_idempotent(call.idempotent);
+    forward.set_deadline_ms(static_cast<std::uint32_t>(toMilliseconds(call.deadline - monotonicNow())));
+    forward.set_attempt(call.attempt);
+    forward.set_traceparent(call.traceparent);
+    forward.set_request_id(call.requestId);
+    forward.set_hops(call.hops + 1);
+    return envelope;
+}
+
+AskCall decode(const wire::AskForward& forward)
+{
+    AskCall call;
+    call.team = TeamId { forward.team() };
+    call.queue = QueueId { forward.queue() };
+    call.body = forward.body();
+    call.idempotent = forward.idempotent();
+    call.deadline = monotonicNow() + std::chrono::milliseconds(forward.deadline_ms());
+    call.attempt = forward.attempt();
+    call.traceparent = forward.traceparent();
+    call.requestId = forward.request_id();
+    call.hops = std::max<std::uint32_t>(1, forward.hops()); // older versions don't send it
+    return call;
+}
+
+// Refusals before the request got to any executor: nothing was attempted.
+bool isForLackOfRoom(ErrorKind kind)
+{
+    return kind == ErrorKind::NoCapacity || kind == ErrorKind::QueueFull
+        || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Overloaded;
+}
+
+} // namespace
+
+std::vector<ForwardPeer> InteractiveService::forwardPeers(const Topology& topology) const
+{
+    std::vector<ForwardPeer> peers;
+    const auto now = monotonicNow();
+    const auto& self = m_membership.self();
+    for (const auto& member : topology.members) {
+        const auto view = m_peerViews.find(member.id);
+        if (member.id == self.id || view == m_peerViews.end() || view->second.toldAt + advertLife < now)
+            continue;
+        const bool isNear = member.domain == self.domain;
+        const Duration expected = isNear ? nearRoundTrip : distantRoundTrip;
+        const auto measured = view->second.roundTrip;
+        const auto roundTrip = measured == Duration::zero() ? expected : measured;
+        const Duration price = isNear ? Duration::zero() : distantLinkPrice;
+        peers.push_back({ member.id, isNear, view->second.freeSlots, roundTrip, price });
+    }
+    return peers;
+}
+
+bool InteractiveService::forward(std::uint64_t id, Duration wait)
+{
+    const auto& call = m_requests.at(id).call;
+    const auto topology = m_membership.topology().get();
+    const Duration left = call.deadline - monotonicNow();
+    const auto chosen = chooseForward(forwardPeers(*topology), wait, m_router.serviceTime, left);
+    const auto* peer = chosen ? topology->find(*chosen) : nullptr;
+    if (!peer)
+        return false;
+    const AttemptKey key { id, call.attempt };
+    const bool isSent = m_peers.request(peer->peerAddress, encode(call), left,
+        [this, key, member = peer->id](std::unique_ptr<wire::Envelope> answer) {
+            std::shared_ptr<wire::Envelope> shared(std::move(answer));
+            (void)post([this, key, member, shared] { onForwardAnswer(key, member, shared); });
+        });
+    if (!isSent)
+        return false;
+    ++m_counters.forwarded;
+    --m_peerViews[peer->id].freeSlots; // until it tells again
+    return true;
+}
+
+void InteractiveService::onForwardAnswer(
+    const AttemptKey& key, const MemberId& peer, std::shared_ptr<wire::Envelope> answer)
+{
+    if (!answer)
+        m_peerViews.erase(peer);
+    auto* request = find(key);
+    if (!request)
+        return;
+    if (!answer) {
+        onFailure(key.id, { ErrorKind::OutcomeUnknown, "the peer didn't answer" }, 0);
+        dispatchWaiting();
+        return;
+    }
+    const auto& reply = answer->ask_answer();
+    const auto kind = describe(static_cast<ErrorKind>(reply.kind())).kind;
+    if (kind == ErrorKind::None) {
+        finish(key.id, AskReply { {}, reply.body(), 0 });
+        return;
+    }
+    if (isForLackOfRoom(kind)) {
+        ++m_counters.forwardsRefused;
+        m_peerViews[peer].freeSlots = 0;
+        request->isKept = true;
+        route(key.id);
+    } else {
+        onFailure(key.id, { kind, reply.detail() }, static_cast<int>(reply.retry_after_ms()));
+    }
+    dispatchWaiting();
+}
+
+void InteractiveService::onForward(const wire::Envelope& envelope)
+{
+    auto request = std::make_shared<wire::Envelope>(envelope);
+    ask(decode(envelope.ask_forward()), [this, request](AskReply reply) {
+        wire::Envelope answer;
+        auto& content = *answer.mutable_ask_answer();
+        content.set_kind(static_cast<std::uint32_t>(reply.reason.kind));
+        content.set_body(reply.body);
+        content.set_detail(reply.reason.detail);
+        content.set_retry_after_ms(static_cast<std::uint32_t>(std::max(0, reply.retryAfterMs)));
+        m_peers.answer(request->reply_to(), *request, std::move(answer));
+    });
+}
+
+// Own domain ten times a second, others twice; an advert carries a number, so the traffic is bounded by the
+// number of members.
+void InteractiveService::advertise()
+{
+    const auto topology = m_membership.topology().get();
+    const auto& self = m_membership.self();
+    const bool tellsAll = m_advertRound++ % roundsPerDistantAdvert == 0;
+    for (const auto& member : topology->members) {
+        if (member.id != self.id && (tellsAll || member.domain == self.domain))
+            advertiseTo(member);
+    }
+    std::erase_if(m_peerViews, [&](const auto& item) { return !topology->find(item.first); });
+}
+
+void InteractiveService::advertiseTo(const TopologyMember& member)
+{
+    wire::Envelope envelope;
+    envelope.mutable_free_slots()->set_slots(m_freeSlots);
+    const auto askedAt = monotonicNow();
+    (void)m_peers.request(member.peerAddress, std::move(envelope), advertTimeout,
+        [this, id = member.id, askedAt](std::unique_ptr<wire::Envelope> answer) {
+            if (!answer)
+                return;
+            const auto slots = answer->free_slots().slots();
+            const auto now = monotonicNow();
+            (void)post([this, id, slots, now, sample = now - askedAt] {
+                auto& peer = m_peerViews[id];
+                peer.freeSlots = slots;
+                peer.toldAt = now;
+                const bool isFirst = peer.roundTrip == Duration::zero();
+                peer.roundTrip
+                    = isFirst ? sample : peer.roundTrip + (sample - peer.roundTrip) / averageWeight;
+            });
+        });
+}
+
+void InteractiveService::onFreeSlots(const wire::Envelope& envelope)
+{
+    wire::Envelope answer;
+    answer.mutable_free_slots()->set_slots(m_freeSlots);
+    m_peers.answer(envelope.reply_to(), envelope, std::move(answer));
+    const MemberId member { envelope.sender() };
+    const auto slots = envelope.free_slots().slots();
+    (void)post([this, member, slots, now = monotonicNow()] {
+        auto& peer = m_peerViews[member];
+        peer.freeSlots = slots;
+        peer.toldAt = now;
+    });
+}
+
+} // namespace quay
--- /dev/null
+++ b/src/service/JobPlacement.cpp
@@ -0,0 +1,286 @@
+#include "service/JobPlacement.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quay {
+
+namespace {
+
+constexpr std::uint32_t placementsPerRound = 200;
+constexpr std::size_t tasksPerRound = 20'000; // of pending work looked at
+constexpr auto healthCheckPeriod = std::chrono::seconds(1);
+constexpr auto askAgainPeriod = std::chrono::milliseconds(250);
+
+RunningTask runningTask(const JobSpec& spec, const JobId& job, const ServerId& worker)
+{
+    return { job, spec.team, spec.kind, worker, spec.perTask, spec.declaredRunTimeMs };
+}
+
+WorkerView viewOf(const LedgerWorker& worker, bool usable)
+{
+    WorkerView view;
+    view.id = worker.id;
+    view.rack = worker.rack;
+    view.capacity = worker.capacity;
+    view.used = worker.capacity - worker.free;
+    view.usable = usable;
+    return view;
+}
+
+PendingWork workOf(const JobLedger& ledger, const PendingTask& task)
+{
+    PendingWork work;
+    work.job = task.job;
+    work.team = task.team;
+    work.kind = task.kind;
+    work.perTask = task.size;
+    work.submittedAtMs = task.submittedAtMs;
+    work.declaredRunTimeMs = task.declaredRunTimeMs;
+    const JobEntry& entry = ledger.jobs.at(task.job);
+    std::set<ServerId> avoid;
+    for (std::size_t i = 0; i < entry.tasks.size(); ++i) {
+        if (entry.tasks[i].failures + entry.tasks[i].refusals)
+            avoid.insert(entry.record.tasks[i].worker);
+    }
+    work.avoid.assign(avoid.begin(), avoid.end());
+    return work;
+}
+
+} // namespace
+
+PlacementPolicy placementPolicy(const std::string& name)
+{
+    PlacementPolicy policy;
+    if (name == "first_fit")
+        policy.packing = PlacementPolicy::Packing::FirstFit;
+    else if (name == "random")
+        policy.packing = PlacementPolicy::Packing::Random;
+    return policy;
+}
+
+JobPlacement::JobPlacement(std::uint64_t seed)
+    : m_seed(seed)
+    , m_state(PlacementPolicy {}, seed)
+{
+}
+
+void JobPlacement::reset(const std::string& packing, std::uint64_t epoch)
+{
+    *this = JobPlacement(m_seed + 1);
+    m_state = PlacementState(placementPolicy(packing), m_seed);
+    m_packing = packing;
+    m_epoch = epoch;
+}
+
+std::size_t JobPlacement::ejectedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_outliers.servers.begin(), m_outliers.servers.end(),
+        [](const auto& item) { return item.second.state == HealthState::Ejected; }));
+}
+
+PlacementRound JobPlacement::run(
+    const JobLedger& ledger, const Configuration& configuration, TeamTokens& tokens, Instant now)
+{
+    PlacementRound round;
+    followPolicy(ledger, configuration);
+    followWorkers(ledger, now);
+    const auto jobs = pendingJobs(ledger);
+    if (jobs.empty())
+        return round;
+    auto grants = acquire(jobs, tokens, now);
+    std::vector<PendingWork> pending;
+    std::map<JobId, const PendingJob*> byId;
+    for (const auto& job : jobs) {
+        pending.push_back(job.work);
+        byId[job.work.job] = &job;
+    }
+    const auto result = place(
+        m_state, pending, [&grants](const TeamId& team) { return grants[team].held; }, now,
+        placementsPerRound);
+    for (const auto& placement : result.placements) {
+        const auto& job = *byId.at(placement.job);
+        const TaskRef ref { placement.job, job.indices[placement.nthPending] };
+        round.chosen.placements.push_back({ ref.job, ref.index, placement.worker });
+        m_running[ref] = runningTask(ledger.jobs.at(ref.job).record.spec, placement.job, placement.worker);
+        --grants[job.work.team].held;
+        m_lastHold.erase(placement.job);
+    }
+    for (const auto& [team, grant] : grants) {
+        if (grant.held)
+            tokens.release(team, grant.held);
+    }
+    round.explanations = explainHolds(result.holds);
+    return round;
+}
+
+void JobPlacement::followPolicy(const JobLedger& ledger, const Configuration& configuration)
+{
+    if (m_packing != configuration.policy.placement || m_epoch != ledger.epoch)
+        reset(configuration.policy.placement, ledger.epoch);
+    for (const auto& [team, config] : configuration.teams)
+        m_state.setWeight(team, config.share);
+}
+
+void JobPlacement::followWorkers(const JobLedger& ledger, Instant now)
+{
+    const auto views = workerViews(ledger);
+    followHealth(views, now);
+    followTasks(ledger, views, now);
+    if (m_views.empty() && !views.empty())
+        m_state.setWorkers({}, true); // from here on all listed workers are passed on
+    std::set<ServerId> listed;
+    for (const auto& view : views) {
+        listed.insert(view.id);
+        const bool usable = view.open && !isEjected(view.id);
+        const auto known = m_views.find(view.id);
+        const bool isKnown = known != m_views.end() && known->second == view;
+        if (isKnown && m_usable[view.id] == usable && !m_changed.count(view.id))
+            continue;
+        m_state.updateWorker(viewOf(view, usable));
+        m_views[view.id] = view;
+        m_usable[view.id] = usable;
+    }
+    m_changed.clear();
+    std::erase_if(m_views, [this, &listed](const auto& item) {
+        if (listed.count(item.first))
+            return false;
+        m_state.removeWorker(item.first);
+        m_usable.erase(item.first);
+        return true;
+    });
+}
+
+// m_running and the ledger are brought together: what ended, or was placed and not accepted, is taken off,
+// and what a former lead or an earlier policy started is counted.
+void JobPlacement::followTasks(const JobLedger& ledger, const std::vector<LedgerWorker>& views, Instant now)
+{
+    std::map<TaskRef, ServerId> held;
+    for (const auto& view : views) {
+        for (const auto& task : view.tasks)
+            held.emplace(task, view.id);
+    }
+    std::erase_if(m_running, [&](const auto& item) {
+        const auto it = held.find(item.first);
+        if (it != held.end() && it->second == item.second.worker)
+            return false;
+        m_state.taskEnded(item.second, now);
+        m_changed.insert(item.second.worker);
+        return true;
+    });
+    for (const auto& [ref, worker] : held) {
+        const auto* record = findJob(ledger, ref.job);
+        if (!record || m_running.count(ref))
+            continue;
+        m_running[ref] = runningTask(record->spec, ref.job, worker);
+        m_state.taskStarted(m_running[ref], now);
+        m_changed.insert(worker);
+    }
+}
+
+void JobPlacement::followHealth(const std::vector<LedgerWorker>& views, Instant now)
+{
+    std::vector<ServerId> ids;
+    for (const auto& view : views)
+        ids.push_back(view.id);
+    watchServers(m_outliers, ids);
+    for (const auto& view : views) {
+        auto& tally = m_tallies[view.id];
+        // A worker that was listed anew counts from zero again.
+        if (view.startFailures < tally.failures)
+            tally = {};
+        for (; tally.failures < view.startFailures; ++tally.failures)
+            recordOutcome(m_outliers, view.id, false);
+        const auto unsuccessful = view.startFailures + view.tasks.size();
+        for (; tally.successes + unsuccessful < view.starts; ++tally.successes)
+            recordOutcome(m_outliers, view.id, true);
+    }
+    if (now < m_nextHealthCheck)
+        return;
+    m_nextHealthCheck = now + healthCheckPeriod;
+    checkOutliers(m_outliers, now);
+}
+
+bool JobPlacement::isEjected(const ServerId& worker) const
+{
+    const auto it = m_outliers.servers.find(worker);
+    return it != m_outliers.servers.end() && it->second.state == HealthState::Ejected;
+}
+
+std::vector<JobPlacement::PendingJob> JobPlacement::pendingJobs(const JobLedger& ledger) const
+{
+    std::vector<PendingJob> jobs;
+    for (const auto& task : pendingWork(ledger, tasksPerRound)) {
+        if (jobs.empty() || jobs.back().work.job != task.job)
+            jobs.push_back({ workOf(ledger, task), {} });
+        jobs.back().indices.push_back(task.index);
+        ++jobs.back().work.taskCount;
+    }
+    return jobs;
+}
+
+std::map<TeamId, JobPlacement::Grant> JobPlacement::acquire(
+    const std::vector<PendingJob>& jobs, TeamTokens& tokens, Instant now)
+{
+    std::map<TeamId, Grant> grants;
+    for (const auto& job : jobs)
+        grants[job.work.team].wanted += job.work.taskCount;
+    for (auto& [team, grant] : grants)
+        grant = acquireFor(team, grant.wanted, tokens, now);
+    return grants;
+}
+
+// A refused request for more tells the quota service of the demand; it is made a few times a second only.
+JobPlacement::Grant JobPlacement::acquireFor(
+    const TeamId& team, std::uint32_t wanted, TeamTokens& tokens, Instant now)
+{
+    const auto free = tokens.available(team, now);
+    const auto mayAskForMore = now >= m_askAgainAt[team];
+    if ((free >= wanted || mayAskForMore) && tokens.tryAcquire(team, wanted, now))
+        return { wanted, wanted };
+    if (mayAskForMore)
+        m_askAgainAt[team] = now + askAgainPeriod;
+    const auto part = std::min<std::int64_t>(free, wanted);
+    if (part <= 0 || !tokens.tryAcquire(team, part, now))
+        return { wanted, 0 };
+    return { wanted, static_cast<std::uint32_t>(part) };
+}
+
+std::vector<Explain> JobPlacement::explainHolds(const std::vector<Hold>& holds)
+{
+    std::vector<Explain> lines;
+    std::map<JobId, std::string> current;
+    for (const auto& hold : holds) {
+        auto words = plainWords(hold);
+        const auto last = m_lastHold.find(hold.job);
+        if (last == m_lastHold.end() || last->second != words)
+            lines.push_back({ hold.job, words });
+        current[hold.job] = std::move(words);
+    }
+    m_lastHold = std::move(current);
+    return lines;
+}
+
+std::string JobPlacement::plainWords(const Hold& hold) const
+{
+    const auto detail = hold.detail.empty() ? std::string() : " (" + hold.detail + ")";
+    const auto ejected = ejectedCount();
+    switch (hold.why) {
+    case ErrorKind::QuotaExhausted:
+        return "waits: the team's upper limit is in use" + detail
+            + "; it starts when the team's other work ends or an operator raises upper_limit";
+    case ErrorKind::NeverRunnable:
+        return "can't run: no worker of this failure domain could hold it even when empty" + detail
+            + "; ask for less, fewer tasks at a time, or another domain";
+    default:
+        break;
+    }
+    auto words = "waits: no worker has room now" + detail
+        + "; it starts when running work ends, in the order of the teams' shares";
+    if (ejected)
+        words += "; " + std::to_string(ejected)
+            + " workers get no work for a while because too many tasks failed there";
+    return words;
+}
+
+} // namespace quay
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -16,7 +16,6 @@
 constexpr auto loadTimeout = std::chrono::seconds(10);
 constexpr auto recordWriteTimeout = std::chrono::hours(24); // the store client goes on until it knows
 constexpr auto archiveTimeout = std::chrono::seconds(30);
-constexpr std::size_t placementsPerTick = 200;
 constexpr std::size_t explanationLines = 32;
 constexpr std::size_t maxFinishedShown = 2000;
 
@@ -35,14 +34,16 @@
 
 } // namespace
 
-JobService::JobService(MembershipService& membership, StoreService& store, BackendLink& backend,
-    PeerLink& peers, TeamTokens& tokens)
+JobService::JobService(MembershipService& membership, ConfigurationService& configuration,
+    StoreService& store, BackendLink& backend, PeerLink& peers, TeamTokens& tokens)
     : Duty("jobs", ringCapacity)
     , m_membership(membership)
+    , m_configuration(configuration)
     , m_store(store)
     , m_backend(backend)
     , m_peers(peers)
     , m_tokens(tokens)
+    , m_placement(std::random_device {}())
     , m_nextJob(std::random_device {}())
 {
     m_ledger.domain = membership.self().domain;
@@ -207,38 +208,15 @@
 
 void JobService::placePending()
 {
-    const auto pending = pendingWork(m_ledger, placementsPerTick);
-    if (pending.empty() || !mayLead())
+    const auto now = monotonicNow();
+    if (!mayLead())
         return;
-    auto views = workerViews(m_ledger);
-    PlacementsChosen chosen;
-    for (std::size_t i = 0; i < pending.size();) {
-        const auto count = std::max<std::size_t>(pending[i].gangSize, 1);
-        std::vector<TaskPlacement> group;
-        auto trial = views;
-        for (std::size_t k = i; k < i + count && k < pending.size(); ++k) {
-            auto it = std::find_if(trial.begin(), trial.end(),
-                [&](const auto& view) { return view.open && pending[k].size.fitsIn(view.free); });
-            if (it == trial.end())
-                break;
-            it->free -= pending[k].size;
-            group.push_back({ pending[k].job, pending[k].index, it->id });
-        }
-        const auto& first = pending[i];
-        i += count;
-        if (group.size() < count) {
-            perform(Explain { first.job, "waits: no worker has room for its size" });
-            continue;
-        }
-        if (!m_tokens.tryAcquire(first.team, static_cast<std::int64_t>(count), monotonicNow())) {
-            perform(Explain { first.job, "waits: the team's upper limit is in use" });
-            continue;
-        }
-        views = std::move(trial);
-        chosen.placements.insert(chosen.placements.end(), group.begin(), group.end());
-    }
-    if (!chosen.placements.empty())
-        feed(chosen);
+    const auto active = m_configuration.active().get();
+    const auto round = m_placement.run(m_ledger, active->configuration, m_tokens, now);
+    for (const auto& line : round.explanations)
+        perform(line);
+    if (!round.chosen.placements.empty())
+        feed(round.chosen);
 }
 
 void JobService::archiveFinished()
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -5,6 +5,8 @@
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Duty.h"
 #include "service/BackendLink.h"
+#include "service/ConfigurationService.h"
+#include "service/JobPlacement.h"
 #include "service/MembershipService.h"
 
 #include <deque>
@@ -49,8 +51,8 @@
 public:
     using Done = std::function<void(JobReply)>;
 
-    JobService(MembershipService& membership, StoreService& store, BackendLink& backend, PeerLink& peers,
-        TeamTokens& tokens);
+    JobService(MembershipService& membership, ConfigurationService& configuration, StoreService& store,
+        BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
 
     /** Takes a call from any thread; `done` is called exactly once, on any thread. */
     void call(JobCall call, Done done);
@@ -92,11 +94,13 @@
     void onForward(const wire::Envelope& envelope);
 
     MembershipService& m_membership;
+    ConfigurationService& m_configuration;
     StoreService& m_store;
     BackendLink& m_backend;
     PeerLink& m_peers;
     TeamTokens& m_tokens;
     JobLedger m_ledger;
+    JobPlacement m_placement;
     bool m_loading = false;
     bool m_feeding = false;
     std::uint64_t m_nextJob = 1;
