A member without usable executors passes its requests to a peer's queue

Cause: a member that owned no executor refused every request as soon as the peers' slots were all busy, and one that owned only broken executors could eject no more than half of them. Adverts now carry the slots in service; a member without slots hands a request to a near peer that has some, whose queue takes or refuses it, and may eject all of its own executors while a peer has slots.

--- a/src/service/InteractiveService.h
+++ b/src/service/InteractiveService.h
@@ -96,6 +96,7 @@
     /** What a peer told of itself. */
     struct Peer {
         std::uint32_t freeSlots = 0;
+        std::uint32_t slotsInService = 0;
         Instant toldAt {};
         Duration roundTrip = Duration::zero(); // zero: not measured yet
     };
@@ -126,6 +127,8 @@
 
     // Peers.
     bool forward(std::uint64_t id, Duration wait);
+    std::optional<MemberId> peerWithSlots(const std::vector<ForwardPeer>& peers, Duration left);
+    void takeAdvert(const MemberId& member, std::uint32_t freeSlots, std::uint32_t inService, Instant now);
     std::vector<ForwardPeer> forwardPeers(const Topology& topology) const;
     void onForwardAnswer(const AttemptKey& key, const MemberId& peer, std::shared_ptr<wire::Envelope> answer);
     void onForward(const wire::Envelope& envelope);
@@ -150,6 +153,7 @@
     std::mt19937_64 m_random;
     std::atomic<std::size_t> m_inFlight = 0;
     std::atomic<std::uint32_t> m_freeSlots = 0; // as advertised
+    std::atomic<std::uint32_t> m_slotsInService = 0; // as advertised
     InteractiveCounters m_counters;
 };
 
--- a/src/service/InteractiveServiceExecutors.cpp
+++ b/src/service/InteractiveServiceExecutors.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t millitokensPerPercent = 10;
+constexpr unsigned wholeFleetPercent = 100;
 
 Instant monotonicNow() { return std::chrono::steady_clock::now(); }
 
@@ -79,6 +80,7 @@
     }
     setExecutors(m_router, infos);
     m_freeSlots = m_router.freeSlots;
+    m_slotsInService = m_router.slots;
 }
 
 std::uint32_t InteractiveService::outstandingOf(const ServerId& executor) const
@@ -114,8 +116,14 @@
     dispatchWaiting();
 }
 
+// A member may own broken executors only. It may eject all of them as long as a peer has slots to use;
+// a peer whose executors fail as well advertises none, so that the cap holds when the fault is everywhere.
 void InteractiveService::checkHealth()
 {
+    const bool peersHelp = std::any_of(m_peerViews.begin(), m_peerViews.end(),
+        [](const auto& item) { return item.second.slotsInService > 0; });
+    const OutlierSettings defaults;
+    m_router.outliers.settings.maxEjectedPercent = peersHelp ? wholeFleetPercent : defaults.maxEjectedPercent;
     for (const auto& change : checkExecutors(m_router, monotonicNow()))
         m_counters.ejections += change.state == HealthState::Ejected ? 1 : 0;
     dispatchWaiting();
--- a/src/service/InteractiveServicePeers.cpp
+++ b/src/service/InteractiveServicePeers.cpp
@@ -77,12 +77,38 @@
     return peers;
 }
 
+// Without slots of our own there is no queue to wait in: a peer's queue takes the request, or refuses it.
+// Near peers first; among equals by chance, each by its number of slots.
+std::optional<MemberId> InteractiveService::peerWithSlots(
+    const std::vector<ForwardPeer>& peers, Duration left)
+{
+    for (const bool isNear : { true, false }) {
+        std::vector<const ForwardPeer*> candidates;
+        std::vector<double> weights;
+        for (const auto& peer : peers) {
+            const auto slots = m_peerViews[peer.member].slotsInService;
+            if (peer.sameDomain != isNear || !slots || peer.roundTrip >= left)
+                continue;
+            candidates.push_back(&peer);
+            weights.push_back(slots);
+        }
+        if (candidates.empty())
+            continue;
+        std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
+        return candidates[choice(m_random)]->member;
+    }
+    return std::nullopt;
+}
+
 bool InteractiveService::forward(std::uint64_t id, Duration wait)
 {
     const auto& call = m_requests.at(id).call;
     const auto topology = m_membership.topology().get();
     const Duration left = call.deadline - monotonicNow();
-    const auto chosen = chooseForward(forwardPeers(*topology), wait, m_router.serviceTime, left);
+    const auto peers = forwardPeers(*topology);
+    auto chosen = chooseForward(peers, wait, m_router.serviceTime, left);
+    if (!chosen && !m_router.slots)
+        chosen = peerWithSlots(peers, left);
     const auto* peer = chosen ? topology->find(*chosen) : nullptr;
     if (!peer)
         return false;
@@ -95,7 +121,8 @@
     if (!isSent)
         return false;
     ++m_counters.forwarded;
-    --m_peerViews[peer->id].freeSlots; // until it tells again
+    auto& freeSlots = m_peerViews[peer->id].freeSlots;
+    freeSlots -= freeSlots ? 1 : 0; // until it tells again
     return true;
 }
 
@@ -122,7 +149,11 @@
         ++m_counters.forwardsRefused;
         m_peerViews[peer].freeSlots = 0;
         request->isKept = true;
-        route(key.id);
+        if (m_router.slots)
+            route(key.id);
+        else
+            finish(
+                key.id, AskReply { { kind, reply.detail() }, {}, static_cast<int>(reply.retry_after_ms()) });
     } else {
         onFailure(key.id, { kind, reply.detail() }, static_cast<int>(reply.retry_after_ms()));
     }
@@ -161,17 +192,18 @@
 {
     wire::Envelope envelope;
     envelope.mutable_free_slots()->set_slots(m_freeSlots);
+    envelope.mutable_free_slots()->set_in_service(m_slotsInService);
     const auto askedAt = monotonicNow();
     (void)m_peers.request(member.peerAddress, std::move(envelope), advertTimeout,
         [this, id = member.id, askedAt](std::unique_ptr<wire::Envelope> answer) {
             if (!answer)
                 return;
             const auto slots = answer->free_slots().slots();
+            const auto inService = answer->free_slots().in_service();
             const auto now = monotonicNow();
-            (void)post([this, id, slots, now, sample = now - askedAt] {
+            (void)post([this, id, slots, inService, now, sample = now - askedAt] {
+                takeAdvert(id, slots, inService, now);
                 auto& peer = m_peerViews[id];
-                peer.freeSlots = slots;
-                peer.toldAt = now;
                 const bool isFirst = peer.roundTrip == Duration::zero();
                 peer.roundTrip
                     = isFirst ? sample : peer.roundTrip + (sample - peer.roundTrip) / averageWeight;
@@ -183,14 +215,23 @@
 {
     wire::Envelope answer;
     answer.mutable_free_slots()->set_slots(m_freeSlots);
+    answer.mutable_free_slots()->set_in_service(m_slotsInService);
     m_peers.answer(envelope.reply_to(), envelope, std::move(answer));
     const MemberId member { envelope.sender() };
     const auto slots = envelope.free_slots().slots();
-    (void)post([this, member, slots, now = monotonicNow()] {
-        auto& peer = m_peerViews[member];
-        peer.freeSlots = slots;
-        peer.toldAt = now;
+    const auto inService = envelope.free_slots().in_service();
+    (void)post([this, member, slots, inService, now = monotonicNow()] {
+        takeAdvert(member, slots, inService, now);
     });
 }
 
+void InteractiveService::takeAdvert(
+    const MemberId& member, std::uint32_t freeSlots, std::uint32_t inService, Instant now)
+{
+    auto& peer = m_peerViews[member];
+    peer.freeSlots = freeSlots;
+    peer.slotsInService = inService;
+    peer.toldAt = now;
+}
+
 } // namespace quay
--- /dev/null
+++ b/tests/processes/RetryTest.cpp
@@ -0,0 +1,101 @@
+#include "InteractiveLoad.h"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace quay::test {
+
+namespace {
+
+struct RunCount {
+    std::uint64_t first = 0;
+    std::uint64_t retries = 0;
+};
+
+RunCount countRuns(const LocalFleet& fleet, const std::string& prefix)
+{
+    RunCount count;
+    for (const auto& [request, runs] : runsByRequest(fleet)) {
+        if (!request.starts_with(prefix))
+            continue;
+        ++count.first;
+        count.retries += runs - 1;
+    }
+    return count;
+}
+
+std::vector<std::string> ranTwice(const LocalFleet& fleet, const std::vector<AskOutcome>& outcomes)
+{
+    std::map<std::string, std::uint64_t> limits;
+    for (const auto& outcome : outcomes)
+        limits[outcome.requestId] = 1;
+    return fleet.violations(limits);
+}
+
+} // namespace
+
+TEST_CASE("half of the executors failing: retries stay in the budget, and answers come back")
+{
+    constexpr std::uint64_t retryPercent = 10; // of docs/examples/base.toml
+    LocalFleet fleet({ .executorsPerDomain = 4 });
+    waitUntilAllAnswer(fleet);
+    const auto executors = fleet.executors();
+    for (std::size_t i = 0; i < executors.size(); i += 2)
+        setBehaviour(executors[i], R"({"fail_all":true})");
+    std::size_t asked = 0;
+    for (int round = 0; round < 4; ++round) {
+        const auto outcomes = runLoad(
+            fleet, { .prefix = "half-" + std::to_string(round), .callers = 8, .requestsPerCaller = 50 });
+        asked += outcomes.size();
+        CHECK(foreignAnswers(outcomes).empty());
+        const auto count = countRuns(fleet, "half-");
+        MESSAGE("after " << asked << " requests: " << count.retries << " retries, " << answeredCount(outcomes)
+                         << " of the last " << outcomes.size() << " answered");
+        // Requests before the load have earned tokens too: at most one for ten of them.
+        const auto warmUps = runsByRequest(fleet).at("warm-up");
+        CHECK(count.retries * 100 <= (asked + warmUps) * retryPercent);
+    }
+    // Ejection takes the broken half out; what comes after is answered.
+    waitFor("100 idempotent requests in a row are answered", [&] {
+        const auto outcomes = runLoad(fleet, { .prefix = "later", .callers = 4, .requestsPerCaller = 25 });
+        return answeredCount(outcomes) == outcomes.size();
+    });
+    CHECK(fleet.violations().empty());
+}
+
+TEST_CASE("without idempotency nothing runs twice: entry VM killed, answers dropped, executors failing")
+{
+    LocalFleet fleet({ .domains = { "d1", "d2" }, .executorsPerDomain = 2, .slots = 4, .serviceMs = 10 });
+    waitUntilAllAnswer(fleet);
+    const auto executors = fleet.executors();
+    setBehaviour(executors[0], R"({"drop_answers":true})");
+    setBehaviour(executors[2], R"({"fail_all":true})");
+    std::vector<AskOutcome> outcomes;
+    std::thread callers([&] {
+        outcomes = runLoad(fleet,
+            { .prefix = "once",
+                .callers = 16,
+                .requestsPerCaller = 40,
+                .idempotent = false,
+                .deadlineMs = 1000 });
+    });
+    waitFor("the load runs", [&] { return countRuns(fleet, "once-").first >= 100; });
+    fleet.signal(0, SIGKILL);
+    callers.join();
+    const auto count = countRuns(fleet, "once-");
+    MESSAGE(count.first << " of " << outcomes.size() << " requests ran, " << answeredCount(outcomes)
+                        << " were answered");
+    CHECK(count.first > 100);
+    CHECK(foreignAnswers(outcomes).empty());
+    CHECK(ranTwice(fleet, outcomes).empty());
+    // The refusals of the survivors say truly what is known: "not run" means that no ledger shows it.
+    const auto runs = runsByRequest(fleet);
+    for (const auto& outcome : outcomes) {
+        if (outcome.body.find("\"not run\"") != std::string::npos)
+            CHECK_MESSAGE(!runs.count(outcome.requestId), outcome.requestId, " got ", outcome.body);
+    }
+}
+
+} // namespace quay::test
