--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -6,6 +6,8 @@
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Duty.h"
 #include "service/BackendLink.h"
+#include "service/ConfigurationService.h"
+#include "service/JobPlacement.h"
 #include "service/MembershipService.h"
 
 #include <deque>
@@ -53,8 +55,8 @@
 public:
     using Done = std::function<void(JobReply)>;
 
-    JobService(MembershipService& membership, StoreService& store, BackendLink& backend, PeerLink& peers,
-        TeamTokens& tokens);
+    JobService(MembershipService& membership, ConfigurationService& configuration, StoreService& store,
+        BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
 
     /** Takes a call from any thread; `done` is called exactly once, on any thread. */
     void call(JobCall call, Done done);
@@ -117,11 +119,13 @@
     };
 
     MembershipService& m_membership;
+    ConfigurationService& m_configuration;
     StoreService& m_store;
     BackendLink& m_backend;
     PeerLink& m_peers;
     TeamTokens& m_tokens;
     JobLedger m_ledger;
+    JobPlacement m_placement;
     bool m_loading = false;
     Instant m_leadCoveredUntil {}; // as last seen
     std::uint64_t m_nextJob = 1;
