--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
+#include <utility>
 
 namespace quay {
 
@@ -285,7 +286,11 @@
 {
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+    // A session holds its server and the server holds its sessions: the ring is cut here.
+    const auto sessions = std::exchange(m_impl->sessions, {});
+}
 
 void HttpServer::start() { m_impl->accept(); }
 
--- a/src/platform/StoreService.h
+++ b/src/platform/StoreService.h
@@ -48,6 +48,7 @@
     using ObjectDone = std::function<void(HttpResult)>;
 
     StoreService(std::string address, StoreLimits limits);
+    ~StoreService() override { stop(); } // its thread ends before its members go
 
     /**
      * Commits a transaction; each should check the version of every row it puts, or else a retry after a
--- a/src/service/BackendLink.h
+++ b/src/service/BackendLink.h
@@ -27,6 +27,7 @@
     using ReportDone = std::function<void(std::optional<WorkerReport>)>;
 
     BackendLink();
+    ~BackendLink() override { stop(); } // its thread ends before its members go
 
     /** Sends an interactive request to an executor. `done` runs on this link's thread, exactly once. */
     void execute(const std::string& address, ExecuteRequest request, Duration timeout, ExecuteDone done);
--- a/src/service/ConfigurationService.h
+++ b/src/service/ConfigurationService.h
@@ -51,6 +51,7 @@
 
     ConfigurationService(
         MemberId self, StoreService& store, PeerLink& peers, const Published<Topology>& topology);
+    ~ConfigurationService() override { stop(); } // its thread ends before its members go
 
     const Published<ActiveConfiguration>& active() const { return m_active; }
 
--- a/src/service/InteractiveService.h
+++ b/src/service/InteractiveService.h
@@ -63,6 +63,7 @@
 
     InteractiveService(MembershipService& membership, ConfigurationService& configuration,
         BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
+    ~InteractiveService() override { stop(); } // its thread ends before its members go
 
     /** Takes a request from any thread; `done` is called exactly once, on any thread. */
     void ask(AskCall call, Done done);
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -57,6 +57,7 @@
 
     JobService(MembershipService& membership, ConfigurationService& configuration, StoreService& store,
         BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
+    ~JobService() override { stop(); } // its thread ends before its members go
 
     /** Takes a call from any thread; `done` is called exactly once, on any thread. */
     void call(JobCall call, Done done);
--- a/src/service/MembershipService.h
+++ b/src/service/MembershipService.h
@@ -33,6 +33,7 @@
      * @param vmListAddress of the platform's VM list, "ip:port"
      */
     MembershipService(Identity self, StoreService& store, PeerLink& peers, std::string vmListAddress);
+    ~MembershipService() override { stop(); } // its thread ends before its members go
 
     const Identity& self() const { return m_self; }
     const Published<Topology>& topology() const { return m_topology; }
--- a/src/service/QuotaService.h
+++ b/src/service/QuotaService.h
@@ -35,6 +35,7 @@
 public:
     QuotaService(MembershipService& membership, ConfigurationService& configuration, StoreService& store,
         TeamTokens& tokens);
+    ~QuotaService() override { stop(); } // its thread ends before its members go
 
     const Published<TeamStandings>& standings() const { return m_standings; }
 
