A dead member's quota grant comes back once its work has ended

The lead now tells what may be running, tasks with unrecorded attempts included, and reports ends only after the former lead's leases have surely lapsed. Ways weighed: the ledger's release actions (an adopted unrecorded attempt releases twice, which could let a team exceed its limit) or a count once a second; the count was taken.

--- a/src/service/Daemon.cpp
+++ b/src/service/Daemon.cpp
@@ -121,7 +121,7 @@
     , m_configuration(m_self.id, m_store, m_peers, m_membership.topology())
     , m_quota(m_membership, m_configuration, m_store, m_tokens)
     , m_interactive(m_membership, m_configuration, m_backend, m_peers, m_tokens)
-    , m_jobs(m_membership, m_configuration, m_store, m_backend, m_peers, m_tokens)
+    , m_jobs(m_membership, m_configuration, m_store, m_backend, m_peers, m_tokens, m_quota)
     , m_callers(settings, m_membership, m_configuration, m_quota, m_interactive, m_jobs,
           Telemetry { m_log, m_metrics, m_traces })
 {
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t ringCapacity = 32 * 1024;
 constexpr auto tickPeriod = std::chrono::milliseconds(50);
 constexpr auto pollPeriod = std::chrono::milliseconds(250);
+constexpr auto inheritedWorkPeriod = std::chrono::seconds(1);
 constexpr auto reconcilePeriod = std::chrono::seconds(10);
 constexpr auto loadTimeout = std::chrono::seconds(10);
 constexpr auto recordWriteTimeout = std::chrono::hours(24); // the store client goes on until it knows
@@ -37,7 +38,7 @@
 } // namespace
 
 JobService::JobService(MembershipService& membership, ConfigurationService& configuration,
-    StoreService& store, BackendLink& backend, PeerLink& peers, TeamTokens& tokens)
+    StoreService& store, BackendLink& backend, PeerLink& peers, TeamTokens& tokens, QuotaService& quota)
     : Duty("jobs", ringCapacity)
     , m_membership(membership)
     , m_configuration(configuration)
@@ -45,6 +46,7 @@
     , m_backend(backend)
     , m_peers(peers)
     , m_tokens(tokens)
+    , m_quota(quota)
     , m_placement(std::random_device {}())
     , m_nextJob(std::random_device {}())
 {
@@ -52,6 +54,7 @@
     every(tickPeriod, [this] { tick(); });
     every(pollPeriod, [this] { pollWorkers(); });
     every(reconcilePeriod, [this] { reconcile(); });
+    every(inheritedWorkPeriod, [this] { followInheritedWork(); });
     m_peers.onMessage(jobForwardCase(), [this](const wire::Envelope& envelope) { onForward(envelope); });
 }
 
@@ -94,6 +97,7 @@
 void JobService::loseLead()
 {
     feed(LostLead {});
+    m_inheritedUnits.clear();
     m_archived.clear();
     m_events.clear();
     for (const auto& watcher : m_watchers)
@@ -129,6 +133,43 @@
     for (const auto& found : records)
         m_events.record(found.record, found.version);
     feed(BecameLead { epoch, std::move(records) });
+    tellInheritedWork();
+}
+
+// Counts what former leads left running. A pending task may run an attempt that its record doesn't show
+// as long as the former lead's leases last, so until then such tasks count as well.
+void JobService::tellInheritedWork()
+{
+    m_inheritedSettledAt = monotonicNow() + m_ledger.settings.staleLeadBound + sureLapse(m_ledger.settings);
+    m_inheritedUnits.clear();
+    for (const auto& [id, entry] : m_ledger.jobs) {
+        const auto count = std::count_if(entry.tasks.begin(), entry.tasks.end(),
+            [](const TaskLive& live) { return live.occupies || live.recovering; });
+        if (count)
+            m_inheritedUnits[entry.record.spec.team] += count;
+    }
+    m_quota.inheritedWorkFound(m_inheritedUnits);
+}
+
+void JobService::followInheritedWork()
+{
+    if (!m_ledger.leading || m_inheritedUnits.empty() || monotonicNow() < m_inheritedSettledAt)
+        return;
+    std::map<TeamId, std::int64_t> current;
+    for (const auto& [id, entry] : m_ledger.jobs) {
+        const auto count = std::count_if(entry.tasks.begin(), entry.tasks.end(),
+            [](const TaskLive& live) { return live.occupies && live.inherited; });
+        if (count)
+            current[entry.record.spec.team] += count;
+    }
+    for (auto& [team, units] : m_inheritedUnits) {
+        const auto ended = units - current[team];
+        if (ended <= 0)
+            continue;
+        m_quota.inheritedWorkEnded(team, ended);
+        units -= ended;
+    }
+    std::erase_if(m_inheritedUnits, [](const auto& item) { return !item.second; });
 }
 
 void JobService::reconcile()
@@ -251,6 +292,7 @@
 
 void JobService::perform(const ReleaseTokens& action)
 {
+    // Units of former leads are followed by followInheritedWork().
     if (!action.inherited)
         m_tokens.release(action.team, action.count);
 }
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -9,6 +9,7 @@
 #include "service/ConfigurationService.h"
 #include "service/JobPlacement.h"
 #include "service/MembershipService.h"
+#include "service/QuotaService.h"
 
 #include <deque>
 #include <functional>
@@ -56,7 +57,7 @@
     using Done = std::function<void(JobReply)>;
 
     JobService(MembershipService& membership, ConfigurationService& configuration, StoreService& store,
-        BackendLink& backend, PeerLink& peers, TeamTokens& tokens);
+        BackendLink& backend, PeerLink& peers, TeamTokens& tokens, QuotaService& quota);
     ~JobService() override { stop(); } // its thread ends before its members go
 
     /** Takes a call from any thread; `done` is called exactly once, on any thread. */
@@ -67,6 +68,8 @@
     void tick();
     void followLead(Instant now);
     void loseLead();
+    void tellInheritedWork();
+    void followInheritedWork();
     void load(std::uint64_t epoch);
     void onLoaded(std::uint64_t epoch, const std::optional<std::vector<TableRow>>& rows);
     void reconcile();
@@ -125,6 +128,9 @@
     BackendLink& m_backend;
     PeerLink& m_peers;
     TeamTokens& m_tokens;
+    QuotaService& m_quota;
+    std::map<TeamId, std::int64_t> m_inheritedUnits; // by team, as last told to the quota service
+    Instant m_inheritedSettledAt {}; // no former lead's start can show up after this
     JobLedger m_ledger;
     JobPlacement m_placement;
     bool m_loading = false;
--- a/tests/processes/FailoverRequestsTest.cpp
+++ b/tests/processes/FailoverRequestsTest.cpp
@@ -71,7 +71,8 @@
             if (response && response->status == 200 && response->body == "echo:" + body)
                 continue;
             std::lock_guard lock(m_mutex);
-            std::string failure = body + " at " + address;
+            std::string failure = body;
+            failure.append(" at ").append(address);
             failure += response ? ": " + std::to_string(response->status) : ": no answer";
             failure += response ? " " + response->body : "";
             m_failures.push_back(std::move(failure));
