--- a/src/service/ConfigurationService.cpp
+++ b/src/service/ConfigurationService.cpp
@@ -74,7 +74,7 @@
         Reason reason;
         auto view = viewOfRows(*rows, reason);
         if (view)
-            (void)post([this, request, view = std::move(*view)] {
+            deliver([this, request, view = std::move(*view)] {
                 m_rowsRead = true;
                 feed(rollout::ReadAnswer { request, view });
             });
@@ -87,7 +87,7 @@
 {
     m_store.scan(ackKey(""), readTimeout, [this, request = action.request](auto rows) {
         if (rows)
-            (void)post([this, request, confirmed = confirmedByVm(*rows)] {
+            deliver([this, request, confirmed = confirmedByVm(*rows)] {
                 feed(rollout::ScanAnswer { request, confirmed });
             });
     });
@@ -104,7 +104,7 @@
         [this, request = action.request, sentAt = m_ackTriedAt](const TransactionOutcome& outcome) {
             if (outcome.status != TransactionStatus::Done)
                 return;
-            (void)post([this, request, sentAt, version = outcome.version] {
+            deliver([this, request, sentAt, version = outcome.version] {
                 m_ackSentAt = std::max(m_ackSentAt, sentAt);
                 feed(rollout::WriteAnswer { request, true, version });
             });
@@ -118,7 +118,7 @@
         [this, request = action.request](const TransactionOutcome& outcome) {
             const bool done = outcome.status == TransactionStatus::Done;
             if (done || outcome.status == TransactionStatus::Conflict)
-                (void)post([this, request, done, version = outcome.version] {
+                deliver([this, request, done, version = outcome.version] {
                     feed(rollout::WriteAnswer { request, done, version });
                 });
         });
@@ -140,7 +140,7 @@
                 if (!decoded)
                     return;
                 decoded->from = vmOf(id);
-                (void)post([this, event = std::move(*decoded)] { feed(event); });
+                deliver([this, event = std::move(*decoded)] { feed(event); });
             });
     }
 }
@@ -197,7 +197,7 @@
 
 void ConfigurationService::limitsSatisfied(std::uint64_t version)
 {
-    (void)post([this, version] { feed(rollout::LimitsSatisfied { version }); });
+    deliver([this, version] { feed(rollout::LimitsSatisfied { version }); });
 }
 
 } // namespace quay
--- a/src/service/InteractiveService.cpp
+++ b/src/service/InteractiveService.cpp
@@ -176,7 +176,7 @@
     m_backend.execute(backend.info.address, std::move(request), call.deadline - now,
         [this, key, executor = dispatch.executor, now](HttpResult result) {
             auto shared = std::make_shared<const HttpResult>(std::move(result));
-            (void)post([this, key, executor, now, shared] { onExecuted(key, executor, now, *shared); });
+            deliver([this, key, executor, now, shared] { onExecuted(key, executor, now, *shared); });
         });
     return true;
 }
@@ -226,6 +226,8 @@
     auto& request = m_requests.at(id);
     auto& call = request.call;
     const AskReply reply { failure, {}, retryAfterMs };
+    if (describe(failure.kind).disposition == Disposition::Unknown)
+        request.mayHaveRun = true;
     if (call.hops) {
         finish(id, reply);
         return;
@@ -255,6 +257,11 @@
     if (!request.call.hops)
         m_tokens.release(request.call.team, 1);
     --m_inFlight;
+    // "Not run" is said of the request, not of its last attempt.
+    const auto& failure = reply.reason;
+    if (failure.kind != ErrorKind::None && request.mayHaveRun)
+        reply.reason
+            = { ErrorKind::OutcomeUnknown, "an earlier attempt may have run; then: " + failure.explain() };
     request.done(std::move(reply));
 }
 
--- a/src/service/InteractiveService.h
+++ b/src/service/InteractiveService.h
@@ -80,6 +80,7 @@
         AskCall call;
         Done done;
         Reason lastFailure; // of the attempt before
+        bool mayHaveRun = false; // some attempt ended with an unknown outcome
         bool isKept = false; // a peer had no room for it after all; it isn't forwarded again
     };
     /** One attempt of a request; answers of any other attempt belong to nobody. */
--- a/src/service/QuotaService.cpp
+++ b/src/service/QuotaService.cpp
@@ -228,7 +228,7 @@
 void QuotaService::perform(const ReadQuotaRows& action)
 {
     m_store.scan(rowPrefix, requestTimeout, [this, id = action.requestId](auto rows) {
-        (void)post([this, id, rows = std::move(rows)] {
+        deliver([this, id, rows = std::move(rows)] {
             if (rows)
                 onRows(id, *rows);
             else
@@ -261,7 +261,7 @@
     }
     m_store.commit(std::move(transaction), requestTimeout,
         [this, id = action.requestId, inherits](const TransactionOutcome& outcome) {
-            (void)post([this, id, inherits, outcome] { onOutcome(id, inherits, outcome); });
+            deliver([this, id, inherits, outcome] { onOutcome(id, inherits, outcome); });
         });
 }
 
@@ -300,12 +300,12 @@
 
 void QuotaService::inheritedWorkFound(std::map<TeamId, std::int64_t> running)
 {
-    (void)post([this, running = std::move(running)] { m_inherited.found(running); });
+    deliver([this, running = std::move(running)] { m_inherited.found(running); });
 }
 
 void QuotaService::inheritedWorkEnded(const TeamId& team, std::int64_t n)
 {
-    (void)post([this, team, n] { m_inherited.ended(team, n); });
+    deliver([this, team, n] { m_inherited.ended(team, n); });
 }
 
 void QuotaService::publish()
