--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -34,6 +34,16 @@
     return {};
 }
 
+HttpRequest jsonPost(std::string target, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.headers["Content-Type"] = "application/json";
+    request.body = std::move(body);
+    return request;
+}
+
 bool splitAddress(const std::string& address, std::string& host, std::uint16_t& port)
 {
     const auto colon = address.rfind(':');
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -47,6 +47,9 @@
     int idleTimeoutMs = 30'000; // a connection that neither sends nor takes bytes is closed
 };
 
+/** A POST of a JSON body. */
+HttpRequest jsonPost(std::string target, std::string body);
+
 /** Splits "host:port"; false if there is no valid port. */
 bool splitAddress(const std::string& address, std::string& host, std::uint16_t& port);
 
--- a/src/platform/StoreService.cpp
+++ b/src/platform/StoreService.cpp
@@ -17,16 +17,6 @@
 
 Instant monotonicNow() { return std::chrono::steady_clock::now(); }
 
-HttpRequest jsonPost(std::string target, std::string body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::move(target);
-    request.headers["Content-Type"] = "application/json";
-    request.body = std::move(body);
-    return request;
-}
-
 std::optional<std::vector<TableRow>> rowsOf(const HttpResult& result)
 {
     Reason reason;
--- a/src/service/BackendLink.cpp
+++ b/src/service/BackendLink.cpp
@@ -14,16 +14,6 @@
 constexpr std::size_t maxAnswerBytes = 16UL * 1024 * 1024;
 constexpr auto workerTimeout = std::chrono::seconds(2);
 
-HttpRequest jsonPost(std::string target, std::string body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::move(target);
-    request.headers["Content-Type"] = "application/json";
-    request.body = std::move(body);
-    return request;
-}
-
 json::object toObject(const TaskAttempt& attempt)
 {
     return { { "task", attempt.task.text }, { "attempt", attempt.attempt } };
--- a/tools/quayctl/Client.cpp
+++ b/tools/quayctl/Client.cpp
@@ -66,12 +66,7 @@
 
 HttpRequest postRequest(std::string path, std::string body)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::move(path);
-    request.headers["Content-Type"] = "application/json";
-    request.body = std::move(body);
-    return request;
+    return jsonPost(std::move(path), std::move(body));
 }
 
 } // namespace quay::ctl
