--- /dev/null
+++ b/include/quay/fleet/FleetScheduler.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "quay/core/Time.h"
+#include "quay/fleet/Executor.h"
+#include "quay/fleet/FleetConfiguration.h"
+#include "quay/fleet/JobRecord.h"
+#include "quay/fleet/WorkRequest.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quay::fleet {
+
+/** Bounds that the scheduler keeps. All come from the settings of the installation. */
+struct SchedulerBounds {
+    Duration longestLease = 6000ms; // an executor shortens longer ones
+    Duration stopTime = 900ms; // a stop takes at most this
+    Duration leaseAuthority = 4000ms; // without the store for this long, leases are prolonged no more
+    double remoteFactor = 1; // slowdown away from the data
+    Duration keepFinished = 120s; // how long a finished job is shown
+};
+
+/** One lifetime of an executor, as the scheduler numbers it. */
+using LifeId = int;
+
+struct StartAction {
+    LifeId life = 0;
+    std::string address;
+    std::string executor;
+    TaskRef task;
+    int run = 0;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+    std::int64_t leaseUntilClockMs = 0;
+};
+
+struct StopAction {
+    LifeId life = 0;
+    std::string address;
+    std::string executor;
+    TaskRef task;
+    int run = 0;
+};
+
+struct PaceAction {
+    LifeId life = 0;
+    std::string address;
+    std::string executor;
+    TaskRef task;
+    int run = 0;
+    int percent = 100;
+};
+
+struct HoldAction {
+    LifeId life = 0;
+    std::string address;
+    std::string executor;
+    std::int64_t acknowledged = 0;
+    std::int64_t leaseUntilClockMs = 0; // 0: look only
+    Duration wait {};
+};
+
+struct ApprovalAction {
+    std::string step;
+    std::vector<std::string> workers;
+    double expectedMs = 0; // time that the service takes for the call
+};
+
+/** Changes that must be durable before their effects are released. */
+struct CommitAction {
+    std::uint64_t number = 0;
+    std::vector<std::pair<std::string, std::string>> records; // job id and encoded record
+    std::vector<std::string> forgotten; // finished jobs whose rows go
+};
+
+/** One decision, for the log. `job` may be empty. */
+struct DecisionNote {
+    std::string what;
+    std::string job;
+    std::string detail;
+};
+
+/** What the caller of the scheduler is to do. */
+struct SchedulerActions {
+    std::optional<CommitAction> commit;
+    std::vector<StartAction> starts;
+    std::vector<StopAction> stops;
+    std::vector<PaceAction> paces;
+    std::vector<HoldAction> holds;
+    std::vector<ApprovalAction> approvals;
+    std::vector<DecisionNote> notes;
+};
+
+/** Counts for metrics. */
+struct SchedulerCounts {
+    std::size_t jobs = 0;
+    std::size_t openJobs = 0;
+    std::size_t executors = 0;
+    std::size_t runs = 0; // recorded, starting, at work, stopping
+    std::size_t waitingTasks = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t ends = 0;
+    std::uint64_t lostRuns = 0;
+};
+
+/**
+ * Decides what runs where on one cell of executors. Pure: no I/O, no clock, no thread; the same events at the
+ * same times give the same actions.
+ *
+ * Every decision is first put into a commit. Its effects (starts, acknowledged ends, shown states) follow only
+ * when committed() says that the commit is durable, so a successor that reads the records knows each executor
+ * on which a task may be at work.
+ *
+ * Usage: feed events, then `scheduler.pump(now, unixMs, actions)` and carry out the actions.
+ */
+class FleetScheduler {
+public:
+    struct Impl; // defined beside the implementation
+
+    FleetScheduler(const SchedulerBounds& bounds, Instant now);
+    ~FleetScheduler();
+
+    void configure(const FleetConfiguration& configuration);
+
+    /** A job with the record that an earlier scheduler left. */
+    void restore(const WorkRequest& request, const JobRecord& record, Instant now);
+    /** A job that is durable; a known one changes nothing. */
+    void submit(const WorkRequest& request, Instant now);
+    /** A durable cancellation; false if the job is not known. */
+    bool cancel(const std::string& job, Instant now);
+
+    /** A registration, seen or changed. */
+    void executorSeen(const ExecutorEntry& entry, Instant now);
+    /** Its registration was removed. */
+    void executorGone(const std::string& id, Instant now);
+
+    void startAnswered(
+        LifeId life, const TaskRef& task, int run, OrderResult result, Instant now);
+    void stopAnswered(LifeId life, const TaskRef& task, int run, OrderResult result, Instant now);
+    void paceAnswered(LifeId life, const TaskRef& task, int run, int percent, OrderResult result, Instant now);
+    void holdAnswered(LifeId life, OrderResult result, const std::optional<ExecutorReport>& report, Instant sentAt,
+        Instant now);
+    void approvalAnswered(const std::string& step, bool isDecided, const std::vector<std::string>& asked,
+        const std::vector<Approval>& approved, Duration ticketLife, Instant now);
+    /** The commit is durable. `sentAt`: when its last attempt was sent. */
+    void committed(std::uint64_t number, Instant sentAt, Instant now);
+
+    /** Decides. `unixMs` is the time of day, for scheduled jobs. */
+    void pump(Instant now, std::int64_t unixMs, SchedulerActions& actions);
+
+    /** What may be shown of a job: only what is durable. Nothing if the job is not known. */
+    std::optional<JobPhase> shownPhase(const std::string& job) const;
+    /** The team that a job belongs to; empty if there is none or the job is not known. */
+    std::string teamOf(const std::string& job) const;
+    /** Accepted jobs of a queue of which no task has started. */
+    std::int64_t pending(const std::string& queue) const;
+    /** Share of the executors in use that did not answer lately. */
+    double unreachableShare(Instant now) const;
+
+    SchedulerCounts counts() const;
+
+private:
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace quay::fleet
--- /dev/null
+++ b/src/edge/CallerFront.cpp
@@ -0,0 +1,359 @@
+#include "edge/CallerFront.h"
+
+#include "Wire.h"
+
+#include <charconv>
+
+namespace quay::edge {
+
+using namespace fleet;
+using namespace platform;
+
+namespace {
+
+constexpr auto defaultDeadline = 3000ms; // of a caller that names none
+constexpr auto answerSpare = 150ms; // an answer's way to the caller
+constexpr auto writeTimeout = 600ms;
+constexpr auto writeRetry = 40ms; // a few transactions
+constexpr auto stateTimeout = 500ms;
+constexpr auto refuseAfter = 200ms; // a refusal that comes later costs the caller time to try elsewhere
+constexpr int retryAfterMs = 500; // when a refused caller may come back
+constexpr unsigned statusAccepted = 200;
+constexpr unsigned statusGone = 410;
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusNotFound = 404;
+constexpr auto pendingTooOld = 1900ms; // the published age of a count is 2 s at most
+constexpr std::string_view bearer = "Bearer ";
+
+Instant clockNow() { return std::chrono::steady_clock::now(); }
+
+std::string hostOf(const HttpRequest& request)
+{
+    auto host = request.header("host");
+    return host.substr(0, host.find(':'));
+}
+
+std::string keyOf(const HttpRequest& request)
+{
+    auto value = request.header("authorization");
+    return value.starts_with(bearer) ? value.substr(bearer.size()) : std::string();
+}
+
+Duration deadlineOf(const HttpRequest& request)
+{
+    const auto text = request.header("deadline-ms");
+    int ms = 0;
+    const auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    return ec == std::errc() && ms > 0 ? std::chrono::milliseconds(ms) : Duration(defaultDeadline);
+}
+
+} // namespace
+
+struct CallerFront::Call {
+    HttpRequest request;
+    Respond respond;
+    Instant arrived;
+    Instant deadline;
+    std::string id; // of the job; empty: the queue itself is meant
+    QueuePolicy queue;
+    std::string team;
+    StoredJob job;
+    bool mayBeWritten = false; // an attempt got no answer
+};
+
+CallerFront::CallerFront(
+    EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election)
+    : m_services(services)
+    , m_peers(peers)
+    , m_follower(follower)
+    , m_election(election)
+    , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
+    , m_refused(services.metrics.counter("quay_requests_refused_total", "Requests refused as not run"))
+    , m_acceptTime(services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
+{
+}
+
+void CallerFront::after(Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_services.context, delay);
+    timer->async_wait([timer, action = std::move(action)](boost::system::error_code ec) {
+        if (!ec)
+            action();
+    });
+}
+
+void CallerFront::answer(const CallPointer& call, unsigned status, std::string body, std::string_view why)
+{
+    m_services.log.write(why, call->id,
+        { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
+            { "status", std::to_string(status) },
+            { "configuration", std::to_string(m_follower.version()) },
+            { "ms", std::to_string(toMilliseconds(clockNow() - call->arrived)) } });
+    HttpResponse response;
+    response.status = status;
+    response.body = std::move(body);
+    call->respond(std::move(response));
+}
+
+void CallerFront::refuse(const CallPointer& call, ErrorKind kind, const std::string& detail)
+{
+    m_refused.add();
+    auto response = errorResponse(Reason { kind, detail }, retryAfterMs);
+    m_services.log.write("request_refused", call->id,
+        { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
+            { "status", std::to_string(response.status) },
+            { "reason", Reason { kind, detail }.explain() },
+            { "configuration", std::to_string(m_follower.version()) },
+            { "ms", std::to_string(toMilliseconds(clockNow() - call->arrived)) } });
+    call->respond(std::move(response));
+}
+
+void CallerFront::unknown(const CallPointer& call, const std::string& detail)
+{
+    refuse(call, ErrorKind::SubmissionUnknown, detail);
+}
+
+void CallerFront::serve(HttpRequest request, Respond respond)
+{
+    auto call = std::make_shared<Call>();
+    call->arrived = clockNow();
+    call->deadline = call->arrived + deadlineOf(request) - answerSpare;
+    call->request = std::move(request);
+    call->respond = std::move(respond);
+    const auto configuration = m_follower.current();
+    if (!configuration) {
+        refuse(call, ErrorKind::StaleConfiguration, "no configuration was read yet");
+        return;
+    }
+    const auto path = call->request.path();
+    const auto* queue = configuration->queueFor(hostOf(call->request), path);
+    if (!queue) {
+        answer(call, statusNotFound, "{\"error\":\"no such queue\"}", "queue_unknown");
+        return;
+    }
+    call->queue = *queue;
+    call->id = path.substr(queue->pathPrefix.size());
+    const auto* team = configuration->teamOfKey(keyOf(call->request));
+    if (team)
+        call->team = team->name;
+    if (!team && !queue->isPublic) {
+        answer(call, statusUnauthorized, "{\"error\":\"the key is missing or was withdrawn\"}", "key_unknown");
+        return;
+    }
+    const auto& method = call->request.method;
+    if (call->id.empty() && method == "GET")
+        countPending(call);
+    else if (!isJobId(call->id))
+        refuse(call, ErrorKind::MalformedRequest, "the job's id is not 16 hexadecimal digits");
+    else if (method == "POST")
+        submit(call);
+    else if (method == "GET")
+        show(call);
+    else if (method == "DELETE")
+        cancel(call);
+    else
+        refuse(call, ErrorKind::MalformedRequest, "use POST, GET or DELETE");
+}
+
+void CallerFront::submit(const CallPointer& call)
+{
+    Reason reason;
+    auto work = decodeWork(call->request.body, reason);
+    if (work) {
+        work->id = call->id;
+        if (!validate(*work, reason))
+            work.reset();
+    }
+    if (!work) {
+        refuse(call, reason.kind, reason.detail);
+        return;
+    }
+    call->job = { call->id, call->queue.name, call->team, call->request.body };
+    writeJob(call);
+}
+
+void CallerFront::writeJob(const CallPointer& call)
+{
+    const auto partition = partitionOfJob(call->id);
+    StoreTransaction transaction;
+    transaction.conditions.push_back({ jobTable, partition, call->id, {}, 0, false });
+    transaction.puts.push_back({ jobTable, partition, call->id, encode(call->job), 0, false });
+    m_services.store.transact(
+        transaction, writeTimeout, [this, call](StoreResult result) { jobWritten(call, result); });
+}
+
+void CallerFront::jobWritten(const CallPointer& call, const StoreResult& result)
+{
+    if (result.outcome == StoreOutcome::Ok) {
+        accepted(call);
+        return;
+    }
+    if (result.outcome == StoreOutcome::ConditionFailed && !result.rows.empty()) {
+        Reason reason;
+        const auto stored = decodeStoredJob(result.rows.front().value, reason);
+        if (stored && stored->body == call->job.body && stored->team == call->job.team) {
+            accepted(call);
+            return;
+        }
+        refuse(call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
+        return;
+    }
+    const auto now = clockNow();
+    if (result.outcome == StoreOutcome::Unknown)
+        call->mayBeWritten = true;
+    const auto last = call->mayBeWritten ? call->deadline : std::min(call->deadline, call->arrived + refuseAfter);
+    if (now + writeRetry < last) {
+        after(writeRetry, [this, call] { writeJob(call); });
+        return;
+    }
+    if (call->mayBeWritten)
+        unknown(call, "the store did not answer: " + result.detail);
+    else
+        refuse(call, ErrorKind::StoreUnavailable, result.detail);
+}
+
+void CallerFront::accepted(const CallPointer& call)
+{
+    m_accepted.add();
+    m_acceptTime.record(clockNow() - call->arrived);
+    answer(call, statusAccepted, encodeState(JobPhase::Queued), "job_accepted");
+    if (auto* leader = m_election.leader())
+        leader->submit(call->job);
+    else if (const auto address = m_election.leaderAddress(); !address.empty())
+        m_peers.tellJob(address, call->job);
+}
+
+void CallerFront::show(const CallPointer& call)
+{
+    if (const auto* leader = m_election.leader()) {
+        const auto phase = leader->isLoaded() ? leader->shownPhase(call->id) : std::nullopt;
+        if (phase)
+            answer(call, statusAccepted, encodeState(*phase), "state_shown");
+        else
+            showFromStore(call);
+        return;
+    }
+    const auto address = m_election.leaderAddress();
+    if (address.empty()) {
+        showFromStore(call);
+        return;
+    }
+    m_peers.askState(address, call->id, stateTimeout, [this, call](const StateAnswer& state) {
+        if (state.phase)
+            answer(call, statusAccepted, encodeState(*state.phase), "state_shown");
+        else
+            showFromStore(call);
+    });
+}
+
+// Without the leader: the job's own row tells whether it exists, the record what became of it.
+void CallerFront::showFromStore(const CallPointer& call)
+{
+    const auto partition = partitionOfJob(call->id);
+    m_services.store.readFrom(jobTable, partition, call->id, stateTimeout, [this, call](StoreResult result) {
+        if (result.outcome != StoreOutcome::Ok) {
+            if (clockNow() + writeRetry + stateTimeout < call->deadline)
+                after(writeRetry, [this, call] { showFromStore(call); });
+            else
+                refuse(call, ErrorKind::StoreUnavailable, result.detail);
+            return;
+        }
+        bool isKnown = false;
+        bool isCancelled = false;
+        for (const auto& row : result.rows) {
+            isKnown = isKnown || row.key == call->id;
+            isCancelled = isCancelled || row.key == call->id + cancellationSuffix;
+        }
+        if (!isKnown)
+            answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
+        else if (isCancelled)
+            answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "state_shown");
+        else
+            showRecord(call);
+    });
+}
+
+void CallerFront::showRecord(const CallPointer& call)
+{
+    m_services.store.readRow(recordTable, cellPartition, call->id, stateTimeout, [this, call](StoreResult result) {
+        if (result.outcome != StoreOutcome::Ok) {
+            refuse(call, ErrorKind::StoreUnavailable, result.detail);
+            return;
+        }
+        auto phase = JobPhase::Queued;
+        Reason reason;
+        if (!result.rows.empty()) {
+            const auto record = decodeJobRecord(result.rows.front().value, reason);
+            if (!record) {
+                refuse(call, ErrorKind::StoreUnavailable, reason.detail);
+                return;
+            }
+            phase = record->phase;
+        }
+        answer(call, statusAccepted, encodeState(phase), "state_shown");
+    });
+}
+
+void CallerFront::cancel(const CallPointer& call)
+{
+    if (const auto* leader = m_election.leader(); leader && leader->isLoaded() && leader->shownPhase(call->id)) {
+        writeCancel(call);
+        return;
+    }
+    m_services.store.readRow(
+        jobTable, partitionOfJob(call->id), call->id, stateTimeout, [this, call](StoreResult result) {
+            if (result.outcome != StoreOutcome::Ok) {
+                if (clockNow() + writeRetry + stateTimeout < call->deadline)
+                    after(writeRetry, [this, call] { cancel(call); });
+                else
+                    refuse(call, ErrorKind::StoreUnavailable, result.detail);
+            } else if (result.rows.empty()) {
+                answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
+            } else {
+                writeCancel(call);
+            }
+        });
+}
+
+void CallerFront::writeCancel(const CallPointer& call)
+{
+    const auto partition = partitionOfJob(call->id);
+    StoreTransaction transaction;
+    transaction.puts.push_back({ jobTable, partition, call->id + cancellationSuffix, "cancelled", 0, false });
+    m_services.store.transact(transaction, writeTimeout, [this, call](StoreResult result) {
+        if (result.outcome == StoreOutcome::Ok) {
+            answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "cancel_accepted");
+            if (auto* leader = m_election.leader())
+                leader->cancel(call->id);
+            else if (const auto address = m_election.leaderAddress(); !address.empty())
+                m_peers.tellCancel(address, call->id);
+            return;
+        }
+        if (result.outcome == StoreOutcome::Unknown)
+            call->mayBeWritten = true;
+        if (clockNow() + writeRetry < call->deadline)
+            after(writeRetry, [this, call] { writeCancel(call); });
+        else if (call->mayBeWritten)
+            unknown(call, result.detail);
+        else
+            refuse(call, ErrorKind::StoreUnavailable, result.detail);
+    });
+}
+
+void CallerFront::countPending(const CallPointer& call)
+{
+    if (const auto* leader = m_election.leader(); leader && leader->isLoaded()) {
+        const auto pending = leader->pending();
+        auto it = pending.find(call->queue.name);
+        answer(call, statusAccepted, encodePending(it == pending.end() ? 0 : it->second), "pending_shown");
+        return;
+    }
+    const auto& pending = m_election.pending();
+    auto it = pending.find(call->queue.name);
+    if (clockNow() - m_election.pendingAt() > pendingTooOld)
+        refuse(call, ErrorKind::OwnerUnreachable, "the scheduler gave no count lately");
+    else
+        answer(call, statusAccepted, encodePending(it == pending.end() ? 0 : it->second), "pending_shown");
+}
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/edge/CallerFront.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "edge/ConfigurationFollower.h"
+#include "edge/Election.h"
+#include "edge/PeerClient.h"
+#include "net/HttpServer.h"
+
+#include <memory>
+#include <string>
+
+namespace quay::edge {
+
+/**
+ * Serves callers: takes jobs in, shows their state, cancels them, counts those that have not begun.
+ * A job is durable in the store before it is answered; the scheduler is told afterwards.
+ *
+ * Usage: `CallerFront front(services, peers, follower, election); server handler = [&](auto r, auto a) { front.serve(r, a); }`
+ */
+class CallerFront {
+public:
+    CallerFront(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election);
+
+    void serve(HttpRequest request, Respond respond);
+
+private:
+    struct Call;
+    using CallPointer = std::shared_ptr<Call>;
+
+    void submit(const CallPointer& call);
+    void writeJob(const CallPointer& call);
+    void jobWritten(const CallPointer& call, const platform::StoreResult& result);
+    void accepted(const CallPointer& call);
+    void show(const CallPointer& call);
+    void showFromStore(const CallPointer& call);
+    void showRecord(const CallPointer& call);
+    void cancel(const CallPointer& call);
+    void writeCancel(const CallPointer& call);
+    void countPending(const CallPointer& call);
+    void after(Duration delay, std::function<void()> action);
+
+    void answer(const CallPointer& call, unsigned status, std::string body, std::string_view why);
+    void refuse(const CallPointer& call, ErrorKind kind, const std::string& detail);
+    /** Says neither that it ran nor that it did not. */
+    void unknown(const CallPointer& call, const std::string& detail);
+
+    EdgeServices m_services;
+    PeerClient& m_peers;
+    ConfigurationFollower& m_follower;
+    Election& m_election;
+    Counter& m_accepted;
+    Counter& m_refused;
+    DurationHistogram& m_acceptTime;
+};
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/edge/CellLeader.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "ExecutorClient.h"
+#include "StoreClient.h"
+#include "edge/ApprovalBroker.h"
+#include "edge/DecisionLog.h"
+#include "edge/JobRows.h"
+#include "quay/fleet/FleetScheduler.h"
+#include "quay/telemetry/Metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace quay::edge {
+
+/** What a node's parts share. */
+struct EdgeServices {
+    boost::asio::io_context& context;
+    platform::StoreClient& store;
+    platform::ExecutorClient& executors;
+    ApprovalBroker& approvals;
+    DecisionLog& log;
+    Metrics& metrics;
+};
+
+/**
+ * The scheduler of the cell while this node leads it: reads what is durable, feeds the scheduler, carries out what
+ * it decides. It ends when another node has taken the leadership row.
+ *
+ * Usage: `auto leader = std::make_shared<CellLeader>(services, bounds, lead, version, deposed); leader->begin(...);`
+ */
+class CellLeader : public std::enable_shared_from_this<CellLeader> {
+public:
+    /** `lead` and `version`: the leadership row as we wrote it; the version is our fencing token. */
+    CellLeader(EdgeServices services, const fleet::SchedulerBounds& bounds, LeadRecord lead, std::int64_t version,
+        std::function<void()> deposed);
+
+    void begin(const fleet::FleetConfiguration& configuration);
+    void configure(const fleet::FleetConfiguration& configuration);
+    void submit(const StoredJob& job);
+    void cancel(const std::string& id);
+
+    /** False until what is durable was read. */
+    bool isLoaded() const { return m_isLoaded; }
+    /** False if the store has not taken a commit for some time. */
+    bool isUsable(Instant now) const;
+    std::optional<fleet::JobPhase> shownPhase(const std::string& id) const { return m_scheduler.shownPhase(id); }
+    std::string teamOf(const std::string& id) const { return m_scheduler.teamOf(id); }
+    std::map<std::string, std::int64_t> pending() const;
+    fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
+    std::int64_t fence() const { return m_fence; }
+
+    /** Writes that anybody may lead, then calls `done`. Nothing is ordered from now on. */
+    void giveUp(std::function<void()> done);
+    /** Nothing is ordered or committed from now on. */
+    void stop();
+
+private:
+    using Rows = std::vector<platform::StoreRow>;
+
+    void readTable(const std::string& table, const std::string& partition, const std::string& from,
+        std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done);
+    void load();
+    void loaded();
+    void takeJobRow(const platform::StoreRow& row);
+    void takeExecutorRow(const platform::StoreRow& row);
+    void followExecutors();
+    void rereadExecutors();
+    void followJobs();
+    void rereadJobs();
+    void after(Duration delay, std::function<void()> action);
+    void tick();
+    void pumpSoon();
+    void pump();
+    void carryOut(fleet::SchedulerActions& actions);
+    void sendStart(const fleet::StartAction& action);
+    void sendStop(const fleet::StopAction& action);
+    void sendPace(const fleet::PaceAction& action);
+    void sendHold(const fleet::HoldAction& action);
+    void sendApproval(const fleet::ApprovalAction& action);
+    void checkFence(fleet::OrderResult result, const std::string& executor);
+    platform::OrderTarget target(const std::string& address, const std::string& executor) const;
+
+    void beginCommit(fleet::CommitAction action);
+    void beatIfIdle();
+    void sendCommit();
+    void commitAnswered(const platform::StoreResult& result, Instant sentAt);
+    void commitDone(std::int64_t version, Instant sentAt);
+    void forgetRows(const std::vector<std::string>& ids);
+    void depose(std::string_view why);
+
+    EdgeServices m_services;
+    fleet::FleetScheduler m_scheduler;
+    LeadRecord m_lead;
+    std::int64_t m_leadVersion; // of the leadership row as far as we know
+    std::int64_t m_fence;
+    std::function<void()> m_deposed;
+    fleet::FleetConfiguration m_configuration;
+    bool m_isLoaded = false;
+    bool m_isStopped = false;
+    bool m_pumpPosted = false;
+
+    std::shared_ptr<Rows> m_loadedRecords = std::make_shared<Rows>();
+    std::shared_ptr<Rows> m_loadedJobs = std::make_shared<Rows>();
+    std::shared_ptr<Rows> m_loadedExecutors = std::make_shared<Rows>();
+    int m_loading = 0;
+    std::int64_t m_jobsSeen = 0;
+    std::int64_t m_executorsSeen = 0;
+    std::set<std::string> m_listed; // executors whose registration we saw
+    std::set<std::string> m_earlyCancels; // of jobs that are not known yet
+
+    std::optional<fleet::CommitAction> m_commit; // being made durable; empty records: a heartbeat
+    bool m_isGivingUp = false;
+    std::function<void()> m_gaveUp;
+    Duration m_commitTimeout;
+    Instant m_lastCommit;
+    boost::asio::steady_timer m_tickTimer;
+    Counter& m_starts;
+    Counter& m_commits;
+    DurationHistogram& m_commitTime;
+    DurationHistogram& m_startTime;
+    DurationHistogram& m_approvalTime;
+};
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/edge/Election.cpp
@@ -0,0 +1,221 @@
+#include "edge/Election.h"
+
+#include <functional>
+
+namespace quay::edge {
+
+using namespace platform;
+
+namespace {
+
+constexpr auto greetInterval = 300ms;
+constexpr auto greetTimeout = 600ms;
+constexpr auto examineTimeout = 800ms;
+constexpr auto examineInterval = 180ms;
+constexpr auto silenceUntilReplaced = 700ms; // two heartbeats of a leader without work
+constexpr auto jitterLongest = 120; // ms; spreads candidates over a few transactions
+constexpr auto acquireTimeout = 1200ms;
+
+Instant clockNow() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+Election::Election(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Identity identity,
+    const fleet::SchedulerBounds& bounds)
+    : m_services(services)
+    , m_peers(peers)
+    , m_follower(follower)
+    , m_identity(std::move(identity))
+    , m_bounds(bounds)
+    , m_timer(services.context)
+{
+}
+
+void Election::start() { examine(); }
+
+void Election::schedule(Duration delay)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            step();
+    });
+}
+
+void Election::step()
+{
+    if (m_leader)
+        return;
+    if (m_suspectVersion < 0 && !m_known.address.empty())
+        greet();
+    else
+        examine();
+}
+
+void Election::greet()
+{
+    m_peers.greet(m_known.address, m_identity.node, m_identity.peerAddress, greetTimeout,
+        [this](Greeting greeting) { greeted(greeting); });
+}
+
+void Election::greeted(const Greeting& greeting)
+{
+    if (m_leader)
+        return;
+    if (greeting.isAnswered && greeting.isLeader && greeting.isUsable) {
+        if (!m_isLeaderUp)
+            m_services.log.write("leader_found", {}, { { "leader", m_known.node }, { "address", m_known.address } });
+        m_isLeaderUp = true;
+        m_missed = 0;
+        m_pending = greeting.pending;
+        m_pendingAt = clockNow();
+        if (greeting.configurationVersion > m_follower.version())
+            m_follower.refresh();
+        schedule(greetInterval);
+        return;
+    }
+    ++m_missed;
+    if (m_isLeaderUp)
+        m_services.log.write("leader_missed", {},
+            { { "leader", m_known.node }, { "answered", greeting.isAnswered ? "yes" : "no" },
+                { "leads", greeting.isLeader ? "yes" : "no" }, { "usable", greeting.isUsable ? "yes" : "no" } });
+    m_isLeaderUp = false;
+    examine();
+}
+
+void Election::examine()
+{
+    m_services.store.readRow(
+        leadTable, cellPartition, leadKey, examineTimeout, [this](StoreResult result) { examined(result); });
+}
+
+void Election::examined(const StoreResult& result)
+{
+    if (m_leader)
+        return;
+    if (result.outcome != StoreOutcome::Ok) {
+        schedule(examineInterval);
+        return;
+    }
+    const auto now = clockNow();
+    const bool mayLead = !m_isRetired && m_follower.current();
+    if (result.rows.empty()) {
+        if (mayLead)
+            acquire(0);
+        else
+            schedule(examineInterval);
+        return;
+    }
+    const auto& row = result.rows.front();
+    Reason reason;
+    const auto lead = decodeLeadRecord(row.value, reason);
+    const bool isVacant = !lead || lead->node.empty();
+    const bool isOwnPast = lead && lead->node == m_identity.node && lead->incarnation != m_identity.incarnation;
+    if (isVacant || isOwnPast) {
+        m_isLeaderUp = false;
+        if (mayLead)
+            acquire(row.version);
+        else
+            schedule(examineInterval);
+        return;
+    }
+    const bool isNew = lead->incarnation != m_known.incarnation;
+    m_known = *lead;
+    if (isNew || row.version != m_suspectVersion) {
+        // Another leader, or this one is at work: greet it, and measure its silence from here.
+        m_suspectVersion = row.version;
+        m_suspectedAt = now;
+        if (isNew) {
+            m_suspectVersion = -1;
+            schedule(Duration::zero());
+        } else {
+            schedule(examineInterval);
+            m_peers.greet(m_known.address, m_identity.node, m_identity.peerAddress, greetTimeout,
+                [this](const Greeting& greeting) {
+                    if (m_leader || !greeting.isAnswered || !greeting.isLeader || !greeting.isUsable)
+                        return;
+                    m_suspectVersion = -1;
+                    greeted(greeting);
+                });
+        }
+        return;
+    }
+    const auto jitter = std::chrono::milliseconds(std::hash<std::string>()(m_identity.node) % jitterLongest);
+    if (mayLead && now - m_suspectedAt >= silenceUntilReplaced + jitter)
+        acquire(row.version);
+    else
+        schedule(examineInterval);
+}
+
+void Election::acquire(std::int64_t version)
+{
+    const LeadRecord lead { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0 };
+    StoreTransaction transaction;
+    transaction.conditions.push_back({ leadTable, cellPartition, leadKey, {}, version, false });
+    transaction.puts.push_back({ leadTable, cellPartition, leadKey, encode(lead), 0, false });
+    m_services.store.transact(
+        transaction, acquireTimeout, [this, version](StoreResult result) { acquired(result, version); });
+}
+
+void Election::acquired(const StoreResult& result, std::int64_t condition)
+{
+    if (result.outcome == StoreOutcome::Ok) {
+        m_services.log.write("leadership_taken", {},
+            { { "fence", std::to_string(result.version) }, { "before", m_known.node },
+                { "condition", std::to_string(condition) } });
+        lead(result.version);
+        return;
+    }
+    if (result.outcome == StoreOutcome::ConditionFailed && !result.rows.empty()) {
+        Reason reason;
+        const auto now = decodeLeadRecord(result.rows.front().value, reason);
+        if (now && now->node == m_identity.node && now->incarnation == m_identity.incarnation) {
+            lead(result.rows.front().version); // an attempt whose answer was lost
+            return;
+        }
+    }
+    m_suspectVersion = -1;
+    schedule(examineInterval);
+}
+
+void Election::lead(std::int64_t version)
+{
+    if (m_isRetired) {
+        schedule(examineInterval);
+        return;
+    }
+    m_suspectVersion = -1;
+    m_isLeaderUp = false;
+    m_known = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0 };
+    m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_known, version, [this] {
+        m_leader.reset();
+        m_known = {};
+        schedule(Duration::zero());
+    });
+    m_leader->begin(*m_follower.current());
+}
+
+void Election::retire(std::function<void()> done)
+{
+    m_isRetired = true;
+    if (!m_leader) {
+        done();
+        return;
+    }
+    m_leader->giveUp([this, done = std::move(done)] {
+        m_services.log.write("leadership_given_up", {}, {});
+        m_leader->stop();
+        m_leader.reset();
+        m_known = {};
+        schedule(Duration::zero());
+        done();
+    });
+}
+
+void Election::configurationChanged(const fleet::FleetConfiguration& configuration)
+{
+    if (m_leader)
+        m_leader->configure(configuration);
+}
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/edge/Election.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "edge/CellLeader.h"
+#include "edge/ConfigurationFollower.h"
+#include "edge/PeerClient.h"
+
+#include <memory>
+#include <string>
+
+namespace quay::edge {
+
+/**
+ * Finds the cell's leader, greets it, and takes its place when it is silent.
+ *
+ * A leader rewrites the leadership row with each commit. Who wants its place writes the row under the condition
+ * that it has not changed for some time: a leader at work can't be replaced, whatever its peers see of it.
+ *
+ * Usage: `Election election(services, peers, follower, identity, bounds); election.start();`
+ */
+class Election {
+public:
+    struct Identity {
+        std::string node;
+        std::string peerAddress;
+        std::uint64_t incarnation = 0; // of this process
+    };
+
+    Election(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Identity identity,
+        const fleet::SchedulerBounds& bounds);
+
+    void start();
+    /** Gives up the leadership, if held, and never takes it again; then calls `done`. */
+    void retire(std::function<void()> done);
+
+    /** Null unless this node leads. */
+    CellLeader* leader() const { return m_leader.get(); }
+    /** The leader's address for peers; empty if it is not known or does not answer. */
+    std::string leaderAddress() const { return m_isLeaderUp ? m_known.address : std::string(); }
+    /** What the leader last said of jobs that have not begun, and when. */
+    const std::map<std::string, std::int64_t>& pending() const { return m_pending; }
+    Instant pendingAt() const { return m_pendingAt; }
+
+    void configurationChanged(const fleet::FleetConfiguration& configuration);
+
+private:
+    void schedule(Duration delay);
+    void step();
+    void greet();
+    void greeted(const Greeting& greeting);
+    void examine();
+    void examined(const platform::StoreResult& result);
+    void acquire(std::int64_t version);
+    void acquired(const platform::StoreResult& result, std::int64_t condition);
+    void lead(std::int64_t version);
+
+    EdgeServices m_services;
+    PeerClient& m_peers;
+    ConfigurationFollower& m_follower;
+    Identity m_identity;
+    fleet::SchedulerBounds m_bounds;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<CellLeader> m_leader;
+    LeadRecord m_known; // the leader as far as we know
+    bool m_isLeaderUp = false;
+    bool m_isRetired = false;
+    int m_missed = 0; // greetings in a row
+    std::int64_t m_suspectVersion = -1; // of the leadership row when the leader was first suspected
+    Instant m_suspectedAt;
+    std::map<std::string, std::int64_t> m_pending;
+    Instant m_pendingAt;
+};
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/edge/JobRows.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "StoreClient.h"
+#include "quay/fleet/WorkRequest.h"
+
+#include <optional>
+#include <string>
+
+// Our own rows in the store: accepted jobs, cancellations, the scheduler's records, the leadership.
+namespace quay::edge {
+
+constexpr int jobPartitions = 4; // one partition does some 150 transactions a second
+constexpr const char* jobTable = "jobs";
+constexpr const char* recordTable = "records";
+constexpr const char* leadTable = "lead";
+constexpr const char* cellPartition = "cell-0"; // the scheduler's rows: one transaction covers them
+constexpr const char* leadKey = "lead";
+constexpr const char* cancellationSuffix = "!";
+
+/** An accepted job as it is stored: the caller's body as it came, and what its path and key meant. */
+struct StoredJob {
+    std::string id;
+    std::string queue;
+    std::string team;
+    std::string body;
+
+    bool operator==(const StoredJob&) const = default;
+};
+
+std::string partitionOfJob(const std::string& id);
+std::string encode(const StoredJob& job);
+std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason);
+
+/** The job with its steps decoded. */
+std::optional<fleet::WorkRequest> requestOf(const StoredJob& job, Reason& reason);
+
+/** Who schedules the cell. Every commit rewrites the row, so its version is both heartbeat and condition. */
+struct LeadRecord {
+    std::string node; // empty: given up, anybody may take it at once
+    std::string address; // for peers
+    std::uint64_t incarnation = 0; // of the process
+    std::uint64_t sequence = 0; // of the last commit
+
+    bool operator==(const LeadRecord&) const = default;
+};
+
+std::string encode(const LeadRecord& lead);
+std::optional<LeadRecord> decodeLeadRecord(const std::string& bytes, Reason& reason);
+
+} // namespace quay::edge
--- /dev/null
+++ b/src/fleet/JobRecord.cpp
@@ -0,0 +1,94 @@
+#include "quay/fleet/JobRecord.h"
+
+#include <boost/json.hpp>
+
+namespace quay::fleet {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t taskCells = 9;
+
+// Ascending indexes as runs: [first, last, first, last, ...]; a finished step of 40 tasks is two numbers.
+json::array encodeRanges(const std::vector<int>& indexes)
+{
+    json::array ranges;
+    for (std::size_t i = 0; i < indexes.size(); ++i) {
+        if (i == 0 || indexes[i] != indexes[i - 1] + 1) {
+            if (i > 0)
+                ranges.push_back(indexes[i - 1]);
+            ranges.push_back(indexes[i]);
+        }
+    }
+    if (!indexes.empty())
+        ranges.push_back(indexes.back());
+    return ranges;
+}
+
+std::vector<int> decodeRanges(const json::array& ranges)
+{
+    std::vector<int> indexes;
+    for (std::size_t i = 0; i + 1 < ranges.size(); i += 2) {
+        const int last = ranges[i + 1].to_number<int>();
+        for (int index = ranges[i].to_number<int>(); index <= last && last < maxTasksPerJob; ++index)
+            indexes.push_back(index);
+    }
+    return indexes;
+}
+
+TaskRecord decodeTask(const json::array& cells)
+{
+    TaskRecord task;
+    task.occurrence = cells.at(0).to_number<int>();
+    task.step = cells.at(1).to_number<int>();
+    task.index = cells.at(2).to_number<int>();
+    task.run = cells.at(3).to_number<int>();
+    task.failures = cells.at(4).to_number<int>();
+    task.isAssigned = cells.at(5).to_number<int>() != 0;
+    task.executor = std::string(cells.at(6).as_string());
+    task.executorBornUnixMs = cells.at(7).to_number<std::int64_t>();
+    task.checkpoint = std::string(cells.at(taskCells - 1).as_string());
+    return task;
+}
+
+} // namespace
+
+std::string encode(const JobRecord& record)
+{
+    json::array tasks;
+    for (const auto& it : record.tasks) {
+        tasks.push_back(json::array { it.occurrence, it.step, it.index, it.run, it.failures, it.isAssigned ? 1 : 0,
+            it.executor, it.executorBornUnixMs, it.checkpoint });
+    }
+    json::array done;
+    for (const auto& it : record.done)
+        done.push_back(json::array { it.occurrence, it.step, encodeRanges(it.indexes) });
+    return json::serialize(
+        json::object { { "phase", static_cast<int>(record.phase) }, { "tasks", tasks }, { "done", done } });
+}
+
+std::optional<JobRecord> decodeJobRecord(const std::string& bytes, Reason& reason)
+{
+    try {
+        const auto value = json::parse(bytes);
+        const auto& object = value.as_object();
+        JobRecord record;
+        const int phase = object.at("phase").to_number<int>();
+        if (phase < 0 || phase > static_cast<int>(JobPhase::Cancelled))
+            return fail(reason, ErrorKind::MalformedRequest, "job record: unknown phase");
+        record.phase = static_cast<JobPhase>(phase);
+        for (const auto& it : object.at("tasks").as_array())
+            record.tasks.push_back(decodeTask(it.as_array()));
+        for (const auto& it : object.at("done").as_array()) {
+            const auto& cells = it.as_array();
+            record.done.push_back(DoneRecord { cells.at(0).to_number<int>(), cells.at(1).to_number<int>(),
+                decodeRanges(cells.at(2).as_array()) });
+        }
+        return record;
+    } catch (const std::exception& error) {
+        return fail(reason, ErrorKind::MalformedRequest, std::string("job record: ") + error.what());
+    }
+}
+
+} // namespace quay::fleet
--- /dev/null
+++ b/src/fleet/SchedulerJobs.cpp
@@ -0,0 +1,345 @@
+#include "fleet/SchedulerState.h"
+
+#include <algorithm>
+
+// Jobs: their steps, what is ready, what is durable.
+namespace quay::fleet {
+
+using namespace internal;
+
+namespace {
+
+// One transaction holds 100 entries and 1 MB; one entry is the leadership row.
+constexpr std::size_t maxRecordsPerCommit = 80;
+constexpr std::size_t maxBytesPerCommit = 400'000; // base64 adds a third
+constexpr auto forgetInterval = 5s;
+constexpr std::size_t maxForgottenPerCommit = 15;
+
+// The longest chain of estimates from each step to the end of the job.
+std::vector<int> chains(const WorkRequest& request)
+{
+    std::vector<int> result(request.steps.size(), 0);
+    for (std::size_t i = request.steps.size(); i-- > 0;) {
+        result[i] += static_cast<int>(request.steps[i].estimateMs);
+        for (int earlier : request.steps[i].dependsOn)
+            result[earlier] = std::max(result[earlier], result[i]);
+    }
+    return result;
+}
+
+} // namespace
+
+const StepRequest& internal::StepState::request() const { return job->request.steps[number]; }
+
+FleetScheduler::Impl::JobState& FleetScheduler::Impl::add(const WorkRequest& request, Instant now)
+{
+    auto job = std::make_unique<JobState>();
+    job->request = request;
+    job->acceptedAt = now;
+    const auto* queue = configuration.queueNamed(request.queue);
+    const auto lengths = chains(request);
+    const int longest = lengths.empty() ? 0 : *std::max_element(lengths.begin(), lengths.end());
+    const double objectiveMs = queue ? queue->stretch * longest + static_cast<double>(queue->slackMs) : longest;
+    job->deadline = now + std::chrono::milliseconds(static_cast<long long>(objectiveMs));
+    auto& added = *(jobs[request.id] = std::move(job));
+    if (request.occurrences == 0) {
+        openOccurrence(added, 0);
+        added.nextOccurrence = 1;
+    } else {
+        scheduled.push_back(&added);
+    }
+    return added;
+}
+
+void FleetScheduler::Impl::openOccurrence(JobState& job, int number)
+{
+    auto& occurrence = job.occurrences[number];
+    const auto lengths = chains(job.request);
+    for (std::size_t i = 0; i < job.request.steps.size(); ++i) {
+        auto step = std::make_unique<StepState>();
+        step->job = &job;
+        step->occurrence = number;
+        step->number = static_cast<int>(i);
+        step->tasks.resize(job.request.steps[i].taskCount);
+        step->waiting = job.request.steps[i].taskCount;
+        step->chainMs = lengths[i];
+        occurrence.steps.push_back(std::move(step));
+    }
+    refreshReady(job, number);
+}
+
+void FleetScheduler::Impl::openDueOccurrences(Instant now, std::int64_t unixMs)
+{
+    for (auto* job : scheduled) {
+        const auto& request = job->request;
+        while (!isFinal(job->phase) && job->nextOccurrence < request.occurrences
+            && unixMs >= request.firstDueUnixMs + request.intervalMs * job->nextOccurrence) {
+            const int number = job->nextOccurrence++;
+            if (job->doneOccurrences.count(number) == 0 && job->occurrences.count(number) == 0) {
+                openOccurrence(*job, number);
+                note("occurrence_due", request.id, "occurrence=" + std::to_string(number));
+            }
+            job->acceptedAt = now;
+        }
+    }
+    std::erase_if(scheduled, [](const JobState* job) {
+        return isFinal(job->phase) || job->nextOccurrence >= job->request.occurrences;
+    });
+}
+
+// A step is ready once all tasks of the steps that it waits for are done.
+void FleetScheduler::Impl::refreshReady(JobState& job, int occurrence)
+{
+    if (isFinal(job.phase))
+        return;
+    auto it = job.occurrences.find(occurrence);
+    if (it == job.occurrences.end())
+        return;
+    for (auto& step : it->second.steps) {
+        if (!step->isReady) {
+            const auto& after = step->request().dependsOn;
+            step->isReady = std::all_of(
+                after.begin(), after.end(), [&](int earlier) { return it->second.steps[earlier]->isComplete(); });
+        }
+        if (step->isReady && step->waiting > 0) {
+            ready.insert(step.get());
+            placementDue = true;
+        }
+    }
+}
+
+void FleetScheduler::Impl::taskDone(StepState& step, int index)
+{
+    auto& task = step.tasks[index];
+    if (task.phase == TaskPhase::Done)
+        return;
+    --(task.phase == TaskPhase::Active ? step.active : step.waiting);
+    ++step.done;
+    task.phase = TaskPhase::Done;
+    task.life = -1;
+    task.checkpoint.clear();
+    if (step.waiting == 0)
+        ready.erase(&step);
+}
+
+void FleetScheduler::Impl::taskWaiting(StepState& step, int index)
+{
+    auto& task = step.tasks[index];
+    if (task.phase != TaskPhase::Active)
+        return;
+    --step.active;
+    ++step.waiting;
+    task.phase = TaskPhase::Waiting;
+    task.life = -1;
+    if (!isFinal(step.job->phase)) {
+        ready.insert(&step);
+        placementDue = true;
+    }
+}
+
+// Follows the ends of tasks: later steps become ready, a job whose tasks are all done is completed.
+void FleetScheduler::Impl::settle(JobState& job, Instant now)
+{
+    if (isFinal(job.phase))
+        return;
+    for (auto it = job.occurrences.begin(); it != job.occurrences.end(); ++it) {
+        auto& occurrence = it->second;
+        if (occurrence.isDone)
+            continue;
+        refreshReady(job, it->first);
+        occurrence.isDone = std::all_of(
+            occurrence.steps.begin(), occurrence.steps.end(), [](const auto& step) { return step->isComplete(); });
+        if (occurrence.isDone)
+            job.doneOccurrences.insert(it->first);
+    }
+    const auto wanted = static_cast<std::size_t>(std::max(1, job.request.occurrences));
+    if (job.doneOccurrences.size() >= wanted)
+        finish(job, JobPhase::Completed, now);
+}
+
+void FleetScheduler::Impl::finish(JobState& job, JobPhase phase, Instant now)
+{
+    job.phase = phase;
+    job.finishedAt = now;
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& step : occurrence.steps)
+            ready.erase(step.get());
+    }
+    markDirty(job);
+    stopRuns(job, now);
+    note(phase == JobPhase::Completed ? "job_completed" : phase == JobPhase::Failed ? "job_failed" : "job_cancelled",
+        job.request.id, "age_ms=" + std::to_string(toMilliseconds(now - job.acceptedAt)));
+}
+
+void FleetScheduler::Impl::stopRuns(JobState& job, Instant now)
+{
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+                const auto& task = step->tasks[i];
+                if (task.phase != TaskPhase::Active)
+                    continue;
+                wantStop(lives[task.life],
+                    RunKey { &job, step->occurrence, step->number, static_cast<int>(i), task.run }, now);
+            }
+        }
+    }
+}
+
+void FleetScheduler::Impl::markDirty(JobState& job)
+{
+    if (job.isDirty)
+        return;
+    job.isDirty = true;
+    dirty.push_back(&job);
+}
+
+JobRecord FleetScheduler::Impl::recordOf(const JobState& job) const
+{
+    JobRecord record;
+    record.phase = job.phase;
+    if (isFinal(job.phase) && job.phase == JobPhase::Completed)
+        return record; // nothing of its tasks can matter any more
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            DoneRecord done { number, step->number, {} };
+            for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+                const auto& task = step->tasks[i];
+                if (task.phase == TaskPhase::Done) {
+                    done.indexes.push_back(static_cast<int>(i));
+                } else if (task.run > 0) {
+                    TaskRecord row { number, step->number, static_cast<int>(i), task.run, task.failures,
+                        task.phase == TaskPhase::Active, {}, 0, task.checkpoint };
+                    if (row.isAssigned) {
+                        row.executor = lives[task.life].entry.id;
+                        row.executorBornUnixMs = lives[task.life].entry.bornUnixMs;
+                    }
+                    record.tasks.push_back(std::move(row));
+                }
+            }
+            if (!done.indexes.empty())
+                record.done.push_back(std::move(done));
+        }
+    }
+    return record;
+}
+
+void FleetScheduler::Impl::restoreTask(JobState& job, const TaskRecord& record, Instant now)
+{
+    auto it = job.occurrences.find(record.occurrence);
+    if (it == job.occurrences.end() || record.step >= static_cast<int>(it->second.steps.size())
+        || record.index >= static_cast<int>(it->second.steps[record.step]->tasks.size())) {
+        note("record_ignored", job.request.id, "it names a task that the job does not have");
+        return;
+    }
+    auto& step = *it->second.steps[record.step];
+    auto& task = step.tasks[record.index];
+    task.run = record.run;
+    task.failures = record.failures;
+    task.checkpoint = record.checkpoint;
+    if (step.request().isGang && !record.checkpoint.empty())
+        step.gangCheckpoint = record.checkpoint;
+    if (!record.isAssigned)
+        return;
+    auto* life = lifeOfId(record.executor);
+    if (!life || life->entry.bornUnixMs != record.executorBornUnixMs) {
+        ExecutorEntry entry;
+        entry.id = record.executor;
+        entry.bornUnixMs = record.executorBornUnixMs;
+        if (life) { // an earlier life than the registered one; its first report settles what ran before
+            entry.address.clear();
+            auto& newer = *life;
+            if (newer.replaced < 0)
+                newer.replaced = addLife(entry, now).number;
+            life = &lives[lives[lifeById[record.executor]].replaced];
+        } else {
+            life = &addLife(entry, now);
+            lifeById[record.executor] = life->number;
+        }
+    }
+    const auto longest = std::chrono::duration_cast<Duration>(bounds.longestLease * clockTolerance);
+    life->leaseEnds = std::max(life->leaseEnds, now + bounds.leaseAuthority + longest + bounds.stopTime);
+    Run run;
+    run.phase = RunPhase::Inherited;
+    run.room = roomOf(step.request());
+    run.charged = step.request().perTask;
+    life->used += run.room;
+    teamUsage[job.request.team] += run.charged;
+    life->runs.emplace(RunKey { &job, record.occurrence, record.step, record.index, record.run }, run);
+    task.phase = TaskPhase::Active;
+    task.life = life->number;
+    --step.waiting;
+    ++step.active;
+}
+
+void FleetScheduler::Impl::forgetFinished(Instant now)
+{
+    if (now < nextForget)
+        return;
+    nextForget = now + forgetInterval;
+    std::size_t count = 0;
+    for (auto& [id, job] : jobs) {
+        if (count < maxForgottenPerCommit && isFinal(job->shown) && !job->isForgotten
+            && now - job->finishedAt > bounds.keepFinished * 2) {
+            job->isForgotten = true;
+            markDirty(*job);
+            ++count;
+        }
+    }
+}
+
+void FleetScheduler::Impl::buildCommit(SchedulerActions& actions)
+{
+    if (commit)
+        return;
+    CommitInFlight batch;
+    CommitAction action;
+    for (const auto& life : lives) {
+        if (!life.isClosed && life.processedEnds > life.acknowledgedEnds)
+            batch.acknowledgements.emplace_back(life.number, life.processedEnds);
+    }
+    std::size_t bytes = 0;
+    std::size_t taken = 0;
+    while (taken < dirty.size() && taken < maxRecordsPerCommit && bytes < maxBytesPerCommit) {
+        auto& job = *dirty[taken++];
+        job.isDirty = false;
+        if (job.isForgotten) {
+            action.forgotten.push_back(job.request.id);
+            continue;
+        }
+        auto record = encode(recordOf(job));
+        bytes += record.size();
+        batch.shown.emplace_back(job.request.id, job.phase);
+        action.records.emplace_back(job.request.id, std::move(record));
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const auto& step : occurrence.steps) {
+                if (step->active == 0)
+                    continue;
+                for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+                    const auto& task = step->tasks[i];
+                    if (task.phase != TaskPhase::Active)
+                        continue;
+                    const RunKey key { &job, number, step->number, static_cast<int>(i), task.run };
+                    const auto it = lives[task.life].runs.find(key);
+                    if (it != lives[task.life].runs.end() && it->second.phase == RunPhase::Recording)
+                        batch.starts.emplace_back(task.life, key);
+                }
+            }
+        }
+    }
+    dirty.erase(dirty.begin(), dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    if (!dirty.empty())
+        batch.acknowledgements.clear(); // an end may belong to a job that is not in this commit
+    if (action.records.empty() && action.forgotten.empty()) {
+        // Ends that change nothing durable need no commit.
+        for (const auto& [life, number] : batch.acknowledgements)
+            lives[life].acknowledgedEnds = number;
+        return;
+    }
+    batch.number = action.number = nextCommit++;
+    batch.forgotten = action.forgotten;
+    commit = std::move(batch);
+    actions.commit = std::move(action);
+}
+
+} // namespace quay::fleet
--- /dev/null
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -0,0 +1,400 @@
+#include "fleet/SchedulerState.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+// Placement: which waiting task goes to which executor, and what an approval service is asked.
+namespace quay::fleet {
+
+using namespace internal;
+
+namespace {
+
+constexpr auto placementInterval = 4ms; // a burst of events is answered by one pass
+constexpr std::size_t stepsPerPass = 200; // a longer line of steps without room is looked at in the next pass
+constexpr auto longestSilence = 2500ms; // two looks of a second and their timeout
+constexpr std::size_t workersPerApproval = 30; // the objective of a job counts a call of this size
+constexpr auto askAgain = 250ms; // a step of which no approved executor had room
+constexpr auto ticketMargin = 150ms; // a commit and a start are on their way meanwhile
+constexpr double urgentReserve = 0.06; // share of a service that only the most urgent queue may use
+
+struct Candidate {
+    StepState* step;
+    int priority;
+    bool isHopeless; // beyond three times its objective it is worth nothing more
+    Instant deadline;
+};
+
+Resources fillsAdjusted(const StepRequest& request)
+{
+    Resources room = request.perTask;
+    if (request.usesSpareCpu)
+        room.cpuMilli = 0;
+    return room;
+}
+
+} // namespace
+
+Resources FleetScheduler::Impl::roomOf(const StepRequest& request) const { return fillsAdjusted(request); }
+
+void FleetScheduler::Impl::place(Instant now, SchedulerActions& actions)
+{
+    if (!placementDue || now < nextPlacement)
+        return;
+    placementDue = false;
+    nextPlacement = now + placementInterval;
+    std::vector<Candidate> order;
+    order.reserve(ready.size());
+    for (auto* step : ready) {
+        const auto* queue = configuration.queueNamed(step->job->request.queue);
+        if (!queue)
+            continue; // a removed queue starts nothing
+        const auto objective = step->job->deadline - step->job->acceptedAt;
+        order.push_back({ step, queue->priority, !step->request().isLasting && now > step->job->acceptedAt + 3 * objective,
+            step->job->deadline });
+    }
+    std::sort(order.begin(), order.end(), [](const Candidate& a, const Candidate& b) {
+        return std::tie(a.isHopeless, a.priority, a.deadline, a.step->job->request.id, a.step->number)
+            < std::tie(b.isHopeless, b.priority, b.deadline, b.step->job->request.id, b.step->number);
+    });
+    std::size_t looked = 0;
+    for (const auto& it : order) {
+        if (++looked > stepsPerPass)
+            break;
+        placeStep(*it.step, now, actions);
+    }
+}
+
+bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
+{
+    const auto* team = configuration.teamNamed(step.job->request.team);
+    if (!team)
+        return true;
+    auto used = teamUsage.find(team->name);
+    const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
+    const auto& limit = team->upperLimit;
+    return (limit.cpuMilli == 0 || after.cpuMilli <= limit.cpuMilli)
+        && (limit.memoryMb == 0 || after.memoryMb <= limit.memoryMb)
+        && (limit.accelerators == 0 || after.accelerators <= limit.accelerators);
+}
+
+// Executors of the service that have room for a task of the step now.
+std::vector<LifeId> FleetScheduler::Impl::candidates(
+    const StepState& step, const std::string& service, Instant now) const
+{
+    const auto& request = step.request();
+    const auto room = fillsAdjusted(request);
+    std::vector<LifeId> result;
+    for (const auto& [id, number] : lifeById) {
+        const auto& life = lives[number];
+        if (!life.isListed || life.isSilent || life.entry.isDraining || life.entry.service != service
+            || now < life.avoidUntil || now - life.lastAnswer > longestSilence || life.replaced >= 0)
+            continue;
+        if (!(life.used + room).fitsIn(life.entry.capacity))
+            continue;
+        if (request.usesSpareCpu && life.used.cpuMilli + request.perTask.cpuMilli / 4 > life.entry.capacity.cpuMilli)
+            continue; // hardly anything would be left to fill
+        const auto& labels = life.entry.labels;
+        if (!request.requiredLabel.empty()
+            && std::find(labels.begin(), labels.end(), request.requiredLabel) == labels.end())
+            continue;
+        result.push_back(number);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+// The best executor for a task: near its data, not where it failed, and where the least room is left over.
+int FleetScheduler::Impl::pickLife(const StepState& step, const TaskState& task, const std::vector<LifeId>& from,
+    const std::unordered_map<LifeId, int>& perLife) const
+{
+    const auto& request = step.request();
+    const auto room = fillsAdjusted(request);
+    int best = -1;
+    double bestScore = 0;
+    for (LifeId number : from) {
+        const auto& life = lives[number];
+        if (!(life.used + room).fitsIn(life.entry.capacity))
+            continue;
+        auto it = perLife.find(number);
+        const int already = it == perLife.end() ? 0 : it->second;
+        if (request.maxPerExecutor > 0 && already >= request.maxPerExecutor)
+            continue;
+        const auto left = life.entry.capacity - life.used - room;
+        double score = static_cast<double>(left.cpuMilli) / 1000.0;
+        if (number == task.avoid)
+            score += 10'000;
+        if (!request.dataRack.empty() && life.rack != request.dataRack)
+            score += 1'000;
+        if (request.isLasting)
+            score += 100.0 * already; // a lost executor takes few of them with it
+        if (life.failuresInRow > 0)
+            score += 50.0 * life.failuresInRow;
+        if (best < 0 || score < bestScore) {
+            best = number;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void FleetScheduler::Impl::askApproval(
+    StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions)
+{
+    if (step.isAsking || now < step.nextAsk)
+        return;
+    auto possible = candidates(step, queue.service, now);
+    std::vector<LifeId> approved;
+    std::vector<LifeId> open;
+    for (LifeId number : possible) {
+        if (step.tickets.count(number))
+            approved.push_back(number);
+        else if (!step.decided.count(number))
+            open.push_back(number);
+    }
+    // Approvals stand, only their tickets lapse: the approved come first, then the fullest that still has room.
+    std::sort(open.begin(), open.end(), [&](LifeId a, LifeId b) {
+        const auto leftOf = [&](LifeId n) { return lives[n].entry.capacity.cpuMilli - lives[n].used.cpuMilli; };
+        return std::make_pair(-leftOf(a), a) < std::make_pair(-leftOf(b), b);
+    });
+    std::vector<LifeId> chosen = approved;
+    const auto enough = static_cast<std::size_t>(step.waiting);
+    if (approved.size() < enough) {
+        for (LifeId number : open) {
+            if (chosen.size() >= workersPerApproval)
+                break;
+            chosen.push_back(number);
+        }
+    }
+    if (chosen.size() > workersPerApproval)
+        chosen.resize(workersPerApproval);
+    if (chosen.empty()) {
+        placementDue = true;
+        return;
+    }
+    ApprovalAction ask;
+    ask.step = stepText(TaskRef { step.job->request.id, step.occurrence, step.number, 0 });
+    for (LifeId number : chosen)
+        ask.workers.push_back(lives[number].entry.id);
+    ask.expectedMs = queue.approval->decisionMs + queue.approval->perWorkerMs * static_cast<double>(chosen.size());
+    step.isAsking = true;
+    actions.approvals.push_back(std::move(ask));
+}
+
+void FleetScheduler::Impl::assign(StepState& step, int index, LifeId number, int runNumber, Instant now)
+{
+    auto& life = lives[number];
+    auto& task = step.tasks[index];
+    Run run;
+    run.room = roomOf(step.request());
+    run.charged = step.request().perTask;
+    run.nextSend = now;
+    if (auto it = step.tickets.find(number); it != step.tickets.end())
+        run.ticket = it->second.text;
+    life.used += run.room;
+    teamUsage[step.job->request.team] += run.charged;
+    task.run = runNumber;
+    task.phase = TaskPhase::Active;
+    task.life = number;
+    --step.waiting;
+    ++step.active;
+    life.runs.emplace(RunKey { step.job, step.occurrence, step.number, index, runNumber }, run);
+    if (step.waiting == 0)
+        ready.erase(&step);
+    step.job->hasStarted = true;
+    if (step.job->phase == JobPhase::Queued)
+        step.job->phase = JobPhase::Running;
+    markDirty(*step.job);
+}
+
+// All members at once or none. On one rack if the gang asks for it and a rack has the room.
+bool FleetScheduler::Impl::placeGang(StepState& step, const std::vector<LifeId>& from, Instant now)
+{
+    if (step.active > 0 || step.waiting != static_cast<int>(step.tasks.size()))
+        return false; // the last run is not over everywhere
+    const auto& request = step.request();
+    const auto room = fillsAdjusted(request);
+    const auto plan = [&](const std::string& rack) {
+        std::vector<LifeId> chosen;
+        for (LifeId number : from) {
+            const auto& life = lives[number];
+            if (!rack.empty() && life.rack != rack)
+                continue;
+            auto used = life.used;
+            int here = 0;
+            while (chosen.size() < step.tasks.size() && (used + room).fitsIn(life.entry.capacity)
+                && (request.maxPerExecutor == 0 || here < request.maxPerExecutor)) {
+                used += room;
+                ++here;
+                chosen.push_back(number);
+            }
+        }
+        return chosen;
+    };
+    std::vector<LifeId> chosen;
+    if (request.wantsOneRack) {
+        std::set<std::string> racks;
+        for (LifeId number : from)
+            racks.insert(lives[number].rack);
+        for (const auto& rack : racks) {
+            chosen = plan(rack);
+            if (chosen.size() == step.tasks.size())
+                break;
+        }
+    }
+    if (chosen.size() < step.tasks.size())
+        chosen = plan({});
+    if (chosen.size() < step.tasks.size())
+        return false;
+    // The team's limit holds for the gang as a whole.
+    if (const auto* team = configuration.teamNamed(step.job->request.team)) {
+        auto after = teamUsage[team->name];
+        for (std::size_t i = 0; i < step.tasks.size(); ++i)
+            after += request.perTask;
+        const auto& limit = team->upperLimit;
+        if ((limit.cpuMilli && after.cpuMilli > limit.cpuMilli) || (limit.memoryMb && after.memoryMb > limit.memoryMb)
+            || (limit.accelerators && after.accelerators > limit.accelerators))
+            return false;
+    }
+    int run = 0;
+    for (const auto& task : step.tasks)
+        run = std::max(run, task.run);
+    for (std::size_t i = 0; i < step.tasks.size(); ++i)
+        assign(step, static_cast<int>(i), chosen[i], run + 1, now);
+    return true;
+}
+
+void FleetScheduler::Impl::placeStep(StepState& step, Instant now, SchedulerActions& actions)
+{
+    const auto* queue = configuration.queueNamed(step.job->request.queue);
+    const auto& request = step.request();
+    if (!queue || !fitsQuota(step))
+        return;
+    auto from = candidates(step, queue->service, now);
+    if (queue->approval) {
+        std::erase_if(from, [&](LifeId number) {
+            auto it = step.tickets.find(number);
+            return it == step.tickets.end() || it->second.validUntil < now + ticketMargin;
+        });
+    }
+    if (queue->priority > 0) { // room that only the most urgent may use
+        std::int64_t total = 0;
+        std::int64_t used = 0;
+        for (const auto& [id, number] : lifeById) {
+            if (lives[number].isListed && lives[number].entry.service == queue->service) {
+                total += lives[number].entry.capacity.cpuMilli;
+                used += lives[number].used.cpuMilli;
+            }
+        }
+        if (static_cast<double>(total - used) < urgentReserve * static_cast<double>(total))
+            return;
+    }
+    if (request.isGang) {
+        if (!placeGang(step, from, now) && step.active == 0 && queue->approval)
+            askApproval(step, *queue, now, actions);
+        return;
+    }
+    std::unordered_map<LifeId, int> perLife;
+    if (request.maxPerExecutor > 0 || request.isLasting) {
+        for (const auto& task : step.tasks) {
+            if (task.phase == TaskPhase::Active)
+                ++perLife[task.life];
+        }
+    }
+    for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
+        auto& task = step.tasks[i];
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        if (!fitsQuota(step))
+            return;
+        const int life = pickLife(step, task, from, perLife);
+        if (life < 0)
+            break;
+        ++perLife[life];
+        assign(step, static_cast<int>(i), life, task.run + 1, now);
+    }
+    if (step.waiting > 0 && queue->approval)
+        askApproval(step, *queue, now, actions);
+}
+
+void FleetScheduler::approvalAnswered(const std::string& stepName, bool isDecided,
+    const std::vector<std::string>& asked, const std::vector<Approval>& approved, Duration ticketLife, Instant now)
+{
+    auto& it = *m_impl;
+    const auto ref = parseTaskRef(stepName + ".0");
+    auto job = ref ? it.jobs.find(ref->job) : it.jobs.end();
+    if (job == it.jobs.end())
+        return;
+    auto occurrence = job->second->occurrences.find(ref->occurrence);
+    if (occurrence == job->second->occurrences.end())
+        return;
+    auto& step = *occurrence->second.steps.at(ref->step);
+    step.isAsking = false;
+    it.placementDue = true;
+    if (!isDecided) {
+        step.nextAsk = now + askAgain;
+        return;
+    }
+    for (const auto& id : asked) {
+        if (const auto* life = it.lifeOfId(id))
+            step.decided.insert(life->number);
+    }
+    for (const auto& one : approved) {
+        if (const auto* life = it.lifeOfId(one.executor))
+            step.tickets[life->number] = { one.ticket, now + ticketLife };
+    }
+    step.nextAsk = now;
+    if (!approved.empty() || step.decided.size() < it.lifeById.size())
+        step.nextAsk = now + askAgain / 10;
+}
+
+// Tasks that fill disturb tasks that serve. Where a serving task nears its target, what fills beside it is slowed
+// at once; when all is calm it is let go on step by step.
+void FleetScheduler::Impl::applyPacing(Life& life, const ExecutorReport& report)
+{
+    double worst = 0; // tail against target
+    bool anyFill = false;
+    for (const auto& it : report.running) {
+        const auto key = keyOf(it.task, it.run);
+        if (!key || life.runs.count(*key) == 0)
+            continue;
+        const auto& request = key->job->request.steps[key->step];
+        if (request.isLasting && request.tailTargetMs > 0)
+            worst = std::max(worst, static_cast<double>(it.recentLoad) / static_cast<double>(request.tailTargetMs));
+        anyFill = anyFill || request.usesSpareCpu;
+    }
+    if (!anyFill)
+        return;
+    for (auto& [key, run] : life.runs) {
+        if (!key.job->request.steps[key.step].usesSpareCpu || run.phase != RunPhase::Running)
+            continue;
+        if (worst > 1.0)
+            run.wantedPercent = 0;
+        else if (worst > 0.8)
+            run.wantedPercent = std::min(run.wantedPercent, 30);
+        else if (worst < 0.6)
+            run.wantedPercent = std::min(100, run.wantedPercent + 15);
+        if (run.wantedPercent != run.percent)
+            pacing.insert(life.number);
+    }
+}
+
+void FleetScheduler::Impl::sendPaces(SchedulerActions& actions)
+{
+    for (LifeId number : std::exchange(pacing, {})) {
+        auto& life = lives[number];
+        if (life.isClosed || life.isSilent)
+            continue;
+        for (auto& [key, run] : life.runs) {
+            if (run.phase != RunPhase::Running || run.isPacing || run.percent == run.wantedPercent)
+                continue;
+            run.isPacing = true;
+            actions.paces.push_back(
+                { number, life.entry.address, life.entry.id, refOf(key), key.run, run.wantedPercent });
+        }
+    }
+}
+
+} // namespace quay::fleet
--- /dev/null
+++ b/src/fleet/WorkRequest.cpp
@@ -0,0 +1,62 @@
+#include "quay/fleet/WorkRequest.h"
+
+#include <algorithm>
+
+namespace quay::fleet {
+
+bool isJobId(const std::string& id)
+{
+    return id.size() == jobIdDigits && std::all_of(id.begin(), id.end(), [](unsigned char c) {
+        return std::isxdigit(c) != 0;
+    });
+}
+
+namespace {
+
+bool fail(Reason& reason, std::string detail)
+{
+    reason = Reason { ErrorKind::MalformedRequest, std::move(detail) };
+    return false;
+}
+
+bool validateStep(const WorkRequest& request, std::size_t number, Reason& reason)
+{
+    const auto& step = request.steps[number];
+    const auto where = "step " + std::to_string(number) + ": ";
+    if (step.taskCount < 1)
+        return fail(reason, where + "it has no task; give it at least one");
+    if (step.perTask.cpuMilli < 0 || step.perTask.memoryMb < 0 || step.perTask.accelerators < 0)
+        return fail(reason, where + "a demand is below zero");
+    if (step.estimateMs < 0 || step.maxPerExecutor < 0 || step.maxDisrupted < 0)
+        return fail(reason, where + "a bound is below zero");
+    for (int earlier : step.dependsOn) {
+        if (earlier < 0 || earlier >= static_cast<int>(number))
+            return fail(reason, where + "it may only wait for earlier steps");
+    }
+    return true;
+}
+
+} // namespace
+
+bool validate(const WorkRequest& request, Reason& reason)
+{
+    if (!isJobId(request.id))
+        return fail(reason, "the job's id is not 16 hexadecimal digits");
+    if (request.payload.size() > maxPayloadBytes)
+        return fail(reason, "the payload is longer than " + std::to_string(maxPayloadBytes) + " bytes");
+    if (request.steps.empty() || request.steps.size() > static_cast<std::size_t>(maxStepsPerJob))
+        return fail(reason, "a job has 1 to " + std::to_string(maxStepsPerJob) + " steps");
+    int tasks = 0;
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+        if (!validateStep(request, i, reason))
+            return false;
+        tasks += std::min(request.steps[i].taskCount, maxTasksPerJob);
+    }
+    if (tasks > maxTasksPerJob)
+        return fail(reason, "a job has at most " + std::to_string(maxTasksPerJob) + " tasks");
+    if (request.occurrences < 0 || (request.occurrences > 0 && request.intervalMs < 0))
+        return fail(reason, "a schedule is below zero");
+    return true;
+}
+
+} // namespace quay::fleet
