A heartbeat and a commit never overlap

Cause: the leader sent a heartbeat while the scheduler's next commit was begun; the heartbeat's answer released the commit's effects, so an end was acknowledged before it was durable (TWICE), and the second answer met no commit (exit 139). Ruled out: record codec, late transaction.

--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -455,6 +455,10 @@
 
 void CellLeader::beginCommit(CommitAction action)
 {
+    if (m_commit) { // a heartbeat is on its way; the scheduler has at most one commit open
+        m_nextCommit = std::move(action);
+        return;
+    }
     m_commit = std::move(action);
     ++m_lead.sequence;
     m_commitTimeout = commitTimeoutFirst;
@@ -531,6 +535,8 @@
             giveUp(std::move(m_gaveUp));
         return;
     }
+    if (m_nextCommit)
+        beginCommit(*std::exchange(m_nextCommit, std::nullopt));
     pumpSoon();
 }
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -113,6 +113,7 @@
     std::set<std::string> m_earlyCancels; // of jobs that are not known yet
 
     std::optional<fleet::CommitAction> m_commit; // being made durable; empty records: a heartbeat
+    std::optional<fleet::CommitAction> m_nextCommit; // waits for a heartbeat's answer
     bool m_isGivingUp = false;
     std::function<void()> m_gaveUp;
     Duration m_commitTimeout;
