A silent executor's lease is not prolonged; echoes of unanswered starts are barred after a rebirth

Ruled out: placement, approvals (both answered). Test: 'a lasting task starts elsewhere ...', failed before. Found by the seeded test of the core: a start without an answer that is carried out after the executor has started again under the same id; now barred by a stop there.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -17,6 +17,7 @@
 constexpr auto startRetry = 60ms; // a few round trips across failure domains
 constexpr auto startRetrySilent = 400ms;
 constexpr auto stopRetry = 150ms;
+constexpr auto longestEcho = 20s; // an unanswered order may be carried out seconds later; 12 s were seen
 constexpr auto avoidUnhealthy = 700ms; // half an executor's ping interval
 constexpr auto avoidFailing = 3000ms; // two ping intervals
 constexpr int failuresUntilAvoided = 3; // in a row, of any job
@@ -68,23 +69,33 @@
         return;
     auto& old = lives[number];
     settleReplaced(old, now);
-    const auto runs = old.runs;
-    for (const auto& [key, run] : runs) {
-        const bool mayStillArrive = run.phase == RunPhase::Starting && (run.inFlight || run.unanswered > 0);
-        if (!mayStillArrive || run.isOrphan)
+    for (const auto& [key, run] : old.runs) {
+        if (run.inFlight && !run.wantsStop)
+            old.echoes[key] = now;
+    }
+    // A start that is still on its way may reach the new process, which knows nothing of the old one's runs and
+    // fences: a stop there bars that run number, also of a run that has ended.
+    for (const auto& [key, sentAt] : old.echoes) {
+        if (now - sentAt > longestEcho)
             continue;
-        // The order may reach the new process: a stop there bars that run number.
-        Run barred = run;
+        life.echoes.emplace(key, sentAt); // it may restart once more
+        Run barred;
+        barred.isOrphan = true;
+        if (auto it = old.runs.find(key); it != old.runs.end()) {
+            barred = it->second;
+            old.used -= barred.room;
+            life.used += barred.room;
+            old.runs.erase(it);
+            attention.erase({ old.number, key });
+            if (!barred.isOrphan)
+                key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].life = life.number;
+        }
+        barred.phase = RunPhase::Starting;
         barred.wantsStop = true;
         barred.stopAcknowledged = false;
         barred.inFlight = false;
         barred.nextSend = now;
-        life.used += barred.room;
         life.runs.emplace(key, barred);
-        old.used -= run.room;
-        old.runs.erase(key);
-        key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].life = life.number;
-        attention.erase({ number, key });
         attention.insert({ life.number, key });
     }
     loseRuns(old, now, "restarted");
@@ -313,12 +324,16 @@
 {
     if (life.clockAt == Instant {} || now >= authorityUntil)
         return 0;
+    if (life.isSilent) // what may be lost must end in time: no order prolongs its lease
+        return life.grantedClockMs;
     const auto sinceReading = now - life.clockAt;
     // Its clock was read before the reading arrived, so it reaches the end of the lease by `latest` at the latest.
     const auto latest = life.clockAt
         + std::chrono::duration_cast<Duration>((sinceReading + bounds.longestLease) * clockTolerance);
     life.leaseEnds = std::max(life.leaseEnds, latest);
-    return life.clockMs + toMilliseconds(sinceReading + bounds.longestLease);
+    life.grantedClockMs = std::max(
+        life.grantedClockMs, life.clockMs + static_cast<std::int64_t>(toMilliseconds(sinceReading + bounds.longestLease)));
+    return life.grantedClockMs;
 }
 
 void FleetScheduler::Impl::expireLeases(Instant now)
@@ -328,6 +343,7 @@
             continue;
         if (!life.runs.empty() && life.isSilent && now > life.leaseEnds + bounds.stopTime)
             loseRuns(life, now, "lease lapsed");
+        std::erase_if(life.echoes, [&](const auto& echo) { return now - echo.second > longestEcho; });
         const bool isIdle = life.runs.empty() && !life.holdInFlight && life.replaced < 0;
         if (!life.isListed && isIdle && now > life.leaseEnds + bounds.stopTime) {
             note("executor_closed", {}, "executor=" + life.entry.id);
@@ -393,8 +409,11 @@
     auto& life = it.lives[number];
     const auto key = it.keyOf(task, runNumber);
     auto found = key ? life.runs.find(*key) : life.runs.end();
-    if (found == life.runs.end())
+    if (found == life.runs.end()) {
+        if (key && result == OrderResult::NoAnswer)
+            life.echoes[*key] = now;
         return;
+    }
     auto& run = found->second;
     run.inFlight = false;
     if (result != OrderResult::Ok)
@@ -418,6 +437,7 @@
         break;
     case OrderResult::NoAnswer:
         ++run.unanswered;
+        life.echoes[*key] = now;
         run.nextSend = now + (life.isSilent ? startRetrySilent : startRetry);
         break;
     case OrderResult::Unreachable:
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -126,6 +126,7 @@
     std::set<std::pair<TaskRef, int>> strays; // at work there, not ordered by us
     std::int64_t clockMs = 0;
     Instant clockAt; // when the clock's reading arrived
+    std::int64_t grantedClockMs = 0; // the longest lease that was asked for, on its clock
     Instant leaseEnds; // all that runs there has ended by then, unless prolonged
     Instant lastAnswer;
     std::int64_t processedEnds = 0; // in memory
@@ -135,6 +136,7 @@
     int silentLooks = 0;
     int failuresInRow = 0;
     Instant avoidUntil;
+    std::map<RunKey, Instant> echoes; // starts that got no answer, when last sent: they may be carried out late
     LifeId replaced = -1; // an earlier life of the same id whose runs are settled by our first report
 };
 
--- /dev/null
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -0,0 +1,232 @@
+#include "FleetWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace quay;
+using namespace quay::fleet;
+using namespace quay::fleet::test;
+
+namespace {
+
+const std::string jobA = "00000000000000aa";
+const std::string jobB = "00000000000000bb";
+
+WorkRequest lastingJob(const std::string& id, int tasks)
+{
+    auto request = jobOf(id, tasks);
+    request.steps[0].isLasting = true;
+    return request;
+}
+
+FakeRun endless(const TaskRef&, int)
+{
+    FakeRun run;
+    run.endsAt = Instant::max();
+    return run;
+}
+
+void checkNoViolation(const FleetWorld& world)
+{
+    for (const auto& it : world.violations)
+        FAIL_CHECK(it);
+}
+
+} // namespace
+
+TEST_CASE("a job of dependent steps completes, each step after the one before")
+{
+    FleetWorld world(1, 3);
+    auto request = jobOf(jobA, 6);
+    request.steps.push_back(request.steps[0]);
+    request.steps[1].dependsOn = { 0 };
+    std::vector<TaskRef> order;
+    world.behaviour = [&](const TaskRef& task, int) {
+        order.push_back(task);
+        FakeRun run;
+        run.endsAt = world.now + 200ms;
+        return run;
+    };
+    world.submit(request);
+    world.run(3s);
+    CHECK(world.phase(jobA) == JobPhase::Completed);
+    REQUIRE(order.size() == 12);
+    for (std::size_t i = 0; i < 6; ++i)
+        CHECK(order[i].step == 0);
+    checkNoViolation(world);
+}
+
+TEST_CASE("a lasting task starts elsewhere once the lease of a lost executor has surely lapsed")
+{
+    struct Row {
+        const char* name;
+        bool isUnlisted;
+    };
+    for (const auto& row : { Row { "still registered", false }, Row { "registration removed", true } }) {
+        CAPTURE(row.name);
+        FleetWorld world(2, 3);
+        world.behaviour = endless;
+        world.submit(lastingJob(jobA, 1));
+        world.run(1s);
+        const TaskRef task { jobA, 0, 0, 0 };
+        std::string holder;
+        for (const auto& [id, executor] : world.executors) {
+            if (executor.running.count(task))
+                holder = id;
+        }
+        REQUIRE_FALSE(holder.empty());
+        world.crash(holder);
+        if (row.isUnlisted)
+            world.unlist(holder);
+        // Longest lease, 2 % slow, and the time of a stop.
+        world.run(7500ms);
+        CHECK(world.runsOf(task) == 1);
+        checkNoViolation(world);
+    }
+}
+
+TEST_CASE("a task fails its job after the queue's attempts, a lasting one never")
+{
+    struct Row {
+        const char* name;
+        bool isLasting;
+        JobPhase phase;
+    };
+    for (const auto& row : { Row { "plain", false, JobPhase::Failed }, Row { "lasting", true, JobPhase::Running } }) {
+        CAPTURE(row.name);
+        FleetWorld world(3, 2);
+        world.behaviour = [&](const TaskRef&, int) {
+            FakeRun run;
+            run.endsAt = world.now + 50ms;
+            run.end = RunEnd::Failed;
+            return run;
+        };
+        auto request = jobOf(jobA, 1);
+        request.steps[0].isLasting = row.isLasting;
+        world.submit(request);
+        world.run(4s);
+        CHECK(world.phase(jobA) == row.phase);
+        CHECK((row.isLasting ? world.startedRuns > 3 : world.startedRuns == 3));
+    }
+}
+
+TEST_CASE("a cancelled job's tasks are stopped and none starts again")
+{
+    FleetWorld world(4, 2);
+    world.behaviour = endless;
+    world.submit(lastingJob(jobA, 4));
+    world.run(1s);
+    world.cancel(jobA);
+    CHECK(world.phase(jobA) == JobPhase::Cancelled);
+    world.run(1s);
+    for (int i = 0; i < 4; ++i)
+        CHECK(world.runsOf({ jobA, 0, 0, i }) == 0);
+    CHECK(world.startedRuns == 4);
+}
+
+TEST_CASE("a team's limit holds back what would pass it")
+{
+    FleetWorld world(5, 4);
+    world.configuration.teams[0].upperLimit = { 3000, 0, 0 };
+    world.scheduler->configure(world.configuration);
+    world.behaviour = endless;
+    world.submit(lastingJob(jobA, 8));
+    world.run(2s);
+    CHECK(world.startedRuns == 3);
+}
+
+TEST_CASE("a gang starts whole or not at all, and one failed member ends the run of all")
+{
+    FleetWorld world(6, 2); // room for 16 tasks of one core
+    world.behaviour = endless;
+    auto large = jobOf(jobA, 17);
+    large.steps[0].isGang = true;
+    world.submit(large);
+    world.run(1s);
+    CHECK(world.startedRuns == 0);
+    auto fitting = jobOf(jobB, 6);
+    fitting.steps[0].isGang = true;
+    world.behaviour = [&](const TaskRef& task, int run) {
+        FakeRun result;
+        const bool fails = run == 1 && task.index == 2;
+        result.endsAt = world.now + (fails ? 100ms : 400ms);
+        result.end = fails ? RunEnd::Failed : RunEnd::Done;
+        return result;
+    };
+    world.submit(fitting);
+    world.run(3s);
+    CHECK(world.phase(jobB) == JobPhase::Completed);
+    checkNoViolation(world);
+}
+
+TEST_CASE("nothing starts and no end is acknowledged while commits are not durable")
+{
+    FleetWorld world(7, 2);
+    world.isStoreUp = false;
+    world.submit(jobOf(jobA, 4));
+    world.run(2s);
+    CHECK(world.startedRuns == 0);
+    world.isStoreUp = true;
+    world.run(2s);
+    CHECK(world.phase(jobA) == JobPhase::Completed);
+}
+
+TEST_CASE("seeded: lost, late and unanswered orders, takeovers, crashes, rebirths: never two runs, all work done")
+{
+    struct Row {
+        const char* name;
+        MessageFaults faults;
+        int takeoverPerMille; // at each of the 250 ms steps
+        int crashPerMille;
+        int rebirthPerMille;
+    };
+    const Row rows[] = {
+        { "calm", {}, 0, 0, 0 },
+        { "lost answers", { 0, 200, 0 }, 0, 0, 0 },
+        { "lost orders", { 200, 0, 0 }, 0, 0, 0 },
+        { "late orders", { 0, 0, 150 }, 0, 0, 0 },
+        { "takeovers", { 0, 50, 0 }, 120, 0, 0 },
+        { "late orders and takeovers", { 20, 50, 60 }, 80, 0, 0 },
+        { "crashes", { 0, 20, 0 }, 0, 10, 0 },
+        { "rebirths", { 0, 50, 50 }, 0, 0, 60 },
+        { "all", { 20, 50, 50 }, 60, 8, 30 },
+    };
+    for (const auto& row : rows) {
+        for (unsigned seed = 1; seed <= 12; ++seed) {
+            const std::string name = row.name;
+            CAPTURE(name);
+            CAPTURE(seed);
+            FleetWorld world(seed, 6, row.faults);
+            std::mt19937 random(seed * 7919);
+            world.behaviour = [&](const TaskRef&, int) {
+                FakeRun run;
+                run.endsAt = world.now + std::chrono::milliseconds(100 + random() % 900);
+                return run;
+            };
+            std::vector<std::string> ids;
+            const auto roll = [&](int perMille) { return static_cast<int>(random() % 1000) < perMille; };
+            for (int i = 0; i < 40; ++i) {
+                if (i < 20) {
+                    char id[17];
+                    std::snprintf(id, sizeof id, "%016x", i);
+                    world.submit(jobOf(id, 1 + static_cast<int>(random() % 8)));
+                    ids.emplace_back(id);
+                }
+                world.run(250ms);
+                if (roll(row.takeoverPerMille))
+                    world.takeover();
+                for (auto& [id, executor] : world.executors) {
+                    if (executor.isUp && roll(row.crashPerMille) && id != "i-0") {
+                        world.crash(id);
+                        world.unlist(id);
+                    } else if (executor.isUp && roll(row.rebirthPerMille)) {
+                        world.reborn(id);
+                    }
+                }
+            }
+            world.run(60s);
+            checkNoViolation(world);
+            for (const auto& id : ids)
+                CHECK(world.phase(id) == JobPhase::Completed);
+        }
+    }
+}
--- /dev/null
+++ b/tests/cores/FleetWorld.cpp
@@ -0,0 +1,340 @@
+#include "FleetWorld.h"
+
+#include <algorithm>
+
+namespace quay::fleet::test {
+
+namespace {
+
+constexpr auto step = 5ms;
+constexpr auto messageDelay = 3ms;
+constexpr auto commitDelay = 15ms;
+constexpr auto answerTimeout = 700ms;
+constexpr std::int64_t longestLeaseMs = 6000;
+constexpr auto rebirthGrace = 2s; // a look and a stop, one of them unanswered at first
+
+} // namespace
+
+WorkRequest jobOf(const std::string& id, int tasks, Resources each)
+{
+    WorkRequest request;
+    request.id = id;
+    request.queue = "q";
+    request.team = "team";
+    request.payload = "work";
+    StepRequest one;
+    one.taskCount = tasks;
+    one.perTask = each;
+    one.estimateMs = 300;
+    request.steps.push_back(one);
+    return request;
+}
+
+FleetWorld::FleetWorld(unsigned seed, int count, MessageFaults faults)
+    : now(Instant {} + 1000s)
+    , m_random(seed)
+    , m_faults(faults)
+{
+    configuration.version = 1;
+    configuration.queues.push_back({ "q", "host", "/q/", "service", 0, 3, 1.5, 300, false, std::nullopt });
+    configuration.teams.push_back({ "team", { "key" }, 1, {} });
+    configuration.services.push_back({ "service", false, false });
+    for (int i = 0; i < count; ++i) {
+        FakeExecutor executor;
+        executor.entry.id = "i-" + std::to_string(i);
+        executor.entry.bornUnixMs = 1000 + i;
+        executor.entry.service = "service";
+        executor.entry.address = "address-" + std::to_string(i);
+        executor.entry.capacity = { 8000, 8000, 2 };
+        executor.entry.labels = { "a", "rack-" + std::to_string(i / 2) };
+        executor.born = now - std::chrono::seconds(10 + i);
+        executors[executor.entry.id] = executor;
+    }
+    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now);
+    scheduler->configure(configuration);
+    for (const auto& [id, it] : executors)
+        scheduler->executorSeen(it.entry, now);
+}
+
+bool FleetWorld::chance(int perMille) { return static_cast<int>(m_random() % 1000) < perMille; }
+
+void FleetWorld::later(Duration delay, std::function<void()> action)
+{
+    m_messages.insert({ now + delay, m_nextMessage++, std::move(action) });
+}
+
+std::int64_t FleetWorld::clockOf(const FakeExecutor& executor) const
+{
+    return static_cast<std::int64_t>(static_cast<double>(toMilliseconds(now - executor.born)) * 0.98) + 1;
+}
+
+void FleetWorld::submit(const WorkRequest& request)
+{
+    m_jobs[request.id] = request;
+    scheduler->submit(request, now);
+}
+
+void FleetWorld::cancel(const std::string& id)
+{
+    m_cancelled.insert(id);
+    scheduler->cancel(id, now);
+}
+
+void FleetWorld::endRun(FakeExecutor& executor, const TaskRef& task, RunEnd how)
+{
+    const auto run = executor.running.at(task).run;
+    executor.running.erase(task);
+    executor.highestOver[task] = std::max(executor.highestOver[task], run);
+    executor.ended.push_back({ ++executor.lastNumber, task, run, how, {} });
+}
+
+void FleetWorld::advanceExecutors()
+{
+    for (auto& [id, executor] : executors) {
+        if (!executor.isUp)
+            continue;
+        std::vector<std::pair<TaskRef, RunEnd>> over;
+        for (const auto& [task, run] : executor.running) {
+            if (clockOf(executor) > executor.leaseUntil)
+                over.emplace_back(task, RunEnd::LeaseLapsed);
+            else if (now >= run.endsAt)
+                over.emplace_back(task, run.end);
+        }
+        for (const auto& [task, how] : over)
+            endRun(executor, task, how);
+    }
+}
+
+void FleetWorld::run(Duration span)
+{
+    const auto end = now + span;
+    while (now < end) {
+        now += step;
+        while (!m_messages.empty() && m_messages.begin()->at <= now) {
+            const auto action = m_messages.begin()->deliver;
+            m_messages.erase(m_messages.begin());
+            action();
+        }
+        advanceExecutors();
+        SchedulerActions actions;
+        scheduler->pump(now, toMilliseconds(now.time_since_epoch()), actions);
+        perform(actions);
+    }
+}
+
+template <typename Answer>
+void FleetWorld::order(const std::string& id, std::function<OrderResult(FakeExecutor&)> carryOut, Answer answer)
+{
+    const int generation = m_generation;
+    const auto reply = [this, generation, answer](Duration delay, OrderResult result) {
+        later(delay, [this, generation, answer, result] {
+            if (generation == m_generation)
+                answer(result);
+        });
+    };
+    const auto born = executors.at(id).entry.bornUnixMs;
+    const auto arrive = [this, id, carryOut, born]() -> OrderResult {
+        auto it = executors.find(id);
+        if (it == executors.end() || !it->second.isUp || !it->second.isReachable)
+            return OrderResult::NoAnswer;
+        // Nobody can keep an order for the process before from a process that was not asked for anything yet.
+        if (it->second.entry.bornUnixMs != born && now < it->second.born + rebirthGrace)
+            return OrderResult::NoAnswer;
+        return carryOut(it->second);
+    };
+    if (chance(m_faults.lostOrder)) {
+        reply(answerTimeout, OrderResult::NoAnswer);
+    } else if (chance(m_faults.lateOrder)) {
+        later(std::chrono::milliseconds(2000 + m_random() % 10'000), [arrive] { arrive(); });
+        reply(answerTimeout, OrderResult::NoAnswer);
+    } else {
+        const bool isAnswerLost = chance(m_faults.lostAnswer);
+        later(messageDelay, [arrive, reply, isAnswerLost] {
+            const auto result = arrive();
+            const bool isSilent = isAnswerLost || result == OrderResult::NoAnswer;
+            reply(isSilent ? Duration(answerTimeout) : Duration(messageDelay),
+                isSilent ? OrderResult::NoAnswer : result);
+        });
+    }
+}
+
+OrderResult FleetWorld::start(FakeExecutor& executor, const StartAction& action, std::int64_t fence)
+{
+    if (fence < executor.fence)
+        return OrderResult::Fenced;
+    executor.fence = fence;
+    auto present = executor.running.find(action.task);
+    if (present != executor.running.end() && present->second.run == action.run)
+        return OrderResult::Ok;
+    if (action.leaseUntilClockMs < clockOf(executor))
+        return OrderResult::TooLate;
+    executor.leaseUntil = std::max(
+        executor.leaseUntil, std::min(action.leaseUntilClockMs, clockOf(executor) + longestLeaseMs));
+    if (present != executor.running.end() || executor.highestOver[action.task] >= action.run)
+        return OrderResult::Outdated;
+    for (const auto& [id, other] : executors) {
+        if (other.isUp && other.running.count(action.task))
+            violate("two runs at once of " + text(action.task));
+    }
+    if (m_doneNoted.count(action.task))
+        violate("started after its end was acknowledged: " + text(action.task));
+    FakeRun run;
+    run.endsAt = now + 300ms;
+    if (behaviour)
+        run = behaviour(action.task, action.run);
+    run.run = action.run;
+    run.room = m_jobs.at(action.task.job).steps[action.task.step].perTask;
+    Resources used = run.room;
+    for (const auto& [task, other] : executor.running)
+        used += other.room;
+    if (!used.fitsIn(executor.entry.capacity))
+        violate("executor over its capacity: " + executor.entry.id);
+    executor.running[action.task] = run;
+    ++startedRuns;
+    return OrderResult::Ok;
+}
+
+OrderResult FleetWorld::stop(FakeExecutor& executor, const StopAction& action, std::int64_t fence)
+{
+    if (fence < executor.fence)
+        return OrderResult::Fenced;
+    executor.fence = fence;
+    auto it = executor.running.find(action.task);
+    if (it != executor.running.end() && it->second.run == action.run)
+        endRun(executor, action.task, RunEnd::Stopped);
+    else
+        executor.highestOver[action.task] = std::max(executor.highestOver[action.task], action.run);
+    return OrderResult::Ok;
+}
+
+void FleetWorld::hold(const HoldAction& action)
+{
+    auto report = std::make_shared<ExecutorReport>();
+    const auto sentAt = now;
+    const auto fence = m_fence;
+    // A look names the lifetime, and a later one refuses it. Starts and stops are let through all the same: the
+    // interface leaves open whether a lifetime of the same id counts as another.
+    const auto born = executors.at(action.executor).entry.bornUnixMs;
+    order(
+        action.executor,
+        [this, report, action, fence, born](FakeExecutor& executor) {
+            if (executor.entry.bornUnixMs != born)
+                return OrderResult::NoAnswer;
+            if (fence < executor.fence)
+                return OrderResult::Fenced;
+            executor.fence = fence;
+            if (action.leaseUntilClockMs > 0)
+                executor.leaseUntil = std::max(
+                    executor.leaseUntil, std::min(action.leaseUntilClockMs, clockOf(executor) + longestLeaseMs));
+            std::erase_if(executor.ended, [&](const EndedTask& end) {
+                if (end.number > action.acknowledged)
+                    return false;
+                if (end.how == RunEnd::Done)
+                    m_doneNoted.insert(end.task);
+                return true;
+            });
+            report->clockMs = clockOf(executor);
+            report->bornUnixMs = executor.entry.bornUnixMs;
+            for (const auto& [task, run] : executor.running)
+                report->running.push_back({ task, run.run, {}, 50, 0 });
+            report->ended = executor.ended;
+            return OrderResult::Ok;
+        },
+        [this, action, report, sentAt](OrderResult result) {
+            scheduler->holdAnswered(action.life, result,
+                result == OrderResult::Ok ? std::optional(*report) : std::nullopt, sentAt, now);
+        });
+}
+
+void FleetWorld::commit(const CommitAction& action)
+{
+    const int generation = m_generation;
+    const auto sentAt = now;
+    later(commitDelay, [this, generation, action, sentAt] {
+        if (generation != m_generation)
+            return; // its condition does not hold any more
+        if (!isStoreUp) {
+            commit(action);
+            return;
+        }
+        for (const auto& [id, record] : action.records)
+            m_records[id] = record;
+        later(messageDelay, [this, generation, action, sentAt] {
+            if (generation == m_generation)
+                scheduler->committed(action.number, sentAt, now);
+        });
+    });
+}
+
+void FleetWorld::perform(SchedulerActions& actions)
+{
+    const auto fence = m_fence;
+    if (actions.commit)
+        commit(*actions.commit);
+    for (const auto& it : actions.starts)
+        order(
+            it.executor, [this, it, fence](FakeExecutor& executor) { return start(executor, it, fence); },
+            [this, it](OrderResult result) { scheduler->startAnswered(it.life, it.task, it.run, result, now); });
+    for (const auto& it : actions.stops)
+        order(
+            it.executor, [this, it, fence](FakeExecutor& executor) { return stop(executor, it, fence); },
+            [this, it](OrderResult result) { scheduler->stopAnswered(it.life, it.task, it.run, result, now); });
+    for (const auto& it : actions.holds)
+        hold(it);
+}
+
+void FleetWorld::takeover()
+{
+    ++m_generation;
+    ++m_fence;
+    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now);
+    scheduler->configure(configuration);
+    for (const auto& [id, it] : executors) {
+        if (!m_unlisted.count(id))
+            scheduler->executorSeen(it.entry, now);
+    }
+    for (const auto& [id, request] : m_jobs) {
+        Reason reason;
+        auto record = m_records.find(id);
+        if (record != m_records.end())
+            scheduler->restore(request, decodeJobRecord(record->second, reason).value(), now);
+        else
+            scheduler->submit(request, now);
+    }
+    for (const auto& id : m_cancelled)
+        scheduler->cancel(id, now);
+}
+
+void FleetWorld::crash(const std::string& id)
+{
+    auto& executor = executors.at(id);
+    executor.isUp = false;
+    executor.running.clear();
+}
+
+void FleetWorld::reborn(const std::string& id)
+{
+    auto& executor = executors.at(id);
+    const auto entry = executor.entry;
+    executor = FakeExecutor {};
+    executor.entry = entry;
+    executor.entry.bornUnixMs += 100'000;
+    executor.born = now;
+    scheduler->executorSeen(executor.entry, now);
+}
+
+void FleetWorld::unlist(const std::string& id)
+{
+    m_unlisted.insert(id);
+    scheduler->executorGone(id, now);
+}
+
+std::size_t FleetWorld::runsOf(const TaskRef& task) const
+{
+    return static_cast<std::size_t>(std::count_if(executors.begin(), executors.end(),
+        [&](const auto& it) { return it.second.isUp && it.second.running.count(task) > 0; }));
+}
+
+JobPhase FleetWorld::phase(const std::string& job) const { return scheduler->shownPhase(job).value(); }
+
+} // namespace quay::fleet::test
