Approvals are asked for as callers are free; orders time out after 300 ms; work in time goes before late work

An order without an answer blocked its executor's reports for 1.5 s. Now a step asks when a caller is free, a re-ask waits until it places several tasks, a lapsed ticket is not sent.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -146,6 +146,8 @@
         Instant now);
     void approvalAnswered(const std::string& step, bool isDecided, const std::vector<std::string>& asked,
         const std::vector<Approval>& approved, Duration ticketLife, Instant now);
+    /** How many nodes can ask for approvals, one call at a time each. */
+    void approvalCallers(int count);
     /** The commit is durable. `sentAt`: when its last attempt was sent. */
     void committed(std::uint64_t number, Instant sentAt, Instant now);
 
--- a/src/edge/ApprovalBroker.cpp
+++ b/src/edge/ApprovalBroker.cpp
@@ -25,6 +25,13 @@
     caller.lastSeen = now;
 }
 
+int ApprovalBroker::callers(Instant now) const
+{
+    return static_cast<int>(std::count_if(m_callers.begin(), m_callers.end(), [&](const auto& it) {
+        return it.second.address.empty() || now - it.second.lastSeen < callerExpiry;
+    }));
+}
+
 void ApprovalBroker::ask(
     const std::string& step, const std::vector<std::string>& workers, double expectedMs, Instant now, Done done)
 {
--- a/src/edge/ApprovalBroker.h
+++ b/src/edge/ApprovalBroker.h
@@ -27,6 +27,8 @@
 
     /** A node that can call; its address is empty for this one. */
     void callerSeen(const std::string& node, const std::string& address, Instant now);
+    /** Nodes that can call now, this one among them. */
+    int callers(Instant now) const;
     void ask(const std::string& step, const std::vector<std::string>& workers, double expectedMs, Instant now, Done done);
 
 private:
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -23,8 +23,8 @@
 constexpr auto commitTimeoutFirst = 500ms;
 constexpr auto commitTimeoutLongest = 1600ms;
 constexpr auto commitRetry = 60ms;
-constexpr auto orderTimeout = 700ms; // forty round trips across failure domains
-constexpr auto holdSpare = 500ms; // beyond the time that the executor may wait
+constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains; a start may be repeated
+constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -338,6 +338,7 @@
     if (m_isStopped || m_isGivingUp || !m_isLoaded)
         return;
     SchedulerActions actions;
+    m_scheduler.approvalCallers(m_services.approvals.callers(clockNow()));
     m_scheduler.pump(clockNow(), unixNowMs(), actions);
     carryOut(actions);
 }
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr auto holdWait = 1000ms; // a sixth of the longest lease: a cut of five sixths of it ends nothing
-constexpr auto holdPauseAfterEnds = 15ms; // a commit's round trip: ends reported again before it are work for nothing
-constexpr auto holdRetryFirst = 100ms;
+constexpr auto holdWait = 600ms; // a tenth of the longest lease: a cut of nine tenths of it ends nothing
+constexpr auto holdPauseAfterEnds = 80ms; // some commits; the commit that covers the ends asks again at once
+constexpr auto holdRetryFirst = 80ms; // after the second look in a row without an answer; the first is repeated at once
 constexpr auto holdRetryLongest = 500ms;
 constexpr auto startRetry = 60ms; // a few round trips across failure domains
 constexpr auto startRetrySilent = 400ms;
@@ -375,6 +375,14 @@
         if (run.phase != RunPhase::Starting)
             continue;
         auto& step = *key.job->occurrences[key.occurrence].steps[key.step];
+        if (!run.ticket.empty() && run.ticketUntil < now) { // it would be refused
+            step.tickets.erase(number);
+            if (run.unanswered == 0)
+                requeue(life, key, now);
+            else
+                wantStop(life, key, now);
+            continue;
+        }
         const auto& checkpoint = step.request().isGang ? step.gangCheckpoint : step.tasks[key.index].checkpoint;
         run.inFlight = true;
         actions.starts.push_back({ number, life.entry.address, life.entry.id, refOf(key), key.run,
@@ -542,7 +550,7 @@
         it.note("executor_silent", {}, "executor=" + life.entry.id + " result=" + std::string(text(result)));
     }
     ++life.silentLooks;
-    life.nextHold = now + std::min<Duration>(holdRetryFirst * life.silentLooks, holdRetryLongest);
+    life.nextHold = now + std::min<Duration>(holdRetryFirst * (life.silentLooks - 1), holdRetryLongest);
 }
 
 } // namespace quay::fleet
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -20,10 +20,17 @@
 constexpr auto ticketMargin = 150ms; // a commit and a start are on their way meanwhile
 constexpr double urgentReserve = 0.06; // share of a service that only the most urgent queue may use
 
+constexpr double longCallMs = 120; // beyond this a call would make an urgent step behind it miss its objective
+constexpr double longBacklogMs = 700; // calls handed out beyond one for each caller: the next in turn is ready
+constexpr double shortBacklogMs = 60;
+constexpr int worthwhileTasks = 4; // a step that has its approvals asks again for this many tasks at once
+constexpr auto askAnyway = 1500ms; // ... or after this long
+
 struct Candidate {
     StepState* step;
     int priority;
     bool isHopeless; // beyond three times its objective it is worth nothing more
+    bool isLate; // beyond its objective it is worth little
     Instant deadline;
 };
 
@@ -52,12 +59,14 @@
         if (!queue)
             continue; // a removed queue starts nothing
         const auto objective = step->job->deadline - step->job->acceptedAt;
-        order.push_back({ step, queue->priority, !step->request().isLasting && now > step->job->acceptedAt + 3 * objective,
-            step->job->deadline });
+        const bool isLasting = step->request().isLasting;
+        const auto end = now + std::chrono::milliseconds(step->chainMs);
+        order.push_back({ step, queue->priority, !isLasting && now > step->job->acceptedAt + 3 * objective,
+            !isLasting && end > step->job->deadline, step->job->deadline });
     }
     std::sort(order.begin(), order.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tie(a.isHopeless, a.priority, a.deadline, a.step->job->request.id, a.step->number)
-            < std::tie(b.isHopeless, b.priority, b.deadline, b.step->job->request.id, b.step->number);
+        return std::tie(a.isHopeless, a.priority, a.isLate, a.deadline, a.step->job->request.id, a.step->number)
+            < std::tie(b.isHopeless, b.priority, b.isLate, b.deadline, b.step->job->request.id, b.step->number);
     });
     std::size_t looked = 0;
     for (const auto& it : order) {
@@ -140,6 +149,22 @@
     return best;
 }
 
+// Whether a call would be served soon. Long calls leave a third of the callers to short ones, as the broker does.
+bool FleetScheduler::Impl::hasCaller(double expectedMs) const
+{
+    const int reserved = approvalCallers > 1 ? std::max(1, approvalCallers / 3) : 0;
+    if (expectedMs > longCallMs)
+        return askingLongMs < (approvalCallers - reserved) * longBacklogMs;
+    return askingMs - askingLongMs < approvalCallers * shortBacklogMs;
+}
+
+void FleetScheduler::approvalCallers(int count)
+{
+    if (count > m_impl->approvalCallers)
+        m_impl->placementDue = true;
+    m_impl->approvalCallers = std::max(1, count);
+}
+
 void FleetScheduler::Impl::askApproval(
     StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions)
 {
@@ -174,12 +199,33 @@
         placementDue = true;
         return;
     }
+    const double expectedMs
+        = queue.approval->decisionMs + queue.approval->perWorkerMs * static_cast<double>(chosen.size());
+    if (!hasCaller(expectedMs))
+        return; // asked when a call in hand is answered
+    if (!step.decided.empty() && expectedMs > longCallMs && now - step.lastAsk < askAnyway) {
+        int room = 0;
+        for (LifeId number : chosen) {
+            const auto left = lives[number].entry.capacity - lives[number].used;
+            const auto each = std::max<std::int64_t>(1, roomOf(step.request()).cpuMilli);
+            room += static_cast<int>(std::max<std::int64_t>(0, left.cpuMilli / each));
+        }
+        if (room < std::min(step.waiting, worthwhileTasks)) {
+            step.nextAsk = now + askAgain;
+            return;
+        }
+    }
+    step.lastAsk = now;
+    askingMs += expectedMs;
+    if (expectedMs > longCallMs)
+        askingLongMs += expectedMs;
     ApprovalAction ask;
     ask.step = stepText(TaskRef { step.job->request.id, step.occurrence, step.number, 0 });
     for (LifeId number : chosen)
         ask.workers.push_back(lives[number].entry.id);
-    ask.expectedMs = queue.approval->decisionMs + queue.approval->perWorkerMs * static_cast<double>(chosen.size());
+    ask.expectedMs = expectedMs;
     step.isAsking = true;
+    asking[ask.step] = expectedMs;
     actions.approvals.push_back(std::move(ask));
 }
 
@@ -192,7 +238,10 @@
     run.charged = step.request().perTask;
     run.nextSend = now;
     if (auto it = step.tickets.find(number); it != step.tickets.end())
+    {
         run.ticket = it->second.text;
+        run.ticketUntil = it->second.validUntil;
+    }
     life.used += run.room;
     teamUsage[step.job->request.team] += run.charged;
     task.run = runNumber;
@@ -323,6 +372,13 @@
     const std::vector<std::string>& asked, const std::vector<Approval>& approved, Duration ticketLife, Instant now)
 {
     auto& it = *m_impl;
+    it.placementDue = true;
+    if (auto call = it.asking.find(stepName); call != it.asking.end()) {
+        it.askingMs -= call->second;
+        if (call->second > longCallMs)
+            it.askingLongMs -= call->second;
+        it.asking.erase(call);
+    }
     const auto ref = parseTaskRef(stepName + ".0");
     auto job = ref ? it.jobs.find(ref->job) : it.jobs.end();
     if (job == it.jobs.end())
@@ -332,7 +388,6 @@
         return;
     auto& step = *occurrence->second.steps.at(ref->step);
     step.isAsking = false;
-    it.placementDue = true;
     if (!isDecided) {
         step.nextAsk = now + askAgain;
         return;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -51,6 +51,7 @@
     std::unordered_set<LifeId> decided; // approved or not; a decision never changes
     bool isAsking = false;
     Instant nextAsk;
+    Instant lastAsk;
     bool isReady = false; // its dependencies are done and its time has come
     int chainMs = 0; // longest chain of estimates from here to the job's end
 
@@ -100,6 +101,7 @@
     Resources room; // what it takes of the executor
     Resources charged; // what its team is charged with
     std::string ticket;
+    Instant ticketUntil; // a start without a valid ticket is refused
     Instant nextSend; // of the start, or of the stop once `wantsStop` is set
     bool inFlight = false; // an order was sent and its answer is open
     int unanswered = 0; // starts that got no answer and may be carried out later
@@ -212,6 +214,7 @@
     void placeStep(StepState& step, Instant now, SchedulerActions& actions);
     bool placeGang(StepState& step, const std::vector<LifeId>& candidates, Instant now);
     void askApproval(StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions);
+    bool hasCaller(double expectedMs) const;
     std::vector<LifeId> candidates(const StepState& step, const std::string& service, Instant now) const;
     int pickLife(const StepState& step, const TaskState& task, const std::vector<LifeId>& from,
         const std::unordered_map<LifeId, int>& perLife) const;
@@ -238,6 +241,10 @@
     std::set<LifeId> pacing; // lives where a task's share is to be changed
     bool placementDue = true;
     Instant nextPlacement;
+    int approvalCallers = 1; // nodes that can ask for approvals, one call at a time each
+    std::unordered_map<std::string, double> asking; // calls in hand by step, with their expected time
+    double askingMs = 0; // of all of them
+    double askingLongMs = 0; // of the long ones among them
     Instant nextForget;
     std::vector<DecisionNote> notes;
     SchedulerCounts totals;
