--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -15,6 +15,8 @@
 constexpr auto tickInterval = 10ms;
 constexpr auto heartbeatInterval = 350ms; // half of the time after which a silent leader may be replaced
 constexpr auto unusableAfter = 2000ms; // some transactions at sixty times their usual length
+constexpr auto refusedFor = 450ms; // a store that refuses this node may serve the others
+constexpr int refusalsUntilUnusable = 3;
 constexpr auto readTimeout = 1500ms;
 constexpr auto readRetry = 150ms;
 constexpr auto executorsWait = 1000ms; // under the 2 s after which a leaving executor takes no starts
@@ -70,7 +72,11 @@
     pumpSoon();
 }
 
-bool CellLeader::isUsable(Instant now) const { return now - m_lastCommit < unusableAfter; }
+bool CellLeader::isUsable(Instant now) const
+{
+    const auto silence = now - m_lastCommit;
+    return silence < unusableAfter && (silence < refusedFor || m_commitFailures < refusalsUntilUnusable);
+}
 
 std::map<std::string, std::int64_t> CellLeader::pending() const
 {
@@ -515,6 +521,8 @@
     m_services.log.write("commit_unanswered", {},
         { { "sequence", std::to_string(m_lead.sequence) }, { "outcome", std::string(text(result.outcome)) },
             { "reason", result.detail } });
+    if (result.outcome == StoreOutcome::NotDone)
+        ++m_commitFailures;
     m_commitTimeout = std::min<Duration>(m_commitTimeout * 2, commitTimeoutLongest);
     after(commitRetry, [self = shared_from_this()] { self->sendCommit(); });
 }
@@ -524,6 +532,7 @@
     const auto now = clockNow();
     m_leadVersion = version;
     m_lastCommit = now;
+    m_commitFailures = 0;
     m_commits.add();
     m_commitTime.record(now - sentAt);
     const auto commit = std::exchange(m_commit, std::nullopt);
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -118,6 +118,7 @@
     std::function<void()> m_gaveUp;
     Duration m_commitTimeout;
     Instant m_lastCommit;
+    int m_commitFailures = 0; // attempts in a row that the store did not carry out
     boost::asio::steady_timer m_tickTimer;
     Counter& m_starts;
     Counter& m_commits;
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -13,6 +13,7 @@
 constexpr auto examineTimeout = 800ms;
 constexpr auto examineInterval = 180ms;
 constexpr auto silenceUntilReplaced = 700ms; // two heartbeats of a leader without work
+constexpr auto silenceOfUnusable = 250ms; // of a leader that says itself that the store refuses it
 constexpr auto jitterLongest = 120; // ms; spreads candidates over a few transactions
 constexpr auto acquireTimeout = 1200ms;
 
@@ -75,6 +76,7 @@
         return;
     }
     ++m_missed;
+    m_isUnusable = greeting.isAnswered && greeting.isLeader;
     if (m_isLeaderUp)
         m_services.log.write("leader_missed", {},
             { { "leader", m_known.node }, { "answered", greeting.isAnswered ? "yes" : "no" },
@@ -132,6 +134,7 @@
             schedule(examineInterval);
             m_peers.greet(m_known.address, m_identity.node, m_identity.peerAddress, greetTimeout,
                 [this](const Greeting& greeting) {
+                    m_isUnusable = greeting.isAnswered && greeting.isLeader && !greeting.isUsable;
                     if (m_leader || !greeting.isAnswered || !greeting.isLeader || !greeting.isUsable)
                         return;
                     m_suspectVersion = -1;
@@ -141,7 +144,8 @@
         return;
     }
     const auto jitter = std::chrono::milliseconds(std::hash<std::string>()(m_identity.node) % jitterLongest);
-    if (mayLead && now - m_suspectedAt >= silenceUntilReplaced + jitter)
+    const auto silence = m_isUnusable ? silenceOfUnusable : silenceUntilReplaced;
+    if (mayLead && now - m_suspectedAt >= silence + jitter)
         acquire(row.version);
     else
         schedule(examineInterval);
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -62,6 +62,7 @@
     std::shared_ptr<CellLeader> m_leader;
     LeadRecord m_known; // the leader as far as we know
     bool m_isLeaderUp = false;
+    bool m_isUnusable = false; // the leader said that the store refuses it
     bool m_isRetired = false;
     int m_missed = 0; // greetings in a row
     std::int64_t m_suspectVersion = -1; // of the leadership row when the leader was first suspected
