--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -13,7 +13,6 @@
 
 constexpr auto defaultDeadline = 3000ms; // of a caller that names none
 constexpr auto answerSpare = 150ms; // an answer's way to the caller
-constexpr auto writeTimeout = 600ms;
 constexpr auto writeRetry = 40ms; // a few transactions
 constexpr auto stateTimeout = 500ms;
 constexpr auto refuseAfter = 200ms; // a refusal that comes later costs the caller time to try elsewhere
@@ -67,6 +66,7 @@
     , m_peers(peers)
     , m_follower(follower)
     , m_election(election)
+    , m_gate(services.context, services.store, services.log)
     , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
     , m_refused(services.metrics.counter("quay_requests_refused_total", "Requests refused as not run"))
     , m_acceptTime(services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
@@ -82,6 +82,22 @@
     });
 }
 
+StoreClient::Done CallerFront::heard(StoreClient::Done done)
+{
+    return [this, sentAt = clockNow(), done = std::move(done)](StoreResult result) {
+        m_gate.heard(result, sentAt, clockNow());
+        done(std::move(result));
+    };
+}
+
+bool CallerFront::refusedAtGate(const CallPointer& call)
+{
+    if (m_gate.isPassable() || call->mayBeWritten)
+        return false;
+    refuse(call, ErrorKind::StoreUnavailable, "it did not answer the last exchanges");
+    return true;
+}
+
 void CallerFront::answer(const CallPointer& call, unsigned status, std::string body, std::string_view why)
 {
     m_services.log.write(why, call->id,
@@ -174,12 +190,14 @@
 
 void CallerFront::writeJob(const CallPointer& call)
 {
+    if (refusedAtGate(call))
+        return;
     const auto partition = partitionOfJob(call->id);
     StoreTransaction transaction;
     transaction.conditions.push_back({ jobTable, partition, call->id, {}, 0, false });
     transaction.puts.push_back({ jobTable, partition, call->id, encode(call->job), 0, false });
-    m_services.store.transact(
-        transaction, writeTimeout, [this, call](StoreResult result) { jobWritten(call, result); });
+    m_services.store.transact(transaction, m_gate.timeout(),
+        heard([this, call](const StoreResult& result) { jobWritten(call, result); }));
 }
 
 void CallerFront::jobWritten(const CallPointer& call, const StoreResult& result)
@@ -250,7 +268,9 @@
 void CallerFront::showFromStore(const CallPointer& call)
 {
     const auto partition = partitionOfJob(call->id);
-    m_services.store.readFrom(jobTable, partition, call->id, stateTimeout, [this, call](StoreResult result) {
+    if (refusedAtGate(call))
+        return;
+    m_services.store.readFrom(jobTable, partition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome != StoreOutcome::Ok) {
             if (clockNow() + writeRetry + stateTimeout < call->deadline)
                 after(writeRetry, [this, call] { showFromStore(call); });
@@ -270,12 +290,12 @@
             answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "state_shown");
         else
             showRecord(call);
-    });
+    }));
 }
 
 void CallerFront::showRecord(const CallPointer& call)
 {
-    m_services.store.readRow(recordTable, cellPartition, call->id, stateTimeout, [this, call](StoreResult result) {
+    m_services.store.readRow(recordTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome != StoreOutcome::Ok) {
             refuse(call, ErrorKind::StoreUnavailable, result.detail);
             return;
@@ -291,7 +311,7 @@
             phase = record->phase;
         }
         answer(call, statusAccepted, encodeState(phase), "state_shown");
-    });
+    }));
 }
 
 void CallerFront::cancel(const CallPointer& call)
@@ -300,8 +320,10 @@
         writeCancel(call);
         return;
     }
+    if (refusedAtGate(call))
+        return;
     m_services.store.readRow(
-        jobTable, partitionOfJob(call->id), call->id, stateTimeout, [this, call](StoreResult result) {
+        jobTable, partitionOfJob(call->id), call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
             if (result.outcome != StoreOutcome::Ok) {
                 if (clockNow() + writeRetry + stateTimeout < call->deadline)
                     after(writeRetry, [this, call] { cancel(call); });
@@ -312,15 +334,17 @@
             } else {
                 writeCancel(call);
             }
-        });
+        }));
 }
 
 void CallerFront::writeCancel(const CallPointer& call)
 {
+    if (refusedAtGate(call))
+        return;
     const auto partition = partitionOfJob(call->id);
     StoreTransaction transaction;
     transaction.puts.push_back({ jobTable, partition, call->id + cancellationSuffix, "cancelled", 0, false });
-    m_services.store.transact(transaction, writeTimeout, [this, call](StoreResult result) {
+    m_services.store.transact(transaction, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome == StoreOutcome::Ok) {
             answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "cancel_accepted");
             if (auto* leader = m_election.leader())
@@ -337,7 +361,7 @@
             unknown(call, result.detail);
         else
             refuse(call, ErrorKind::StoreUnavailable, result.detail);
-    });
+    }));
 }
 
 void CallerFront::countPending(const CallPointer& call)
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -3,6 +3,7 @@
 #include "edge/ConfigurationFollower.h"
 #include "edge/Election.h"
 #include "edge/PeerClient.h"
+#include "edge/StoreGate.h"
 #include "net/HttpServer.h"
 
 #include <memory>
@@ -37,6 +38,10 @@
     void writeCancel(const CallPointer& call);
     void countPending(const CallPointer& call);
     void after(Duration delay, std::function<void()> action);
+    /** Passes an exchange's result on, once the gate has heard it. */
+    platform::StoreClient::Done heard(platform::StoreClient::Done done);
+    /** True, with the answer given, if the store is known not to answer. */
+    bool refusedAtGate(const CallPointer& call);
 
     void answer(const CallPointer& call, unsigned status, std::string body, std::string_view why);
     void refuse(const CallPointer& call, ErrorKind kind, const std::string& detail);
@@ -47,6 +52,7 @@
     PeerClient& m_peers;
     ConfigurationFollower& m_follower;
     Election& m_election;
+    StoreGate m_gate;
     Counter& m_accepted;
     Counter& m_refused;
     DurationHistogram& m_acceptTime;
