--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -3,6 +3,7 @@
 #include "Wire.h"
 
 #include <charconv>
+#include <utility>
 
 namespace quay::edge {
 
@@ -15,6 +16,7 @@
 constexpr auto answerSpare = 150ms; // an answer's way to the caller
 constexpr auto writeRetry = 40ms; // a few transactions
 constexpr auto stateTimeout = 500ms;
+constexpr auto leaderCheck = 200ms; // under the interval of greetings, which notice a silent leader
 constexpr auto refuseAfter = 200ms; // a refusal that comes later costs the caller time to try elsewhere
 constexpr int retryAfterMs = 500; // when a refused caller may come back
 constexpr unsigned statusAccepted = 200;
@@ -58,6 +60,7 @@
     std::string team;
     StoredJob job;
     bool mayBeWritten = false; // an attempt got no answer
+    bool isLeaderLost = false; // or has answered: nothing is expected of it any more
 };
 
 CallerFront::CallerFront(
@@ -185,17 +188,67 @@
         return;
     }
     call->job = { call->id, call->queue.name, call->team, call->request.body };
-    writeJob(call);
+    const auto handed = [this, call](AcceptOutcome outcome) { handedToLeader(call, outcome); };
+    if (auto* leader = m_election.leader())
+        leader->accept(call->job, handed);
+    else if (const auto address = m_election.leaderAddress(); !address.empty())
+        handToPeer(call, address);
+    else
+        writeJob(call);
+}
+
+void CallerFront::handToPeer(const CallPointer& call, const std::string& address)
+{
+    m_peers.accept(address, call->job, call->deadline - clockNow(), [this, call](AcceptOutcome outcome) {
+        if (!std::exchange(call->isLeaderLost, true))
+            handedToLeader(call, outcome);
+    });
+    watchLeader(call, address);
+}
+
+// A leader that falls silent gives no answer; its silence is noticed by the greetings.
+void CallerFront::watchLeader(const CallPointer& call, const std::string& address)
+{
+    after(leaderCheck, [this, call, address] {
+        if (call->isLeaderLost)
+            return;
+        if (m_election.leaderAddress() == address && clockNow() < call->deadline) {
+            watchLeader(call, address);
+            return;
+        }
+        call->isLeaderLost = true;
+        handedToLeader(call, AcceptOutcome::Unknown);
+    });
+}
+
+// The leader makes many jobs durable in one transaction. Without it the node writes the row itself: both write
+// under the condition that there is no such row.
+void CallerFront::handedToLeader(const CallPointer& call, AcceptOutcome outcome)
+{
+    switch (outcome) {
+    case AcceptOutcome::Accepted:
+        acknowledge(call);
+        break;
+    case AcceptOutcome::Conflict:
+        refuse(call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
+        break;
+    case AcceptOutcome::Unknown:
+        call->mayBeWritten = true;
+        writeJob(call);
+        break;
+    case AcceptOutcome::NotWritten:
+        writeJob(call);
+        break;
+    }
 }
 
 void CallerFront::writeJob(const CallPointer& call)
 {
     if (refusedAtGate(call))
         return;
-    const auto partition = partitionOfJob(call->id);
     StoreTransaction transaction;
-    transaction.conditions.push_back({ jobTable, partition, call->id, {}, 0, false });
-    transaction.puts.push_back({ jobTable, partition, call->id, encode(call->job), 0, false });
+    transaction.conditions.push_back({ jobTable, cellPartition, call->id, {}, 0, false });
+    transaction.puts.push_back({ jobTable, cellPartition, call->id, encode(call->job), 0, false });
     m_services.store.transact(transaction, m_gate.timeout(),
         heard([this, call](const StoreResult& result) { jobWritten(call, result); }));
 }
@@ -230,11 +283,16 @@
         refuse(call, ErrorKind::StoreUnavailable, result.detail);
 }
 
-void CallerFront::accepted(const CallPointer& call)
+void CallerFront::acknowledge(const CallPointer& call)
 {
     m_accepted.add();
     m_acceptTime.record(clockNow() - call->arrived);
     answer(call, statusAccepted, encodeState(JobPhase::Queued), "job_accepted");
+}
+
+void CallerFront::accepted(const CallPointer& call)
+{
+    acknowledge(call);
     if (auto* leader = m_election.leader())
         leader->submit(call->job);
     else if (const auto address = m_election.leaderAddress(); !address.empty())
@@ -267,10 +325,9 @@
 // Without the leader: the job's own row tells whether it exists, the record what became of it.
 void CallerFront::showFromStore(const CallPointer& call)
 {
-    const auto partition = partitionOfJob(call->id);
     if (refusedAtGate(call))
         return;
-    m_services.store.readFrom(jobTable, partition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
+    m_services.store.readFrom(jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome != StoreOutcome::Ok) {
             if (clockNow() + writeRetry + stateTimeout < call->deadline)
                 after(writeRetry, [this, call] { showFromStore(call); });
@@ -323,7 +380,7 @@
     if (refusedAtGate(call))
         return;
     m_services.store.readRow(
-        jobTable, partitionOfJob(call->id), call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
+        jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
             if (result.outcome != StoreOutcome::Ok) {
                 if (clockNow() + writeRetry + stateTimeout < call->deadline)
                     after(writeRetry, [this, call] { cancel(call); });
@@ -341,9 +398,8 @@
 {
     if (refusedAtGate(call))
         return;
-    const auto partition = partitionOfJob(call->id);
     StoreTransaction transaction;
-    transaction.puts.push_back({ jobTable, partition, call->id + cancellationSuffix, "cancelled", 0, false });
+    transaction.puts.push_back({ jobTable, cellPartition, call->id + cancellationSuffix, "cancelled", 0, false });
     m_services.store.transact(transaction, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome == StoreOutcome::Ok) {
             answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "cancel_accepted");
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -28,8 +28,12 @@
     using CallPointer = std::shared_ptr<Call>;
 
     void submit(const CallPointer& call);
+    void handToPeer(const CallPointer& call, const std::string& address);
+    void watchLeader(const CallPointer& call, const std::string& address);
+    void handedToLeader(const CallPointer& call, AcceptOutcome outcome);
     void writeJob(const CallPointer& call);
     void jobWritten(const CallPointer& call, const platform::StoreResult& result);
+    void acknowledge(const CallPointer& call);
     void accepted(const CallPointer& call);
     void show(const CallPointer& call);
     void showFromStore(const CallPointer& call);
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -24,6 +24,10 @@
 constexpr auto jobsPause = 700ms; // a lost message about a job costs at most this
 constexpr auto commitTimeoutFirst = 500ms;
 constexpr auto commitTimeoutLongest = 1600ms;
+constexpr int commitTimeoutFactor = 4; // against the last commit's time
+constexpr std::size_t maxEntries = 100; // of one transaction
+constexpr std::size_t maxAcceptBytes = 300'000; // of the 1 MB that a transaction holds, as base64
+constexpr std::size_t maxWaitingAccepts = 500; // some seconds of the largest burst
 constexpr auto commitRetry = 60ms;
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains; a start may be repeated
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
@@ -95,45 +99,47 @@
     });
 }
 
-// Reads a partition whole, page by page, until it succeeds.
+// Reads a partition whole, page by page, until it succeeds. `done` gets the version of the first page: changes
+// after it may be missing from that page and come with the feed.
 void CellLeader::readTable(const std::string& table, const std::string& partition, const std::string& from,
-    std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done)
+    std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done, std::int64_t firstVersion)
 {
     m_services.store.readFrom(table, partition, from, readTimeout,
-        [self = shared_from_this(), table, partition, from, rows, done = std::move(done)](StoreResult result) mutable {
+        [self = shared_from_this(), table, partition, from, rows, done = std::move(done), firstVersion](
+            StoreResult result) mutable {
             if (self->m_isStopped)
                 return;
             if (result.outcome != StoreOutcome::Ok) {
                 self->m_services.log.write("read_failed", {}, { { "table", table }, { "reason", result.detail } });
-                self->after(readRetry, [self, table, partition, from, rows, done = std::move(done)]() mutable {
-                    self->readTable(table, partition, from, rows, std::move(done));
-                });
+                self->after(
+                    readRetry, [self, table, partition, from, rows, done = std::move(done), firstVersion]() mutable {
+                        self->readTable(table, partition, from, rows, std::move(done), firstVersion);
+                    });
                 return;
             }
+            if (firstVersion == 0)
+                firstVersion = result.version;
             rows->insert(rows->end(), result.rows.begin(), result.rows.end());
             if (result.hasMore && !result.rows.empty())
                 // The smallest key after the last one read.
-                self->readTable(table, partition, result.rows.back().key + '\x01', rows, std::move(done));
+                self->readTable(table, partition, result.rows.back().key + '\x01', rows, std::move(done), firstVersion);
             else
-                done(result.version);
+                done(firstVersion);
         });
 }
 
 void CellLeader::load()
 {
-    m_loading = jobPartitions + 2;
+    m_loading = 3;
     m_jobsSeen = 0;
     const auto one = [this] {
         if (--m_loading == 0)
             loaded();
     };
-    // The feed of jobs begins at the oldest of the reads, so nothing falls between them.
-    for (int i = 0; i < jobPartitions; ++i) {
-        readTable(jobTable, "jobs-" + std::to_string(i), {}, m_loadedJobs, [this, one](std::int64_t version) {
-            m_jobsSeen = m_jobsSeen == 0 ? version : std::min(m_jobsSeen, version);
-            one();
-        });
-    }
+    readTable(jobTable, cellPartition, {}, m_loadedJobs, [this, one](std::int64_t version) {
+        m_jobsSeen = version;
+        one();
+    });
     readTable(recordTable, cellPartition, {}, m_loadedRecords, [one](std::int64_t) { one(); });
     readTable(std::string(executorTable), {}, {}, m_loadedExecutors, [this, one](std::int64_t version) {
         m_executorsSeen = version;
@@ -297,21 +303,13 @@
 void CellLeader::rereadJobs()
 {
     auto rows = std::make_shared<Rows>();
-    auto left = std::make_shared<int>(jobPartitions);
-    auto oldest = std::make_shared<std::int64_t>(0);
-    for (int i = 0; i < jobPartitions; ++i) {
-        readTable(jobTable, "jobs-" + std::to_string(i), {}, rows,
-            [self = shared_from_this(), rows, left, oldest](std::int64_t version) {
-                *oldest = *oldest == 0 ? version : std::min(*oldest, version);
-                if (--*left > 0)
-                    return;
-                for (const auto& row : *rows)
-                    self->takeJobRow(row);
-                self->m_jobsSeen = *oldest;
-                self->pumpSoon();
-                self->after(jobsPause, [self] { self->followJobs(); });
-            });
-    }
+    readTable(jobTable, cellPartition, {}, rows, [self = shared_from_this(), rows](std::int64_t version) {
+        for (const auto& row : *rows)
+            self->takeJobRow(row);
+        self->m_jobsSeen = version;
+        self->pumpSoon();
+        self->after(jobsPause, [self] { self->followJobs(); });
+    });
 }
 
 void CellLeader::tick()
@@ -468,10 +466,86 @@
     }
     m_commit = std::move(action);
     ++m_lead.sequence;
-    m_commitTimeout = commitTimeoutFirst;
+    m_commitTimeout
+        = std::clamp<Duration>(m_lastCommitTime * commitTimeoutFactor, commitTimeoutFirst, commitTimeoutLongest);
+    takeAccepts();
     sendCommit();
 }
 
+// As many waiting jobs as the transaction has room for beside the scheduler's records.
+void CellLeader::takeAccepts()
+{
+    const auto used = 2 + m_commit->records.size() + 3 * m_commit->forgotten.size(); // 2: the leadership row
+    std::size_t bytes = 0;
+    while (!m_accepts.empty() && !m_isGivingUp && used + 2 * (m_committing.size() + 1) <= maxEntries
+        && bytes < maxAcceptBytes) {
+        bytes += m_accepts.front().job.body.size();
+        m_committing.push_back(std::move(m_accepts.front()));
+        m_accepts.erase(m_accepts.begin());
+    }
+}
+
+void CellLeader::accept(const StoredJob& job, Accepted done)
+{
+    if (!m_isLoaded || m_isStopped || m_isGivingUp || !isUsable(clockNow()) || m_accepts.size() >= maxWaitingAccepts) {
+        done(AcceptOutcome::NotWritten);
+        return;
+    }
+    if (m_scheduler.shownPhase(job.id)) { // the row decides whether it is the same job
+        done(AcceptOutcome::NotWritten);
+        return;
+    }
+    if (join(m_accepts, job, done) || join(m_committing, job, done))
+        return;
+    m_accepts.push_back({ job, { std::move(done) } });
+    if (!m_commit)
+        beginCommit({});
+}
+
+void CellLeader::Accept::answer(AcceptOutcome outcome) const
+{
+    for (const auto& it : done)
+        it(outcome);
+}
+
+// The same job handed in again while its first hand-in is open shares the answer; another one under its id waits
+// for the row.
+bool CellLeader::join(std::vector<Accept>& accepts, const StoredJob& job, Accepted& done)
+{
+    auto it = std::find_if(accepts.begin(), accepts.end(), [&](const Accept& other) { return other.job.id == job.id; });
+    if (it == accepts.end())
+        return false;
+    if (it->job == job)
+        it->done.push_back(std::move(done));
+    else
+        done(AcceptOutcome::NotWritten);
+    return true;
+}
+
+// A job of the commit in hand has a row already: written by a node itself, or by an attempt of ours.
+void CellLeader::settleExisting(const StoreRow& row)
+{
+    auto it = std::find_if(
+        m_committing.begin(), m_committing.end(), [&](const Accept& accept) { return accept.job.id == row.key; });
+    if (it == m_committing.end())
+        return;
+    auto accept = std::move(*it);
+    m_committing.erase(it);
+    Reason reason;
+    const auto stored = decodeStoredJob(row.value, reason);
+    const bool isSame = stored && stored->body == accept.job.body && stored->team == accept.job.team;
+    takeJobRow(row);
+    accept.answer(isSame ? AcceptOutcome::Accepted : AcceptOutcome::Conflict);
+}
+
+void CellLeader::dropAccepts()
+{
+    for (auto& it : std::exchange(m_accepts, {}))
+        it.answer(AcceptOutcome::NotWritten);
+    for (auto& it : std::exchange(m_committing, {}))
+        it.answer(AcceptOutcome::Unknown);
+}
+
 void CellLeader::beatIfIdle()
 {
     if (m_commit || m_isStopped || clockNow() - m_lastCommit < heartbeatInterval)
@@ -488,8 +562,15 @@
     transaction.puts.push_back({ leadTable, cellPartition, leadKey, encode(m_lead), 0, false });
     for (const auto& [id, record] : m_commit->records)
         transaction.puts.push_back({ recordTable, cellPartition, id, record, 0, false });
-    for (const auto& id : m_commit->forgotten)
+    for (const auto& id : m_commit->forgotten) {
         transaction.deletes.push_back({ recordTable, cellPartition, id, {}, 0, false });
+        transaction.deletes.push_back({ jobTable, cellPartition, id, {}, 0, false });
+        transaction.deletes.push_back({ jobTable, cellPartition, id + cancellationSuffix, {}, 0, false });
+    }
+    for (const auto& it : m_committing) {
+        transaction.conditions.push_back({ jobTable, cellPartition, it.job.id, {}, 0, false });
+        transaction.puts.push_back({ jobTable, cellPartition, it.job.id, encode(it.job), 0, false });
+    }
     const auto sentAt = clockNow();
     m_services.store.transact(transaction, m_commitTimeout, [self = shared_from_this(), sentAt](StoreResult result) {
         if (!self->m_isStopped)
@@ -505,16 +586,27 @@
     }
     if (result.outcome == StoreOutcome::ConditionFailed) {
         Reason reason;
-        const auto lead = result.rows.empty() ? std::nullopt : decodeLeadRecord(result.rows.front().value, reason);
+        std::optional<LeadRecord> lead;
+        std::int64_t leadVersion = 0;
+        for (const auto& row : result.rows) {
+            if (row.table == leadTable) {
+                lead = decodeLeadRecord(row.value, reason);
+                leadVersion = row.version;
+            }
+        }
         if (!lead || lead->incarnation != m_lead.incarnation) {
             depose(lead ? "node " + lead->node + " has taken the leadership row" : "the leadership row is gone");
             return;
         }
         if (lead->sequence == m_lead.sequence) { // an earlier attempt was carried out
-            commitDone(result.rows.front().version, sentAt);
+            commitDone(leadVersion, sentAt);
             return;
         }
-        m_leadVersion = result.rows.front().version;
+        for (const auto& row : result.rows) {
+            if (row.table == jobTable && row.version > 0)
+                settleExisting(row);
+        }
+        m_leadVersion = leadVersion;
         sendCommit();
         return;
     }
@@ -535,9 +627,13 @@
     m_commitFailures = 0;
     m_commits.add();
     m_commitTime.record(now - sentAt);
+    m_lastCommitTime = now - sentAt;
     const auto commit = std::exchange(m_commit, std::nullopt);
     m_scheduler.committed(commit->number, sentAt, now);
-    forgetRows(commit->forgotten);
+    for (auto& it : std::exchange(m_committing, {})) {
+        submit(it.job);
+        it.answer(AcceptOutcome::Accepted);
+    }
     if (m_isGivingUp) {
         if (m_gaveUp && m_lead.node.empty())
             std::exchange(m_gaveUp, nullptr)();
@@ -547,24 +643,9 @@
     }
     if (m_nextCommit)
         beginCommit(*std::exchange(m_nextCommit, std::nullopt));
-    pumpSoon();
-}
-
-void CellLeader::forgetRows(const std::vector<std::string>& ids)
-{
-    std::map<std::string, StoreTransaction> byPartition;
-    for (const auto& id : ids) {
-        const auto partition = partitionOfJob(id);
-        auto& transaction = byPartition[partition];
-        transaction.deletes.push_back({ jobTable, partition, id, {}, 0, false });
-        transaction.deletes.push_back({ jobTable, partition, id + cancellationSuffix, {}, 0, false });
-    }
-    for (const auto& [partition, transaction] : byPartition) {
-        m_services.store.transact(transaction, readTimeout, [self = shared_from_this(), ids](StoreResult result) {
-            if (result.outcome != StoreOutcome::Ok)
-                self->m_services.log.write("rows_not_forgotten", ids.front(), { { "reason", result.detail } });
-        });
-    }
+    pump();
+    if (!m_commit && !m_accepts.empty())
+        beginCommit({});
 }
 
 void CellLeader::giveUp(std::function<void()> done)
@@ -581,6 +662,7 @@
 {
     m_isStopped = true;
     m_tickTimer.cancel();
+    dropAccepts();
 }
 
 void CellLeader::depose(std::string_view why)
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -40,6 +40,11 @@
 
     void begin(const fleet::FleetConfiguration& configuration);
     void configure(const fleet::FleetConfiguration& configuration);
+    using Accepted = std::function<void(AcceptOutcome)>;
+
+    /** Makes a job durable with the next commit. `done` is called exactly once, now or later. */
+    void accept(const StoredJob& job, Accepted done);
+    /** A job whose row is durable. */
     void submit(const StoredJob& job);
     void cancel(const std::string& id);
 
@@ -62,7 +67,8 @@
     using Rows = std::vector<platform::StoreRow>;
 
     void readTable(const std::string& table, const std::string& partition, const std::string& from,
-        std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done);
+        std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done,
+        std::int64_t firstVersion = 0);
     void load();
     void loaded();
     void takeJobRow(const platform::StoreRow& row);
@@ -84,12 +90,23 @@
     void checkFence(fleet::OrderResult result, const std::string& executor);
     platform::OrderTarget target(const std::string& address, const std::string& executor) const;
 
+    struct Accept {
+        StoredJob job;
+        std::vector<Accepted> done; // one for each time that the job was handed in
+
+        void answer(AcceptOutcome outcome) const;
+    };
+
+    static bool join(std::vector<Accept>& accepts, const StoredJob& job, Accepted& done);
+
     void beginCommit(fleet::CommitAction action);
+    void takeAccepts();
+    void settleExisting(const platform::StoreRow& row);
+    void dropAccepts();
     void beatIfIdle();
     void sendCommit();
     void commitAnswered(const platform::StoreResult& result, Instant sentAt);
     void commitDone(std::int64_t version, Instant sentAt);
-    void forgetRows(const std::vector<std::string>& ids);
     void depose(std::string_view why);
 
     EdgeServices m_services;
@@ -114,10 +131,13 @@
 
     std::optional<fleet::CommitAction> m_commit; // being made durable; empty records: a heartbeat
     std::optional<fleet::CommitAction> m_nextCommit; // waits for a heartbeat's answer
+    std::vector<Accept> m_accepts; // wait for the next commit
+    std::vector<Accept> m_committing; // part of the commit in hand
     bool m_isGivingUp = false;
     std::function<void()> m_gaveUp;
     Duration m_commitTimeout;
     Instant m_lastCommit;
+    Duration m_lastCommitTime {};
     int m_commitFailures = 0; // attempts in a row that the store did not carry out
     boost::asio::steady_timer m_tickTimer;
     Counter& m_starts;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -158,6 +158,10 @@
             serveApproval(request, std::move(respond));
             return;
         }
+        if (path == acceptPath && leader) {
+            serveAccept(request, *leader, std::move(respond));
+            return;
+        }
         const auto body = json::parse(request.body, ec);
         const auto textOf = [&](std::string_view name) {
             const auto* it = !ec && body.is_object() ? body.get_object().if_contains(name) : nullptr;
@@ -190,6 +194,20 @@
         respond(std::move(response));
     }
 
+    static void serveAccept(const HttpRequest& request, CellLeader& leader, Respond respond)
+    {
+        Reason reason;
+        const auto answer = [respond](AcceptOutcome outcome) {
+            HttpResponse response;
+            response.body = "{\"outcome\":" + std::to_string(static_cast<int>(outcome)) + "}";
+            respond(std::move(response));
+        };
+        if (const auto job = decodeStoredJob(request.body, reason))
+            leader.accept(*job, answer);
+        else
+            answer(AcceptOutcome::NotWritten);
+    }
+
     void serveApproval(const HttpRequest& request, Respond respond)
     {
         std::string step;
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -8,14 +8,6 @@
 
 namespace json = boost::json;
 
-std::string partitionOfJob(const std::string& id)
-{
-    unsigned sum = 0;
-    for (unsigned char c : id)
-        sum = sum * 31 + c;
-    return "jobs-" + std::to_string(sum % jobPartitions);
-}
-
 std::string encode(const StoredJob& job)
 {
     return json::serialize(
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -9,11 +9,10 @@
 // Our own rows in the store: accepted jobs, cancellations, the scheduler's records, the leadership.
 namespace quay::edge {
 
-constexpr int jobPartitions = 4; // one partition does some 150 transactions a second
 constexpr const char* jobTable = "jobs";
 constexpr const char* recordTable = "records";
 constexpr const char* leadTable = "lead";
-constexpr const char* cellPartition = "cell-0"; // the scheduler's rows: one transaction covers them
+constexpr const char* cellPartition = "cell-0"; // all rows of a cell: one transaction covers any of them
 constexpr const char* leadKey = "lead";
 constexpr const char* cancellationSuffix = "!";
 
@@ -27,10 +26,17 @@
     bool operator==(const StoredJob&) const = default;
 };
 
-std::string partitionOfJob(const std::string& id);
 std::string encode(const StoredJob& job);
 std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason);
 
+/** What became of handing a job to the leader. */
+enum class AcceptOutcome {
+    Accepted, // it is durable
+    Conflict, // its id is in use for another job
+    NotWritten, // surely not written, and never will be
+    Unknown,
+};
+
 /** The job with its steps decoded. */
 std::optional<fleet::WorkRequest> requestOf(const StoredJob& job, Reason& reason);
 
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -117,6 +117,26 @@
     });
 }
 
+void PeerClient::accept(const std::string& address, const StoredJob& job, Duration timeout,
+    std::function<void(AcceptOutcome)> done)
+{
+    m_client.send(address, jsonPost(acceptPath, encode(job)), timeout, [done = std::move(done)](HttpResult result) {
+        if (!result.response) {
+            done(result.mayHaveArrived ? AcceptOutcome::Unknown : AcceptOutcome::NotWritten);
+            return;
+        }
+        json::error_code ec;
+        const auto value = json::parse(result.response->body, ec);
+        const auto* outcome = !ec && value.is_object() ? value.get_object().if_contains("outcome") : nullptr;
+        const bool isNamed = outcome && outcome->is_int64() && outcome->get_int64() >= 0
+            && outcome->get_int64() <= static_cast<int>(AcceptOutcome::Unknown);
+        if (isNamed)
+            done(static_cast<AcceptOutcome>(outcome->get_int64()));
+        else // a node that does not lead says so by its status
+            done(result.response->status == 409 ? AcceptOutcome::NotWritten : AcceptOutcome::Unknown);
+    });
+}
+
 void PeerClient::tellJob(const std::string& address, const StoredJob& job)
 {
     m_client.send(address, jsonPost(jobPath, encode(job)), tellTimeout, [](HttpResult) {});
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -15,6 +15,7 @@
 namespace quay::edge {
 
 constexpr const char* greetPath = "/peer/greet";
+constexpr const char* acceptPath = "/peer/accept";
 constexpr const char* jobPath = "/peer/job";
 constexpr const char* cancelPath = "/peer/cancel";
 constexpr const char* statePath = "/peer/state";
@@ -57,6 +58,8 @@
 
     void greet(const std::string& address, const std::string& node, const std::string& ownAddress, Duration timeout,
         std::function<void(Greeting)> done);
+    void accept(const std::string& address, const StoredJob& job, Duration timeout,
+        std::function<void(AcceptOutcome)> done);
     void tellJob(const std::string& address, const StoredJob& job);
     void tellCancel(const std::string& address, const std::string& id);
     void askState(const std::string& address, const std::string& id, Duration timeout,
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-// One transaction holds 100 entries and 1 MB; one entry is the leadership row.
-constexpr std::size_t maxRecordsPerCommit = 80;
+// One transaction holds 100 entries and 1 MB; jobs that are taken in share it.
+constexpr std::size_t maxRecordsPerCommit = 60;
 constexpr std::size_t maxBytesPerCommit = 400'000; // base64 adds a third
 constexpr auto forgetInterval = 5s;
-constexpr std::size_t maxForgottenPerCommit = 15;
+constexpr std::size_t maxForgottenPerCommit = 4; // three rows each
 
 // The longest chain of estimates from each step to the end of the job.
 std::vector<int> chains(const WorkRequest& request)
