--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -19,6 +20,7 @@
 constexpr auto askAgain = 250ms; // a step of which no approved executor had room
 constexpr auto ticketMargin = 150ms; // a commit and a start are on their way meanwhile
 constexpr double urgentReserve = 0.06; // share of a service that only the most urgent queue may use
+constexpr double urgentQuotaReserve = 0.12; // the same of a team's upper limit; less urgent work lasts ten times as long
 
 constexpr double longCallMs = 120; // beyond this a call would make an urgent step behind it miss its objective
 constexpr double longBacklogMs = 700; // calls handed out beyond one for each caller: the next in turn is ready
@@ -34,6 +36,14 @@
     Instant deadline;
 };
 
+// A limit with its zeros, which mean "none", replaced by amounts that nothing reaches.
+Resources unlimited(const Resources& limit)
+{
+    constexpr auto most = std::numeric_limits<std::int64_t>::max() / 2;
+    return { limit.cpuMilli ? limit.cpuMilli : most, limit.memoryMb ? limit.memoryMb : most,
+        limit.accelerators ? limit.accelerators : most };
+}
+
 Resources fillsAdjusted(const StepRequest& request)
 {
     Resources room = request.perTask;
@@ -78,15 +88,22 @@
 
 bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
 {
+    const auto* queue = configuration.queueNamed(step.job->request.queue);
+    const double usable = queue && queue->priority > 0 && !step.request().isLasting ? 1 - urgentQuotaReserve : 1;
+    const auto fits = [&](std::int64_t after, std::int64_t limit) {
+        return limit == 0 || static_cast<double>(after) <= usable * static_cast<double>(limit);
+    };
     const auto* team = configuration.teamNamed(step.job->request.team);
     if (!team)
         return true;
-    auto used = teamUsage.find(team->name);
-    const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
     const auto& limit = team->upperLimit;
-    return (limit.cpuMilli == 0 || after.cpuMilli <= limit.cpuMilli)
-        && (limit.memoryMb == 0 || after.memoryMb <= limit.memoryMb)
-        && (limit.accelerators == 0 || after.accelerators <= limit.accelerators);
+    const auto used = teamUsage.find(team->name);
+    const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
+    // A task that is larger than what is left beside the reserve runs alone, but runs.
+    if (used == teamUsage.end() || used->second == Resources())
+        return step.request().perTask.fitsIn(unlimited(limit));
+    return fits(after.cpuMilli, limit.cpuMilli) && fits(after.memoryMb, limit.memoryMb)
+        && fits(after.accelerators, limit.accelerators);
 }
 
 // Executors of the service that have room for a task of the step now.
@@ -302,9 +319,7 @@
         auto after = teamUsage[team->name];
         for (std::size_t i = 0; i < step.tasks.size(); ++i)
             after += request.perTask;
-        const auto& limit = team->upperLimit;
-        if ((limit.cpuMilli && after.cpuMilli > limit.cpuMilli) || (limit.memoryMb && after.memoryMb > limit.memoryMb)
-            || (limit.accelerators && after.accelerators > limit.accelerators))
+        if (!after.fitsIn(unlimited(team->upperLimit)))
             return false;
     }
     int run = 0;
