A step asks about executors that have room for it under its own bound; waiting steps are looked at without an event

Ruled out: quota, leases. Test: 'a step whose approved executors are at its bound ...', failed before.

--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto placementInterval = 4ms; // a burst of events is answered by one pass
+constexpr auto idlePlacementInterval = 100ms; // steps that wait for a time, not for an event: asked again, avoided no more
 constexpr std::size_t stepsPerPass = 200; // a longer line of steps without room is looked at in the next pass
 constexpr auto longestSilence = 2500ms; // two looks of a second and their timeout
 constexpr std::size_t workersPerApproval = 30; // the objective of a job counts a call of this size
@@ -23,6 +24,7 @@
 constexpr double urgentQuotaReserve = 0.12; // the same of a team's upper limit; less urgent work lasts ten times as long
 
 constexpr double longCallMs = 120; // beyond this a call would make an urgent step behind it miss its objective
+constexpr double promiseFactor = 1.5; // room that is promised to open calls against what is free: not all will fit
 constexpr double longBacklogMs = 700; // calls handed out beyond one for each caller: the next in turn is ready
 constexpr double shortBacklogMs = 60;
 constexpr int worthwhileTasks = 4; // a step that has its approvals asks again for this many tasks at once
@@ -44,6 +46,16 @@
         limit.accelerators ? limit.accelerators : most };
 }
 
+std::unordered_map<LifeId, int> tasksPerLife(const StepState& step)
+{
+    std::unordered_map<LifeId, int> result;
+    for (const auto& task : step.tasks) {
+        if (task.phase == TaskPhase::Active)
+            ++result[task.life];
+    }
+    return result;
+}
+
 Resources fillsAdjusted(const StepRequest& request)
 {
     Resources room = request.perTask;
@@ -58,7 +70,8 @@
 
 void FleetScheduler::Impl::place(Instant now, SchedulerActions& actions)
 {
-    if (!placementDue || now < nextPlacement)
+    const bool isTimeDue = !ready.empty() && now >= nextPlacement + idlePlacementInterval;
+    if ((!placementDue && !isTimeDue) || now < nextPlacement)
         return;
     placementDue = false;
     nextPlacement = now + placementInterval;
@@ -112,9 +125,12 @@
 {
     const auto& request = step.request();
     const auto room = fillsAdjusted(request);
+    const auto atWork = request.maxPerExecutor > 0 ? tasksPerLife(step) : std::unordered_map<LifeId, int>();
     std::vector<LifeId> result;
     for (const auto& [id, number] : lifeById) {
         const auto& life = lives[number];
+        if (auto it = atWork.find(number); it != atWork.end() && it->second >= request.maxPerExecutor)
+            continue;
         if (!life.isListed || life.isSilent || life.entry.isDraining || life.entry.service != service
             || now < life.avoidUntil || now - life.lastAnswer > longestSilence || life.replaced >= 0)
             continue;
@@ -175,6 +191,24 @@
     return askingMs - askingLongMs < approvalCallers * shortBacklogMs;
 }
 
+// Asking for more than there is room for wastes the service's time: the tickets lapse unused.
+bool FleetScheduler::Impl::hasRoomBesideOpenAsks(const StepState& step, const std::string& service) const
+{
+    std::int64_t free = 0;
+    for (const auto& [id, number] : lifeById) {
+        const auto& life = lives[number];
+        if (life.isListed && life.entry.service == service)
+            free += std::max<std::int64_t>(0, life.entry.capacity.cpuMilli - life.used.cpuMilli);
+    }
+    std::int64_t promised = 0;
+    for (const auto& [name, ask] : asking) {
+        if (ask.service == service)
+            promised += ask.cpuMilli;
+    }
+    return static_cast<double>(promised) + static_cast<double>(roomOf(step.request()).cpuMilli)
+        <= promiseFactor * static_cast<double>(free);
+}
+
 void FleetScheduler::approvalCallers(int count)
 {
     if (count > m_impl->approvalCallers)
@@ -218,7 +252,7 @@
     }
     const double expectedMs
         = queue.approval->decisionMs + queue.approval->perWorkerMs * static_cast<double>(chosen.size());
-    if (!hasCaller(expectedMs))
+    if (!hasCaller(expectedMs) || !hasRoomBesideOpenAsks(step, queue.service))
         return; // asked when a call in hand is answered
     if (!step.decided.empty() && expectedMs > longCallMs && now - step.lastAsk < askAnyway) {
         int room = 0;
@@ -242,7 +276,7 @@
         ask.workers.push_back(lives[number].entry.id);
     ask.expectedMs = expectedMs;
     step.isAsking = true;
-    asking[ask.step] = expectedMs;
+    asking[ask.step] = { expectedMs, queue.service, roomOf(step.request()).cpuMilli * step.waiting };
     actions.approvals.push_back(std::move(ask));
 }
 
@@ -361,12 +395,8 @@
         return;
     }
     std::unordered_map<LifeId, int> perLife;
-    if (request.maxPerExecutor > 0 || request.isLasting) {
-        for (const auto& task : step.tasks) {
-            if (task.phase == TaskPhase::Active)
-                ++perLife[task.life];
-        }
-    }
+    if (request.maxPerExecutor > 0 || request.isLasting)
+        perLife = tasksPerLife(step);
     for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
         auto& task = step.tasks[i];
         if (task.phase != TaskPhase::Waiting)
@@ -389,9 +419,9 @@
     auto& it = *m_impl;
     it.placementDue = true;
     if (auto call = it.asking.find(stepName); call != it.asking.end()) {
-        it.askingMs -= call->second;
-        if (call->second > longCallMs)
-            it.askingLongMs -= call->second;
+        it.askingMs -= call->second.expectedMs;
+        if (call->second.expectedMs > longCallMs)
+            it.askingLongMs -= call->second.expectedMs;
         it.asking.erase(call);
     }
     const auto ref = parseTaskRef(stepName + ".0");
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -142,6 +142,13 @@
     LifeId replaced = -1; // an earlier life of the same id whose runs are settled by our first report
 };
 
+// A call for approval in hand, and what its step would take.
+struct OpenAsk {
+    double expectedMs = 0;
+    std::string service;
+    std::int64_t cpuMilli = 0;
+};
+
 struct CommitInFlight {
     std::uint64_t number = 0;
     std::vector<std::pair<LifeId, RunKey>> starts;
@@ -215,6 +222,7 @@
     bool placeGang(StepState& step, const std::vector<LifeId>& candidates, Instant now);
     void askApproval(StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions);
     bool hasCaller(double expectedMs) const;
+    bool hasRoomBesideOpenAsks(const StepState& step, const std::string& service) const;
     std::vector<LifeId> candidates(const StepState& step, const std::string& service, Instant now) const;
     int pickLife(const StepState& step, const TaskState& task, const std::vector<LifeId>& from,
         const std::unordered_map<LifeId, int>& perLife) const;
@@ -242,7 +250,7 @@
     bool placementDue = true;
     Instant nextPlacement;
     int approvalCallers = 1; // nodes that can ask for approvals, one call at a time each
-    std::unordered_map<std::string, double> asking; // calls in hand by step, with their expected time
+    std::unordered_map<std::string, internal::OpenAsk> asking; // calls in hand by step
     double askingMs = 0; // of all of them
     double askingLongMs = 0; // of the long ones among them
     Instant nextForget;
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -134,6 +134,20 @@
     CHECK(world.startedRuns == 3);
 }
 
+TEST_CASE("a step whose approved executors are at its bound for each asks about others")
+{
+    FleetWorld world(8, 32); // one call names 30 of them
+    world.configuration.queues[0].approval = ApprovalPolicy { 20, 0.3, 2000 };
+    world.scheduler->configure(world.configuration);
+    world.approved = { "i-0", "i-1", "i-9" };
+    world.behaviour = endless;
+    auto request = lastingJob(jobA, 3);
+    request.steps[0].maxPerExecutor = 1;
+    world.submit(request);
+    world.run(6s);
+    CHECK(world.startedRuns == 3);
+}
+
 TEST_CASE("a gang starts whole or not at all, and one failed member ends the run of all")
 {
     FleetWorld world(6, 2); // room for 16 tasks of one core
--- a/tests/cores/FleetWorld.cpp
+++ b/tests/cores/FleetWorld.cpp
@@ -9,6 +9,8 @@
 constexpr auto step = 5ms;
 constexpr auto messageDelay = 3ms;
 constexpr auto commitDelay = 15ms;
+constexpr auto approvalDelay = 30ms;
+constexpr auto ticketLife = 2s;
 constexpr auto answerTimeout = 700ms;
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr auto rebirthGrace = 2s; // a look and a stop, one of them unanswered at first
@@ -281,6 +283,18 @@
             [this, it](OrderResult result) { scheduler->stopAnswered(it.life, it.task, it.run, result, now); });
     for (const auto& it : actions.holds)
         hold(it);
+    for (const auto& it : actions.approvals) {
+        ++approvalCalls;
+        later(approvalDelay, [this, it, generation = m_generation] {
+            std::vector<Approval> rows;
+            for (const auto& worker : it.workers) {
+                if (approved.count(worker))
+                    rows.push_back({ worker, "ticket" });
+            }
+            if (generation == m_generation)
+                scheduler->approvalAnswered(it.step, true, it.workers, rows, ticketLife, now);
+        });
+    }
 }
 
 void FleetWorld::takeover()
--- a/tests/cores/FleetWorld.h
+++ b/tests/cores/FleetWorld.h
@@ -56,6 +56,8 @@
     std::map<std::string, FakeExecutor> executors; // by id
     int startedRuns = 0;
     bool isStoreUp = true;
+    std::set<std::string> approved; // executors that the approval service lets through
+    int approvalCalls = 0;
 
     void submit(const WorkRequest& request);
     void cancel(const std::string& id);
