--- a/include/quay/core/OutlierEjection.h
+++ b/include/quay/core/OutlierEjection.h
@@ -11,6 +11,7 @@
 /** Settings of outlier ejection, for executors and for workers. */
 struct OutlierSettings {
     double minSamples = 8; // no verdict on fewer
+    unsigned failuresInRow = 3; // a verdict of their own, for servers that get little work
     double minFailureRate = 0.3; // never ejected below it
     double factorOfFleet = 1.5; // ejected above the fleet's failure rate times this
     double decayPerCheck = 0.9; // weight of older samples at each check
@@ -33,6 +34,7 @@
     HealthState state = HealthState::Healthy;
     double samples = 0;
     double failures = 0;
+    unsigned failuresInRow = 0; // since the last success; does not decay
     unsigned ejections = 0; // exponent of the next ejection's length
     Instant ejectedUntil;
 
--- a/src/core/OutlierEjection.cpp
+++ b/src/core/OutlierEjection.cpp
@@ -20,6 +20,19 @@
     return failureRate(failures, samples);
 }
 
+// Samples decay with time, so a server with little work never gathers enough of them. Failures without a success
+// between them count instead, unless so many servers have them that the work is to blame.
+bool failsWithoutSuccess(const OutlierState& state, const ServerHealth& health)
+{
+    constexpr std::size_t smallestMinority = 3; // at most one server in three fails by itself
+    const auto limit = state.settings.failuresInRow;
+    if (health.failuresInRow < limit)
+        return false;
+    const auto failing = static_cast<std::size_t>(std::ranges::count_if(
+        state.servers, [limit](const auto& item) { return item.second.failuresInRow >= limit; }));
+    return failing * smallestMinority <= state.servers.size();
+}
+
 // A server on probation has shown itself an outlier before, so the fleet's rate does not excuse it again.
 bool isOutlier(const OutlierSettings& settings, const ServerHealth& health, double fleetRate)
 {
@@ -39,6 +52,7 @@
     ++health.ejections;
     health.samples = 0;
     health.failures = 0;
+    health.failuresInRow = 0;
 }
 
 void endProbation(const OutlierSettings& settings, ServerHealth& health)
@@ -73,6 +87,7 @@
         return;
     found->second.samples += 1;
     found->second.failures += succeeded ? 0 : 1;
+    found->second.failuresInRow = succeeded ? 0 : found->second.failuresInRow + 1;
 }
 
 std::vector<HealthChange> checkOutliers(OutlierState& state, Instant now)
@@ -85,7 +100,8 @@
                 continue;
             health.state = HealthState::Probation;
             changes.push_back({ id, health.state });
-        } else if (isOutlier(state.settings, health, fleetRate) && mayEjectMore(state)) {
+        } else if ((isOutlier(state.settings, health, fleetRate) || failsWithoutSuccess(state, health))
+            && mayEjectMore(state)) {
             eject(state.settings, health, now);
             changes.push_back({ id, health.state });
         } else {
--- a/tests/cores/OutlierEjectionTest.cpp
+++ b/tests/cores/OutlierEjectionTest.cpp
@@ -55,6 +55,36 @@
     }
 }
 
+TEST_CASE("a server with little work is ejected after failures without a success between them")
+{
+    struct Row {
+        const char* name;
+        int failing; // of six servers
+        int failures; // one every ten seconds, far apart for the decay
+        bool succeedsBetween;
+        std::size_t ejected;
+    };
+    const Row rows[] = {
+        { "two failures", 1, 2, false, 0 },
+        { "three failures", 1, 3, false, 1 },
+        { "three failures with successes between", 1, 3, true, 0 },
+        { "a third of the fleet", 2, 3, false, 2 },
+        { "half of the fleet: the work is to blame", 3, 3, false, 0 },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.name);
+        auto state = fleetOf(6);
+        Instant now {};
+        for (int i = 0; i < row.failures; ++i) {
+            for (int server = 0; server < row.failing; ++server)
+                record(state, server, row.succeedsBetween ? 1 : 0, 1);
+            for (int second = 0; second < 10 && i + 1 < row.failures; ++second)
+                checkOutliers(state, now += 1s);
+        }
+        CHECK(checkOutliers(state, now += 1s).size() == row.ejected);
+    }
+}
+
 TEST_CASE("probation: few samples decide, and each further ejection lasts twice as long")
 {
     OutlierState state = fleetOf(4);
