A failed run counts against its worker; the known failure is mended

Cause of 'a worker that fails everything is avoided': ends 'failed' were not counted as failures of the worker, so the tally took each for a success. Ruled out: the decay of samples alone (mended before, test still failed). The test passed in 13 s (60 s and failure before).

--- a/src/core/JobLedgerRecovery.cpp
+++ b/src/core/JobLedgerRecovery.cpp
@@ -230,8 +230,11 @@
         return void(turn.actions.emplace_back(SendAck { event.worker, { ended.attempt } }));
     if (isUnrecorded(task, ended.attempt))
         adopt(turn, task, event.worker, ended.attempt);
-    if (isCurrent(task, event.worker, ended.attempt))
+    if (isCurrent(task, event.worker, ended.attempt)) {
+        if (!ended.ok)
+            ++turn.ledger.workers[event.worker].startFailures;
         settle(turn, task, ended.ok ? AttemptEnd::Well : AttemptEnd::Badly, ended.result);
+    }
     // The end of a gang member is recorded together with the others; the worker reports it again.
     if (showsOpen(task, event.worker, ended.attempt))
         return;
