--- a/daemons/quay-edge/main.cpp
+++ b/daemons/quay-edge/main.cpp
@@ -38,8 +38,8 @@
 int run(int argc, char** argv)
 {
     std::string path;
-    options::options_description description(
-        "quay-edge [--settings FILE]: the buckthornquay node of one edge VM on the users' platform.\nOptions");
+    options::options_description description("quay-edge [--settings FILE]: the buckthornquay node of one "
+                                             "edge VM on the users' platform.\nOptions");
     auto add = description.add_options();
     add("help", "show this text");
     add("check-config", "check the settings file and end");
@@ -58,7 +58,8 @@
         std::cout << path << " is valid\n";
         return 0;
     }
-    return quay::edge::runEdgeNode(*settings);
+    quay::edge::EdgeNode node(*settings);
+    return node.run();
 }
 
 } // namespace
--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -111,9 +111,9 @@
  * Decides what runs where on one cell of executors. Pure: no I/O, no clock, no thread; the same events at the
  * same times give the same actions.
  *
- * Every decision is first put into a commit. Its effects (starts, acknowledged ends, shown states) follow only
- * when committed() says that the commit is durable, so a successor that reads the records knows each executor
- * on which a task may be at work.
+ * Every decision is first put into a commit. Its effects (starts, acknowledged ends, shown states) follow
+ * only when committed() says that the commit is durable, so a successor that reads the records knows each
+ * executor on which a task may be at work.
  *
  * Usage: feed events, then `scheduler.pump(now, unixMs, actions)` and carry out the actions.
  */
@@ -138,12 +138,12 @@
     /** Its registration was removed. */
     void executorGone(const std::string& id, Instant now);
 
-    void startAnswered(
-        LifeId life, const TaskRef& task, int run, OrderResult result, Instant now);
+    void startAnswered(LifeId life, const TaskRef& task, int run, OrderResult result, Instant now);
     void stopAnswered(LifeId life, const TaskRef& task, int run, OrderResult result, Instant now);
-    void paceAnswered(LifeId life, const TaskRef& task, int run, int percent, OrderResult result, Instant now);
-    void holdAnswered(LifeId life, OrderResult result, const std::optional<ExecutorReport>& report, Instant sentAt,
-        Instant now);
+    void paceAnswered(
+        LifeId life, const TaskRef& task, int run, int percent, OrderResult result, Instant now);
+    void holdAnswered(LifeId life, OrderResult result, const std::optional<ExecutorReport>& report,
+        Instant sentAt, Instant now);
     void approvalAnswered(const std::string& step, bool isDecided, const std::vector<std::string>& asked,
         const std::vector<Approval>& approved, Duration ticketLife, Instant now);
     /** How many nodes can ask for approvals, one call at a time each. */
--- a/src/core/OutlierEjection.cpp
+++ b/src/core/OutlierEjection.cpp
@@ -20,8 +20,8 @@
     return failureRate(failures, samples);
 }
 
-// Samples decay with time, so a server with little work never gathers enough of them. Failures without a success
-// between them count instead, unless so many servers have them that the work is to blame.
+// Samples decay with time, so a server with little work never gathers enough of them. Failures without a
+// success between them count instead, unless so many servers have them that the work is to blame.
 bool failsWithoutSuccess(const OutlierState& state, const ServerHealth& health)
 {
     constexpr std::size_t smallestMinority = 3; // at most one server in three fails by itself
--- a/src/edge/ApprovalBroker.cpp
+++ b/src/edge/ApprovalBroker.cpp
@@ -32,8 +32,8 @@
     }));
 }
 
-void ApprovalBroker::ask(
-    const std::string& step, const std::vector<std::string>& workers, double expectedMs, Instant now, Done done)
+void ApprovalBroker::ask(const std::string& step, const std::vector<std::string>& workers, double expectedMs,
+    Instant now, Done done)
 {
     std::vector<Caller*> alive;
     for (auto& [node, caller] : m_callers) {
@@ -45,7 +45,9 @@
     const std::size_t reserved = alive.size() > 1 ? std::max<std::size_t>(1, alive.size() / 3) : 0;
     const std::size_t first = isLong ? reserved : 0;
     auto it = std::min_element(alive.begin() + static_cast<std::ptrdiff_t>(first), alive.end(),
-        [&](const Caller* a, const Caller* b) { return std::max(a->busyUntil, now) < std::max(b->busyUntil, now); });
+        [&](const Caller* a, const Caller* b) {
+            return std::max(a->busyUntil, now) < std::max(b->busyUntil, now);
+        });
     if (it == alive.end()) {
         done({});
         return;
--- a/src/edge/ApprovalBroker.h
+++ b/src/edge/ApprovalBroker.h
@@ -14,7 +14,8 @@
  * Spreads calls to the approval service over all nodes, since it takes one call at a time from each machine.
  * Long calls go to one part of the nodes so that short ones never wait behind them.
  *
- * Usage: `broker.ask("5c0e7a21d94b36f8.0.1", workers, 490, now, [](platform::ApprovalAnswer answer) { ... });`
+ * Usage: `broker.ask("5c0e7a21d94b36f8.0.1", workers, 490, now, [](platform::ApprovalAnswer answer) { ...
+ * });`
  */
 class ApprovalBroker {
 public:
@@ -29,7 +30,8 @@
     void callerSeen(const std::string& node, const std::string& address, Instant now);
     /** Nodes that can call now, this one among them. */
     int callers(Instant now) const;
-    void ask(const std::string& step, const std::vector<std::string>& workers, double expectedMs, Instant now, Done done);
+    void ask(const std::string& step, const std::vector<std::string>& workers, double expectedMs, Instant now,
+        Done done);
 
 private:
     struct Caller {
--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -72,7 +72,8 @@
     , m_gate(services.context, services.store, services.log)
     , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
     , m_refused(services.metrics.counter("quay_requests_refused_total", "Requests refused as not run"))
-    , m_acceptTime(services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
+    , m_acceptTime(
+          services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
 {
 }
 
@@ -105,8 +106,7 @@
 {
     m_services.log.write(why, call->id,
         { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
-            { "status", std::to_string(status) },
-            { "configuration", std::to_string(m_follower.version()) },
+            { "status", std::to_string(status) }, { "configuration", std::to_string(m_follower.version()) },
             { "ms", std::to_string(toMilliseconds(clockNow() - call->arrived)) } });
     HttpResponse response;
     response.status = status;
@@ -120,8 +120,7 @@
     auto response = errorResponse(Reason { kind, detail }, retryAfterMs);
     m_services.log.write("request_refused", call->id,
         { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
-            { "status", std::to_string(response.status) },
-            { "reason", Reason { kind, detail }.explain() },
+            { "status", std::to_string(response.status) }, { "reason", Reason { kind, detail }.explain() },
             { "configuration", std::to_string(m_follower.version()) },
             { "ms", std::to_string(toMilliseconds(clockNow() - call->arrived)) } });
     call->respond(std::move(response));
@@ -156,7 +155,8 @@
     if (team)
         call->team = team->name;
     if (!team && !queue->isPublic) {
-        answer(call, statusUnauthorized, "{\"error\":\"the key is missing or was withdrawn\"}", "key_unknown");
+        answer(
+            call, statusUnauthorized, "{\"error\":\"the key is missing or was withdrawn\"}", "key_unknown");
         return;
     }
     const auto& method = call->request.method;
@@ -221,8 +221,8 @@
     });
 }
 
-// The leader makes many jobs durable in one transaction. Without it the node writes the row itself: both write
-// under the condition that there is no such row.
+// The leader makes many jobs durable in one transaction. Without it the node writes the row itself: both
+// write under the condition that there is no such row.
 void CallerFront::handedToLeader(const CallPointer& call, AcceptOutcome outcome)
 {
     switch (outcome) {
@@ -230,7 +230,8 @@
         acknowledge(call);
         break;
     case AcceptOutcome::Conflict:
-        refuse(call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
+        refuse(
+            call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
         break;
     case AcceptOutcome::Unknown:
         call->mayBeWritten = true;
@@ -266,13 +267,15 @@
             accepted(call);
             return;
         }
-        refuse(call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
+        refuse(
+            call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
         return;
     }
     const auto now = clockNow();
     if (result.outcome == StoreOutcome::Unknown)
         call->mayBeWritten = true;
-    const auto last = call->mayBeWritten ? call->deadline : std::min(call->deadline, call->arrived + refuseAfter);
+    const auto last
+        = call->mayBeWritten ? call->deadline : std::min(call->deadline, call->arrived + refuseAfter);
     if (now + writeRetry < last) {
         after(writeRetry, [this, call] { writeJob(call); });
         return;
@@ -327,53 +330,56 @@
 {
     if (refusedAtGate(call))
         return;
-    m_services.store.readFrom(jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
-        if (result.outcome != StoreOutcome::Ok) {
-            if (clockNow() + writeRetry + stateTimeout < call->deadline)
-                after(writeRetry, [this, call] { showFromStore(call); });
+    m_services.store.readFrom(
+        jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
+            if (result.outcome != StoreOutcome::Ok) {
+                if (clockNow() + writeRetry + stateTimeout < call->deadline)
+                    after(writeRetry, [this, call] { showFromStore(call); });
+                else
+                    refuse(call, ErrorKind::StoreUnavailable, result.detail);
+                return;
+            }
+            bool isKnown = false;
+            bool isCancelled = false;
+            for (const auto& row : result.rows) {
+                isKnown = isKnown || row.key == call->id;
+                isCancelled = isCancelled || row.key == call->id + cancellationSuffix;
+            }
+            if (!isKnown)
+                answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
+            else if (isCancelled)
+                answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "state_shown");
             else
-                refuse(call, ErrorKind::StoreUnavailable, result.detail);
-            return;
-        }
-        bool isKnown = false;
-        bool isCancelled = false;
-        for (const auto& row : result.rows) {
-            isKnown = isKnown || row.key == call->id;
-            isCancelled = isCancelled || row.key == call->id + cancellationSuffix;
-        }
-        if (!isKnown)
-            answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
-        else if (isCancelled)
-            answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "state_shown");
-        else
-            showRecord(call);
-    }));
+                showRecord(call);
+        }));
 }
 
 void CallerFront::showRecord(const CallPointer& call)
 {
-    m_services.store.readRow(recordTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
-        if (result.outcome != StoreOutcome::Ok) {
-            refuse(call, ErrorKind::StoreUnavailable, result.detail);
-            return;
-        }
-        auto phase = JobPhase::Queued;
-        Reason reason;
-        if (!result.rows.empty()) {
-            const auto record = decodeJobRecord(result.rows.front().value, reason);
-            if (!record) {
-                refuse(call, ErrorKind::StoreUnavailable, reason.detail);
+    m_services.store.readRow(recordTable, cellPartition, call->id, m_gate.timeout(),
+        heard([this, call](const StoreResult& result) {
+            if (result.outcome != StoreOutcome::Ok) {
+                refuse(call, ErrorKind::StoreUnavailable, result.detail);
                 return;
             }
-            phase = record->phase;
-        }
-        answer(call, statusAccepted, encodeState(phase), "state_shown");
-    }));
+            auto phase = JobPhase::Queued;
+            Reason reason;
+            if (!result.rows.empty()) {
+                const auto record = decodeJobRecord(result.rows.front().value, reason);
+                if (!record) {
+                    refuse(call, ErrorKind::StoreUnavailable, reason.detail);
+                    return;
+                }
+                phase = record->phase;
+            }
+            answer(call, statusAccepted, encodeState(phase), "state_shown");
+        }));
 }
 
 void CallerFront::cancel(const CallPointer& call)
 {
-    if (const auto* leader = m_election.leader(); leader && leader->isLoaded() && leader->shownPhase(call->id)) {
+    if (const auto* leader = m_election.leader();
+        leader && leader->isLoaded() && leader->shownPhase(call->id)) {
         writeCancel(call);
         return;
     }
@@ -399,7 +405,8 @@
     if (refusedAtGate(call))
         return;
     StoreTransaction transaction;
-    transaction.puts.push_back({ jobTable, cellPartition, call->id + cancellationSuffix, "cancelled", 0, false });
+    transaction.puts.push_back(
+        { jobTable, cellPartition, call->id + cancellationSuffix, "cancelled", 0, false });
     m_services.store.transact(transaction, m_gate.timeout(), heard([this, call](const StoreResult& result) {
         if (result.outcome == StoreOutcome::Ok) {
             answer(call, statusAccepted, encodeState(JobPhase::Cancelled), "cancel_accepted");
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -15,11 +15,13 @@
  * Serves callers: takes jobs in, shows their state, cancels them, counts those that have not begun.
  * A job is durable in the store before it is answered; the scheduler is told afterwards.
  *
- * Usage: `CallerFront front(services, peers, follower, election); server handler = [&](auto r, auto a) { front.serve(r, a); }`
+ * Usage: `CallerFront front(services, peers, follower, election); server handler = [&](auto r, auto a) {
+ * front.serve(r, a); }`
  */
 class CallerFront {
 public:
-    CallerFront(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election);
+    CallerFront(
+        EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election);
 
     void serve(HttpRequest request, Respond respond);
 
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -43,8 +43,8 @@
 
 } // namespace
 
-CellLeader::CellLeader(EdgeServices services, const SchedulerBounds& bounds, LeadRecord lead, std::int64_t version,
-    std::function<void()> deposed)
+CellLeader::CellLeader(EdgeServices services, const SchedulerBounds& bounds, LeadRecord lead,
+    std::int64_t version, std::function<void()> deposed)
     : m_services(services)
     , m_scheduler(bounds, clockNow())
     , m_lead(std::move(lead))
@@ -57,8 +57,10 @@
     , m_starts(services.metrics.counter("quay_start_orders_total", "Orders to start a task"))
     , m_commits(services.metrics.counter("quay_commits_total", "Durable commits of the scheduler"))
     , m_commitTime(services.metrics.histogram("quay_commit_seconds", "From sending a commit to its answer"))
-    , m_startTime(services.metrics.histogram("quay_start_order_seconds", "From sending a start to its answer"))
-    , m_approvalTime(services.metrics.histogram("quay_approval_seconds", "From asking for approval to its answer"))
+    , m_startTime(
+          services.metrics.histogram("quay_start_order_seconds", "From sending a start to its answer"))
+    , m_approvalTime(
+          services.metrics.histogram("quay_approval_seconds", "From asking for approval to its answer"))
 {
 }
 
@@ -93,14 +95,15 @@
 void CellLeader::after(Duration delay, std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_services.context, delay);
-    timer->async_wait([self = shared_from_this(), timer, action = std::move(action)](boost::system::error_code ec) {
-        if (!ec && !self->m_isStopped)
-            action();
-    });
+    timer->async_wait(
+        [self = shared_from_this(), timer, action = std::move(action)](boost::system::error_code ec) {
+            if (!ec && !self->m_isStopped)
+                action();
+        });
 }
 
-// Reads a partition whole, page by page, until it succeeds. `done` gets the version of the first page: changes
-// after it may be missing from that page and come with the feed.
+// Reads a partition whole, page by page, until it succeeds. `done` gets the version of the first page:
+// changes after it may be missing from that page and come with the feed.
 void CellLeader::readTable(const std::string& table, const std::string& partition, const std::string& from,
     std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done, std::int64_t firstVersion)
 {
@@ -110,9 +113,10 @@
             if (self->m_isStopped)
                 return;
             if (result.outcome != StoreOutcome::Ok) {
-                self->m_services.log.write("read_failed", {}, { { "table", table }, { "reason", result.detail } });
-                self->after(
-                    readRetry, [self, table, partition, from, rows, done = std::move(done), firstVersion]() mutable {
+                self->m_services.log.write(
+                    "read_failed", {}, { { "table", table }, { "reason", result.detail } });
+                self->after(readRetry,
+                    [self, table, partition, from, rows, done = std::move(done), firstVersion]() mutable {
                         self->readTable(table, partition, from, rows, std::move(done), firstVersion);
                     });
                 return;
@@ -122,7 +126,8 @@
             rows->insert(rows->end(), result.rows.begin(), result.rows.end());
             if (result.hasMore && !result.rows.empty())
                 // The smallest key after the last one read.
-                self->readTable(table, partition, result.rows.back().key + '\x01', rows, std::move(done), firstVersion);
+                self->readTable(
+                    table, partition, result.rows.back().key + '\x01', rows, std::move(done), firstVersion);
             else
                 done(firstVersion);
         });
@@ -172,7 +177,8 @@
         takeJobRow(row);
     m_services.log.write("scheduler_loaded", {},
         { { "fence", std::to_string(m_fence) }, { "jobs", std::to_string(m_loadedJobs->size()) },
-            { "records", std::to_string(records.size()) }, { "executors", std::to_string(m_listed.size()) } });
+            { "records", std::to_string(records.size()) },
+            { "executors", std::to_string(m_listed.size()) } });
     m_loadedJobs = m_loadedRecords = m_loadedExecutors = nullptr;
     m_isLoaded = true;
     followExecutors();
@@ -232,7 +238,8 @@
     Reason reason;
     const auto entry = decodeExecutorEntry(row.key, row.value, reason);
     if (!entry) {
-        m_services.log.write("executor_unreadable", {}, { { "executor", row.key }, { "reason", reason.detail } });
+        m_services.log.write(
+            "executor_unreadable", {}, { { "executor", row.key }, { "reason", reason.detail } });
         if (m_listed.erase(row.key))
             m_scheduler.executorGone(row.key, now);
         return;
@@ -243,8 +250,8 @@
 
 void CellLeader::followExecutors()
 {
-    m_services.store.changes(std::string(executorTable), m_executorsSeen, executorsWait, executorsWait + holdSpare,
-        [self = shared_from_this()](StoreResult result) {
+    m_services.store.changes(std::string(executorTable), m_executorsSeen, executorsWait,
+        executorsWait + holdSpare, [self = shared_from_this()](StoreResult result) {
             if (self->m_isStopped)
                 return;
             if (result.outcome == StoreOutcome::HistoryGone) {
@@ -264,40 +271,42 @@
 void CellLeader::rereadExecutors()
 {
     auto rows = std::make_shared<Rows>();
-    readTable(std::string(executorTable), {}, {}, rows, [self = shared_from_this(), rows](std::int64_t version) {
-        auto missing = self->m_listed;
-        for (const auto& row : *rows) {
-            missing.erase(row.key);
-            self->takeExecutorRow(row);
-        }
-        for (const auto& id : missing) {
-            self->m_listed.erase(id);
-            self->m_scheduler.executorGone(id, clockNow());
-        }
-        self->m_executorsSeen = version;
-        self->pumpSoon();
-        self->after(executorsPause, [self] { self->followExecutors(); });
-    });
+    readTable(
+        std::string(executorTable), {}, {}, rows, [self = shared_from_this(), rows](std::int64_t version) {
+            auto missing = self->m_listed;
+            for (const auto& row : *rows) {
+                missing.erase(row.key);
+                self->takeExecutorRow(row);
+            }
+            for (const auto& id : missing) {
+                self->m_listed.erase(id);
+                self->m_scheduler.executorGone(id, clockNow());
+            }
+            self->m_executorsSeen = version;
+            self->pumpSoon();
+            self->after(executorsPause, [self] { self->followExecutors(); });
+        });
 }
 
 void CellLeader::followJobs()
 {
-    m_services.store.changes(jobTable, m_jobsSeen, {}, readTimeout, [self = shared_from_this()](StoreResult result) {
-        if (self->m_isStopped)
-            return;
-        if (result.outcome == StoreOutcome::HistoryGone) {
-            self->rereadJobs();
-            return;
-        }
-        if (result.outcome == StoreOutcome::Ok) {
-            for (const auto& row : result.rows)
-                self->takeJobRow(row);
-            if (!result.rows.empty())
-                self->pumpSoon();
-            self->m_jobsSeen = std::max(self->m_jobsSeen, result.version);
-        }
-        self->after(jobsPause, [self] { self->followJobs(); });
-    });
+    m_services.store.changes(
+        jobTable, m_jobsSeen, {}, readTimeout, [self = shared_from_this()](StoreResult result) {
+            if (self->m_isStopped)
+                return;
+            if (result.outcome == StoreOutcome::HistoryGone) {
+                self->rereadJobs();
+                return;
+            }
+            if (result.outcome == StoreOutcome::Ok) {
+                for (const auto& row : result.rows)
+                    self->takeJobRow(row);
+                if (!result.rows.empty())
+                    self->pumpSoon();
+                self->m_jobsSeen = std::max(self->m_jobsSeen, result.version);
+            }
+            self->after(jobsPause, [self] { self->followJobs(); });
+        });
 }
 
 void CellLeader::rereadJobs()
@@ -383,7 +392,8 @@
     const StartOrder order { action.task, action.run, action.payload, action.checkpoint, action.ticket,
         action.leaseUntilClockMs };
     m_services.log.write("start_sent", action.task.job,
-        { { "task", text(action.task) }, { "run", std::to_string(action.run) }, { "executor", action.executor } });
+        { { "task", text(action.task) }, { "run", std::to_string(action.run) },
+            { "executor", action.executor } });
     m_services.executors.start(target(action.address, action.executor), order, orderTimeout,
         [self = shared_from_this(), life = action.life, task = action.task, run = action.run, sentAt,
             executor = action.executor](OrderAnswer answer) {
@@ -399,7 +409,8 @@
 void CellLeader::sendStop(const StopAction& action)
 {
     m_services.log.write("stop_sent", action.task.job,
-        { { "task", text(action.task) }, { "run", std::to_string(action.run) }, { "executor", action.executor } });
+        { { "task", text(action.task) }, { "run", std::to_string(action.run) },
+            { "executor", action.executor } });
     m_services.executors.stop(target(action.address, action.executor), action.task, action.run, orderTimeout,
         [self = shared_from_this(), life = action.life, task = action.task, run = action.run,
             executor = action.executor](OrderAnswer answer) {
@@ -413,8 +424,8 @@
 
 void CellLeader::sendPace(const PaceAction& action)
 {
-    m_services.executors.pace(target(action.address, action.executor), action.task, action.run, action.percent,
-        orderTimeout,
+    m_services.executors.pace(target(action.address, action.executor), action.task, action.run,
+        action.percent, orderTimeout,
         [self = shared_from_this(), life = action.life, task = action.task, run = action.run,
             percent = action.percent, executor = action.executor](OrderAnswer answer) {
             if (self->m_isStopped)
@@ -427,9 +438,10 @@
 void CellLeader::sendHold(const HoldAction& action)
 {
     const auto sentAt = clockNow();
-    m_services.executors.hold(target(action.address, action.executor), action.acknowledged, action.leaseUntilClockMs,
-        action.wait, action.wait + holdSpare,
-        [self = shared_from_this(), life = action.life, sentAt, executor = action.executor](HoldAnswer answer) {
+    m_services.executors.hold(target(action.address, action.executor), action.acknowledged,
+        action.leaseUntilClockMs, action.wait, action.wait + holdSpare,
+        [self = shared_from_this(), life = action.life, sentAt, executor = action.executor](
+            HoldAnswer answer) {
             if (self->m_isStopped)
                 return;
             self->checkFence(answer.order.result, executor);
@@ -442,7 +454,8 @@
 {
     const auto sentAt = clockNow();
     m_services.approvals.ask(action.step, action.workers, action.expectedMs, sentAt,
-        [self = shared_from_this(), step = action.step, workers = action.workers, sentAt](ApprovalAnswer answer) {
+        [self = shared_from_this(), step = action.step, workers = action.workers, sentAt](
+            ApprovalAnswer answer) {
             if (self->m_isStopped)
                 return;
             const auto now = clockNow();
@@ -466,8 +479,8 @@
     }
     m_commit = std::move(action);
     ++m_lead.sequence;
-    m_commitTimeout
-        = std::clamp<Duration>(m_lastCommitTime * commitTimeoutFactor, commitTimeoutFirst, commitTimeoutLongest);
+    m_commitTimeout = std::clamp<Duration>(
+        m_lastCommitTime * commitTimeoutFactor, commitTimeoutFirst, commitTimeoutLongest);
     takeAccepts();
     sendCommit();
 }
@@ -487,7 +500,8 @@
 
 void CellLeader::accept(const StoredJob& job, Accepted done)
 {
-    if (!m_isLoaded || m_isStopped || m_isGivingUp || !isUsable(clockNow()) || m_accepts.size() >= maxWaitingAccepts) {
+    if (!m_isLoaded || m_isStopped || m_isGivingUp || !isUsable(clockNow())
+        || m_accepts.size() >= maxWaitingAccepts) {
         done(AcceptOutcome::NotWritten);
         return;
     }
@@ -508,11 +522,12 @@
         it(outcome);
 }
 
-// The same job handed in again while its first hand-in is open shares the answer; another one under its id waits
-// for the row.
+// The same job handed in again while its first hand-in is open shares the answer; another one under its id
+// waits for the row.
 bool CellLeader::join(std::vector<Accept>& accepts, const StoredJob& job, Accepted& done)
 {
-    auto it = std::find_if(accepts.begin(), accepts.end(), [&](const Accept& other) { return other.job.id == job.id; });
+    auto it = std::find_if(
+        accepts.begin(), accepts.end(), [&](const Accept& other) { return other.job.id == job.id; });
     if (it == accepts.end())
         return false;
     if (it->job == job)
@@ -525,8 +540,8 @@
 // A job of the commit in hand has a row already: written by a node itself, or by an attempt of ours.
 void CellLeader::settleExisting(const StoreRow& row)
 {
-    auto it = std::find_if(
-        m_committing.begin(), m_committing.end(), [&](const Accept& accept) { return accept.job.id == row.key; });
+    auto it = std::find_if(m_committing.begin(), m_committing.end(),
+        [&](const Accept& accept) { return accept.job.id == row.key; });
     if (it == m_committing.end())
         return;
     auto accept = std::move(*it);
@@ -572,10 +587,11 @@
         transaction.puts.push_back({ jobTable, cellPartition, it.job.id, encode(it.job), 0, false });
     }
     const auto sentAt = clockNow();
-    m_services.store.transact(transaction, m_commitTimeout, [self = shared_from_this(), sentAt](StoreResult result) {
-        if (!self->m_isStopped)
-            self->commitAnswered(result, sentAt);
-    });
+    m_services.store.transact(
+        transaction, m_commitTimeout, [self = shared_from_this(), sentAt](StoreResult result) {
+            if (!self->m_isStopped)
+                self->commitAnswered(result, sentAt);
+        });
 }
 
 void CellLeader::commitAnswered(const StoreResult& result, Instant sentAt)
@@ -595,7 +611,8 @@
             }
         }
         if (!lead || lead->incarnation != m_lead.incarnation) {
-            depose(lead ? "node " + lead->node + " has taken the leadership row" : "the leadership row is gone");
+            depose(
+                lead ? "node " + lead->node + " has taken the leadership row" : "the leadership row is gone");
             return;
         }
         if (lead->sequence == m_lead.sequence) { // an earlier attempt was carried out
@@ -670,7 +687,8 @@
     if (m_isStopped)
         return;
     stop();
-    m_services.log.write("leadership_lost", {}, { { "fence", std::to_string(m_fence) }, { "reason", std::string(why) } });
+    m_services.log.write(
+        "leadership_lost", {}, { { "fence", std::to_string(m_fence) }, { "reason", std::string(why) } });
     boost::asio::post(m_services.context, m_deposed);
 }
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -27,16 +27,17 @@
 };
 
 /**
- * The scheduler of the cell while this node leads it: reads what is durable, feeds the scheduler, carries out what
- * it decides. It ends when another node has taken the leadership row.
+ * The scheduler of the cell while this node leads it: reads what is durable, feeds the scheduler, carries out
+ * what it decides. It ends when another node has taken the leadership row.
  *
- * Usage: `auto leader = std::make_shared<CellLeader>(services, bounds, lead, version, deposed); leader->begin(...);`
+ * Usage: `auto leader = std::make_shared<CellLeader>(services, bounds, lead, version, deposed);
+ * leader->begin(...);`
  */
 class CellLeader : public std::enable_shared_from_this<CellLeader> {
 public:
     /** `lead` and `version`: the leadership row as we wrote it; the version is our fencing token. */
-    CellLeader(EdgeServices services, const fleet::SchedulerBounds& bounds, LeadRecord lead, std::int64_t version,
-        std::function<void()> deposed);
+    CellLeader(EdgeServices services, const fleet::SchedulerBounds& bounds, LeadRecord lead,
+        std::int64_t version, std::function<void()> deposed);
 
     void begin(const fleet::FleetConfiguration& configuration);
     void configure(const fleet::FleetConfiguration& configuration);
@@ -52,7 +53,10 @@
     bool isLoaded() const { return m_isLoaded; }
     /** False if the store has not taken a commit for some time. */
     bool isUsable(Instant now) const;
-    std::optional<fleet::JobPhase> shownPhase(const std::string& id) const { return m_scheduler.shownPhase(id); }
+    std::optional<fleet::JobPhase> shownPhase(const std::string& id) const
+    {
+        return m_scheduler.shownPhase(id);
+    }
     std::string teamOf(const std::string& id) const { return m_scheduler.teamOf(id); }
     std::map<std::string, std::int64_t> pending() const;
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
--- a/src/edge/ConfigurationFollower.cpp
+++ b/src/edge/ConfigurationFollower.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr auto pollWait = 1400ms; // under the 2 s in which a version must be in force, with room for one retry
+constexpr auto pollWait
+    = 1400ms; // under the 2 s in which a version must be in force, with room for one retry
 constexpr auto pollTimeout = pollWait + 400ms;
 constexpr auto readTimeout = 800ms;
 constexpr auto retryPause = 120ms;
@@ -39,7 +40,8 @@
     const auto now = std::chrono::steady_clock::now();
     if (ok) {
         if (m_failures >= failuresUntilLost)
-            m_log.write("store_regained", {}, { { "outage_ms", std::to_string(toMilliseconds(now - m_lostAt)) } });
+            m_log.write(
+                "store_regained", {}, { { "outage_ms", std::to_string(toMilliseconds(now - m_lostAt)) } });
         m_failures = 0;
         m_lastAnswer = now;
         return;
@@ -52,20 +54,21 @@
 
 void ConfigurationFollower::readAll()
 {
-    m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout, [this](StoreResult result) {
-        heard(result.outcome == StoreOutcome::Ok, result.detail);
-        if (result.outcome != StoreOutcome::Ok) {
-            retryLater(true);
-            return;
-        }
-        for (const auto& row : result.rows)
-            apply(row);
-        m_seen = result.version;
-        if (m_current)
-            follow();
-        else
-            retryLater(true);
-    });
+    m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout,
+        [this](StoreResult result) {
+            heard(result.outcome == StoreOutcome::Ok, result.detail);
+            if (result.outcome != StoreOutcome::Ok) {
+                retryLater(true);
+                return;
+            }
+            for (const auto& row : result.rows)
+                apply(row);
+            m_seen = result.version;
+            if (m_current)
+                follow();
+            else
+                retryLater(true);
+        });
 }
 
 void ConfigurationFollower::refresh()
@@ -73,17 +76,19 @@
     if (m_isRefreshing)
         return;
     m_isRefreshing = true;
-    m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout, [this](StoreResult result) {
-        m_isRefreshing = false;
-        for (const auto& row : result.rows)
-            apply(row);
-    });
+    m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout,
+        [this](StoreResult result) {
+            m_isRefreshing = false;
+            for (const auto& row : result.rows)
+                apply(row);
+        });
 }
 
 void ConfigurationFollower::follow()
 {
     m_store.changes(std::string(operatorTable), m_seen, pollWait, pollTimeout, [this](StoreResult result) {
-        const bool isAnswered = result.outcome == StoreOutcome::Ok || result.outcome == StoreOutcome::HistoryGone;
+        const bool isAnswered
+            = result.outcome == StoreOutcome::Ok || result.outcome == StoreOutcome::HistoryGone;
         heard(isAnswered, result.detail);
         if (result.outcome == StoreOutcome::HistoryGone) {
             readAll();
@@ -127,7 +132,8 @@
         return;
     m_current = std::make_shared<const fleet::FleetConfiguration>(std::move(*configuration));
     m_log.write("configuration_in_force", {},
-        { { "version", std::to_string(m_current->version) }, { "queues", std::to_string(m_current->queues.size()) },
+        { { "version", std::to_string(m_current->version) },
+            { "queues", std::to_string(m_current->queues.size()) },
             { "teams", std::to_string(m_current->teams.size()) } });
     m_changed(*m_current);
 }
--- a/src/edge/ConfigurationFollower.h
+++ b/src/edge/ConfigurationFollower.h
@@ -13,7 +13,8 @@
 /**
  * Follows the operator's configuration in the store by long polls, and so knows whether the store answers.
  *
- * Usage: `ConfigurationFollower follower(io, store, log, [](const auto& configuration) { ... }); follower.start();`
+ * Usage: `ConfigurationFollower follower(io, store, log, [](const auto& configuration) { ... });
+ * follower.start();`
  */
 class ConfigurationFollower {
 public:
--- a/src/edge/DecisionLog.cpp
+++ b/src/edge/DecisionLog.cpp
@@ -43,8 +43,9 @@
     const auto now = std::chrono::steady_clock::now();
     if (now - rate.windowStart >= 1s) {
         if (rate.omitted > 0)
-            push("{\"unix_ms\":" + stamp() + ",\"node\":\"" + m_node + "\",\"event\":\"lines_omitted\",\"of\":\""
-                + std::string(event) + "\",\"count\":" + std::to_string(rate.omitted) + "}\n");
+            push("{\"unix_ms\":" + stamp() + ",\"node\":\"" + m_node
+                + "\",\"event\":\"lines_omitted\",\"of\":\"" + std::string(event)
+                + "\",\"count\":" + std::to_string(rate.omitted) + "}\n");
         rate = Rate { now, 0, 0 };
     }
     if (++rate.count <= linesPerSecond)
@@ -59,7 +60,8 @@
     m_ring.tryPush(std::move(line)); // a full ring counts what it refuses
 }
 
-void DecisionLog::write(std::string_view event, const std::string& request, std::initializer_list<LogField> fields)
+void DecisionLog::write(
+    std::string_view event, const std::string& request, std::initializer_list<LogField> fields)
 {
     if (!admit(event))
         return;
@@ -88,7 +90,8 @@
             any = true;
         }
         if (const auto refused = m_ring.refusedCount(); refused > reported) {
-            std::fprintf(stdout, "{\"event\":\"lines_omitted\",\"of\":\"all\",\"count\":%zu}\n", refused - reported);
+            std::fprintf(
+                stdout, "{\"event\":\"lines_omitted\",\"of\":\"all\",\"count\":%zu}\n", refused - reported);
             reported = refused;
         }
         if (any)
--- a/src/edge/DecisionLog.h
+++ b/src/edge/DecisionLog.h
@@ -17,8 +17,9 @@
 using LogField = std::pair<std::string_view, std::string>;
 
 /**
- * Writes one JSON object a line to standard output from a thread of its own. It never blocks its callers: a line
- * that finds the ring full, or its event over its rate, is left out and counted; the count is written later.
+ * Writes one JSON object a line to standard output from a thread of its own. It never blocks its callers: a
+ * line that finds the ring full, or its event over its rate, is left out and counted; the count is written
+ * later.
  *
  * Usage: `log.write("job_accepted", jobId, { { "team", team } });`
  */
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -2,6 +2,7 @@
 
 #include "edge/CallerFront.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 #include <csignal>
@@ -21,9 +22,10 @@
 constexpr auto graceSpare = 700ms; // before the platform kills the process
 constexpr std::uint16_t metricsOffset = 1; // from the first peer port
 
-class EdgeNode {
-public:
-    explicit EdgeNode(const NodeSettings& settings)
+} // namespace
+
+struct EdgeNode::Impl {
+    explicit Impl(const NodeSettings& settings)
         : m_settings(settings)
         , m_log(settings.node)
         , m_store(m_context, settings.storeAddress)
@@ -31,17 +33,21 @@
         , m_approvalClient(m_context, settings.approvalAddress)
         , m_peers(m_context)
         , m_approvals(m_approvalClient,
-              [this](const std::string& address, const std::string& step, const std::vector<std::string>& workers,
-                  Duration timeout, ApprovalBroker::Done done) {
+              [this](const std::string& address, const std::string& step,
+                  const std::vector<std::string>& workers, Duration timeout, ApprovalBroker::Done done) {
                   m_peers.approve(address, step, workers, timeout, std::move(done));
               })
         , m_services { m_context, m_store, m_executors, m_approvals, m_log, m_metrics }
         , m_follower(m_context, m_store, m_log,
-              [this](const fleet::FleetConfiguration& configuration) { m_election.configurationChanged(configuration); })
+              [this](const fleet::FleetConfiguration& configuration) {
+                  m_election.configurationChanged(configuration);
+              })
         , m_election(m_services, m_peers, m_follower, identity(settings), boundsOf(settings))
         , m_front(m_services, m_peers, m_follower, m_election)
         , m_callers(m_context, settings.callerAddress, limits(),
-              [this](HttpRequest request, Respond respond) { m_front.serve(std::move(request), std::move(respond)); })
+              [this](HttpRequest request, Respond respond) {
+                  m_front.serve(std::move(request), std::move(respond));
+              })
         , m_readiness(m_context, settings.readinessAddress, limits(),
               [this](const HttpRequest&, const Respond& respond) { answerReadiness(respond); })
         , m_peerServer(m_context, peerAddress(settings), limits(),
@@ -68,10 +74,12 @@
             [this] { return static_cast<double>(m_log.bytesWritten()); });
         m_metrics.gauge("quay_leads", "1 while this node schedules the cell",
             [this] { return m_election.leader() ? 1.0 : 0.0; });
-        m_metrics.gauge("quay_runs", "Runs recorded, starting, at work or stopping",
-            [this] { return m_election.leader() ? static_cast<double>(m_election.leader()->counts().runs) : 0.0; });
+        m_metrics.gauge("quay_runs", "Runs recorded, starting, at work or stopping", [this] {
+            return m_election.leader() ? static_cast<double>(m_election.leader()->counts().runs) : 0.0;
+        });
         m_metrics.gauge("quay_waiting_tasks", "Tasks whose turn has come and that wait for room", [this] {
-            return m_election.leader() ? static_cast<double>(m_election.leader()->counts().waitingTasks) : 0.0;
+            return m_election.leader() ? static_cast<double>(m_election.leader()->counts().waitingTasks)
+                                       : 0.0;
         });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
             if (!ec)
@@ -79,8 +87,9 @@
         });
         waitForHangup();
         m_approvals.callerSeen(m_settings.node, {}, std::chrono::steady_clock::now());
-        m_log.write("node_started", {}, { { "zone", m_settings.zone }, { "callers", m_settings.callerAddress },
-                                            { "store", m_settings.storeAddress } });
+        m_log.write("node_started", {},
+            { { "zone", m_settings.zone }, { "callers", m_settings.callerAddress },
+                { "store", m_settings.storeAddress } });
         m_callers.start();
         m_readiness.start();
         m_peerServer.start();
@@ -92,7 +101,6 @@
         return 0;
     }
 
-private:
     static HttpLimits limits()
     {
         HttpLimits limits;
@@ -187,7 +195,8 @@
             response.body = "{}";
         } else if (path == statePath && leader && leader->isLoaded()) {
             const auto phase = leader->shownPhase(textOf("id"));
-            response.body = json::serialize(json::object { { "phase", phase ? static_cast<int>(*phase) : -1 } });
+            response.body
+                = json::serialize(json::object { { "phase", phase ? static_cast<int>(*phase) : -1 } });
         } else {
             response.status = 409;
         }
@@ -277,13 +286,24 @@
     Instant m_drainStarted;
 };
 
-} // namespace
+EdgeNode::EdgeNode(const NodeSettings& settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+EdgeNode::~EdgeNode() = default;
 
-int runEdgeNode(const NodeSettings& settings)
+int EdgeNode::run()
 {
     std::signal(SIGPIPE, SIG_IGN); // NOLINT: a closed connection is an error code, not an end
-    EdgeNode node(settings);
-    return node.run();
+    return m_impl->run();
+}
+
+void EdgeNode::drain()
+{
+    asio::post(m_impl->m_context, [this] { m_impl->drain(); });
 }
 
+void EdgeNode::halt() { m_impl->m_context.stop(); }
+
 } // namespace quay::edge
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-Election::Election(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Identity identity,
-    const fleet::SchedulerBounds& bounds)
+Election::Election(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower,
+    Identity identity, const fleet::SchedulerBounds& bounds)
     : m_services(services)
     , m_peers(peers)
     , m_follower(follower)
@@ -65,7 +65,8 @@
         return;
     if (greeting.isAnswered && greeting.isLeader && greeting.isUsable) {
         if (!m_isLeaderUp)
-            m_services.log.write("leader_found", {}, { { "leader", m_known.node }, { "address", m_known.address } });
+            m_services.log.write(
+                "leader_found", {}, { { "leader", m_known.node }, { "address", m_known.address } });
         m_isLeaderUp = true;
         m_missed = 0;
         m_pending = greeting.pending;
@@ -80,7 +81,8 @@
     if (m_isLeaderUp)
         m_services.log.write("leader_missed", {},
             { { "leader", m_known.node }, { "answered", greeting.isAnswered ? "yes" : "no" },
-                { "leads", greeting.isLeader ? "yes" : "no" }, { "usable", greeting.isUsable ? "yes" : "no" } });
+                { "leads", greeting.isLeader ? "yes" : "no" },
+                { "usable", greeting.isUsable ? "yes" : "no" } });
     m_isLeaderUp = false;
     examine();
 }
@@ -112,7 +114,8 @@
     Reason reason;
     const auto lead = decodeLeadRecord(row.value, reason);
     const bool isVacant = !lead || lead->node.empty();
-    const bool isOwnPast = lead && lead->node == m_identity.node && lead->incarnation != m_identity.incarnation;
+    const bool isOwnPast
+        = lead && lead->node == m_identity.node && lead->incarnation != m_identity.incarnation;
     if (isVacant || isOwnPast) {
         m_isLeaderUp = false;
         if (mayLead)
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -12,8 +12,9 @@
 /**
  * Finds the cell's leader, greets it, and takes its place when it is silent.
  *
- * A leader rewrites the leadership row with each commit. Who wants its place writes the row under the condition
- * that it has not changed for some time: a leader at work can't be replaced, whatever its peers see of it.
+ * A leader rewrites the leadership row with each commit. Who wants its place writes the row under the
+ * condition that it has not changed for some time: a leader at work can't be replaced, whatever its peers see
+ * of it.
  *
  * Usage: `Election election(services, peers, follower, identity, bounds); election.start();`
  */
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -10,8 +10,8 @@
 
 std::string encode(const StoredJob& job)
 {
-    return json::serialize(
-        json::object { { "id", job.id }, { "queue", job.queue }, { "team", job.team }, { "body", job.body } });
+    return json::serialize(json::object {
+        { "id", job.id }, { "queue", job.queue }, { "team", job.team }, { "body", job.body } });
 }
 
 std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason)
@@ -19,8 +19,9 @@
     try {
         const auto value = json::parse(bytes);
         const auto& object = value.as_object();
-        return StoredJob { std::string(object.at("id").as_string()), std::string(object.at("queue").as_string()),
-            std::string(object.at("team").as_string()), std::string(object.at("body").as_string()) };
+        return StoredJob { std::string(object.at("id").as_string()),
+            std::string(object.at("queue").as_string()), std::string(object.at("team").as_string()),
+            std::string(object.at("body").as_string()) };
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("stored job: ") + error.what());
     }
@@ -48,8 +49,10 @@
     try {
         const auto value = json::parse(bytes);
         const auto& object = value.as_object();
-        return LeadRecord { std::string(object.at("node").as_string()), std::string(object.at("address").as_string()),
-            object.at("incarnation").to_number<std::uint64_t>(), object.at("sequence").to_number<std::uint64_t>() };
+        return LeadRecord { std::string(object.at("node").as_string()),
+            std::string(object.at("address").as_string()),
+            object.at("incarnation").to_number<std::uint64_t>(),
+            object.at("sequence").to_number<std::uint64_t>() };
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("lead record: ") + error.what());
     }
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -88,7 +88,8 @@
         answer.status = object.at("status").to_number<unsigned>();
         answer.ticketLifeMs = object.at("life_ms").to_number<std::int64_t>();
         for (const auto& it : object.at("rows").as_array())
-            answer.approved.push_back({ std::string(it.at(0).as_string()), std::string(it.at(1).as_string()) });
+            answer.approved.push_back(
+                { std::string(it.at(0).as_string()), std::string(it.at(1).as_string()) });
         answer.isDecided = object.at("decided").as_bool();
     } catch (const std::exception&) {
         answer.isDecided = false; // asked again
@@ -107,7 +108,8 @@
 void PeerClient::greet(const std::string& address, const std::string& node, const std::string& ownAddress,
     Duration timeout, std::function<void(Greeting)> done)
 {
-    auto request = jsonPost(greetPath, json::serialize(json::object { { "node", node }, { "address", ownAddress } }));
+    auto request
+        = jsonPost(greetPath, json::serialize(json::object { { "node", node }, { "address", ownAddress } }));
     m_client.send(address, std::move(request), timeout, [done = std::move(done)](HttpResult result) {
         Greeting greeting;
         if (result.response && result.response->status == 200)
@@ -120,21 +122,23 @@
 void PeerClient::accept(const std::string& address, const StoredJob& job, Duration timeout,
     std::function<void(AcceptOutcome)> done)
 {
-    m_client.send(address, jsonPost(acceptPath, encode(job)), timeout, [done = std::move(done)](HttpResult result) {
-        if (!result.response) {
-            done(result.mayHaveArrived ? AcceptOutcome::Unknown : AcceptOutcome::NotWritten);
-            return;
-        }
-        json::error_code ec;
-        const auto value = json::parse(result.response->body, ec);
-        const auto* outcome = !ec && value.is_object() ? value.get_object().if_contains("outcome") : nullptr;
-        const bool isNamed = outcome && outcome->is_int64() && outcome->get_int64() >= 0
-            && outcome->get_int64() <= static_cast<int>(AcceptOutcome::Unknown);
-        if (isNamed)
-            done(static_cast<AcceptOutcome>(outcome->get_int64()));
-        else // a node that does not lead says so by its status
-            done(result.response->status == 409 ? AcceptOutcome::NotWritten : AcceptOutcome::Unknown);
-    });
+    m_client.send(
+        address, jsonPost(acceptPath, encode(job)), timeout, [done = std::move(done)](HttpResult result) {
+            if (!result.response) {
+                done(result.mayHaveArrived ? AcceptOutcome::Unknown : AcceptOutcome::NotWritten);
+                return;
+            }
+            json::error_code ec;
+            const auto value = json::parse(result.response->body, ec);
+            const auto* outcome
+                = !ec && value.is_object() ? value.get_object().if_contains("outcome") : nullptr;
+            const bool isNamed = outcome && outcome->is_int64() && outcome->get_int64() >= 0
+                && outcome->get_int64() <= static_cast<int>(AcceptOutcome::Unknown);
+            if (isNamed)
+                done(static_cast<AcceptOutcome>(outcome->get_int64()));
+            else // a node that does not lead says so by its status
+                done(result.response->status == 409 ? AcceptOutcome::NotWritten : AcceptOutcome::Unknown);
+        });
 }
 
 void PeerClient::tellJob(const std::string& address, const StoredJob& job)
@@ -148,8 +152,8 @@
         [](HttpResult) {});
 }
 
-void PeerClient::askState(
-    const std::string& address, const std::string& id, Duration timeout, std::function<void(StateAnswer)> done)
+void PeerClient::askState(const std::string& address, const std::string& id, Duration timeout,
+    std::function<void(StateAnswer)> done)
 {
     auto request = jsonPost(statePath, json::serialize(json::object { { "id", id } }));
     m_client.send(address, std::move(request), timeout, [done = std::move(done)](HttpResult result) {
@@ -173,7 +177,8 @@
 }
 
 void PeerClient::approve(const std::string& address, const std::string& step,
-    const std::vector<std::string>& workers, Duration timeout, std::function<void(platform::ApprovalAnswer)> done)
+    const std::vector<std::string>& workers, Duration timeout,
+    std::function<void(platform::ApprovalAnswer)> done)
 {
     auto request = jsonPost(approvePath, encodeApprovalQuestion(step, workers, timeout));
     m_slow.send(address, std::move(request), timeout + 200ms, [done = std::move(done)](HttpResult result) {
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -56,8 +56,8 @@
 public:
     explicit PeerClient(boost::asio::io_context& context);
 
-    void greet(const std::string& address, const std::string& node, const std::string& ownAddress, Duration timeout,
-        std::function<void(Greeting)> done);
+    void greet(const std::string& address, const std::string& node, const std::string& ownAddress,
+        Duration timeout, std::function<void(Greeting)> done);
     void accept(const std::string& address, const StoredJob& job, Duration timeout,
         std::function<void(AcceptOutcome)> done);
     void tellJob(const std::string& address, const StoredJob& job);
--- a/src/edge/StoreGate.cpp
+++ b/src/edge/StoreGate.cpp
@@ -70,7 +70,8 @@
             m_isPassable = true;
             m_refusals = 0;
             m_usual = now - sentAt;
-            m_log.write("store_gate_open", {}, { { "closed_ms", std::to_string(toMilliseconds(now - m_closedAt)) } });
+            m_log.write(
+                "store_gate_open", {}, { { "closed_ms", std::to_string(toMilliseconds(now - m_closedAt)) } });
             return;
         }
         m_timer.expires_after(probeInterval);
--- a/src/edge/StoreGate.h
+++ b/src/edge/StoreGate.h
@@ -8,10 +8,11 @@
 namespace quay::edge {
 
 /**
- * Watches how the store answers the callers' front. While it does not, new requests are refused at once as not run,
- * instead of being written into the unknown; one probe at a time finds its return.
+ * Watches how the store answers the callers' front. While it does not, new requests are refused at once as
+ * not run, instead of being written into the unknown; one probe at a time finds its return.
  *
- * Usage: `if (!gate.isPassable()) refuse(); else store.transact(t, gate.timeout(), [&](auto r) { gate.heard(r, sentAt, now); });`
+ * Usage: `if (!gate.isPassable()) refuse(); else store.transact(t, gate.timeout(), [&](auto r) {
+ * gate.heard(r, sentAt, now); });`
  */
 class StoreGate {
 public:
--- a/src/fleet/FleetConfiguration.cpp
+++ b/src/fleet/FleetConfiguration.cpp
@@ -28,7 +28,8 @@
 
 const QueuePolicy* FleetConfiguration::queueNamed(const std::string& name) const
 {
-    auto it = std::find_if(queues.begin(), queues.end(), [&](const auto& queue) { return queue.name == name; });
+    auto it
+        = std::find_if(queues.begin(), queues.end(), [&](const auto& queue) { return queue.name == name; });
     return it == queues.end() ? nullptr : &*it;
 }
 
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -38,7 +38,8 @@
         return;
     m_impl->add(request, now);
     m_impl->note("job_known", request.id,
-        "queue=" + request.queue + " team=" + request.team + " steps=" + std::to_string(request.steps.size()));
+        "queue=" + request.queue + " team=" + request.team
+            + " steps=" + std::to_string(request.steps.size()));
 }
 
 void FleetScheduler::restore(const WorkRequest& request, const JobRecord& record, Instant now)
@@ -101,7 +102,8 @@
 void FleetScheduler::executorSeen(const ExecutorEntry& entry, Instant now)
 {
     auto* life = m_impl->lifeOfId(entry.id);
-    if (life && life->entry.bornUnixMs != 0 && entry.bornUnixMs != 0 && entry.bornUnixMs != life->entry.bornUnixMs) {
+    if (life && life->entry.bornUnixMs != 0 && entry.bornUnixMs != 0
+        && entry.bornUnixMs != life->entry.bornUnixMs) {
         if (entry.bornUnixMs > life->entry.bornUnixMs)
             m_impl->replaceLife(*life, entry, now);
         return;
@@ -109,7 +111,8 @@
     if (!life) {
         life = &m_impl->addLife(entry, now);
         m_impl->lifeById[entry.id] = life->number;
-        m_impl->note("executor_seen", {}, "executor=" + entry.id + " address=" + entry.address + " zone=" + entry.zone);
+        m_impl->note("executor_seen", {},
+            "executor=" + entry.id + " address=" + entry.address + " zone=" + entry.zone);
     }
     if (entry.isDraining && !life->entry.isDraining)
         m_impl->note("executor_leaving", {},
@@ -181,7 +184,8 @@
             continue;
         const auto* gone = job->second.get();
         const bool isInUse = std::any_of(it.lives.begin(), it.lives.end(), [&](const Life& life) {
-            return std::any_of(life.runs.begin(), life.runs.end(), [&](const auto& run) { return run.first.job == gone; });
+            return std::any_of(
+                life.runs.begin(), life.runs.end(), [&](const auto& run) { return run.first.job == gone; });
         });
         if (!isInUse)
             it.jobs.erase(job);
--- a/src/fleet/JobRecord.cpp
+++ b/src/fleet/JobRecord.cpp
@@ -58,8 +58,8 @@
 {
     json::array tasks;
     for (const auto& it : record.tasks) {
-        tasks.push_back(json::array { it.occurrence, it.step, it.index, it.run, it.failures, it.isAssigned ? 1 : 0,
-            it.executor, it.executorBornUnixMs, it.checkpoint });
+        tasks.push_back(json::array { it.occurrence, it.step, it.index, it.run, it.failures,
+            it.isAssigned ? 1 : 0, it.executor, it.executorBornUnixMs, it.checkpoint });
     }
     json::array done;
     for (const auto& it : record.done)
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -12,7 +12,8 @@
 
 constexpr auto holdWait = 600ms; // a tenth of the longest lease: a cut of nine tenths of it ends nothing
 constexpr auto holdPauseAfterEnds = 80ms; // some commits; the commit that covers the ends asks again at once
-constexpr auto holdRetryFirst = 80ms; // after the second look in a row without an answer; the first is repeated at once
+constexpr auto holdRetryFirst
+    = 80ms; // after the second look in a row without an answer; the first is repeated at once
 constexpr auto holdRetryLongest = 500ms;
 constexpr auto startRetry = 60ms; // a few round trips across failure domains
 constexpr auto startRetrySilent = 400ms;
@@ -59,7 +60,8 @@
     life.isListed = true;
     life.replaced = oldNumber;
     lifeById[entry.id] = life.number;
-    note("executor_reborn", {}, "executor=" + entry.id + " runs_before=" + std::to_string(lives[oldNumber].runs.size()));
+    note("executor_reborn", {},
+        "executor=" + entry.id + " runs_before=" + std::to_string(lives[oldNumber].runs.size()));
 }
 
 void FleetScheduler::Impl::settleReplaced(Life& life, Instant now)
@@ -73,8 +75,8 @@
         if (run.inFlight && !run.wantsStop)
             old.echoes[key] = now;
     }
-    // A start that is still on its way may reach the new process, which knows nothing of the old one's runs and
-    // fences: a stop there bars that run number, also of a run that has ended.
+    // A start that is still on its way may reach the new process, which knows nothing of the old one's runs
+    // and fences: a stop there bars that run number, also of a run that has ended.
     for (const auto& [key, sentAt] : old.echoes) {
         if (now - sentAt > longestEcho)
             continue;
@@ -107,7 +109,8 @@
     if (life.runs.empty())
         return;
     note("runs_lost", {},
-        "executor=" + life.entry.id + " runs=" + std::to_string(life.runs.size()) + " why=" + std::string(why));
+        "executor=" + life.entry.id + " runs=" + std::to_string(life.runs.size())
+            + " why=" + std::string(why));
     while (!life.runs.empty()) {
         ++totals.lostRuns;
         const RunKey key = life.runs.begin()->first;
@@ -177,7 +180,8 @@
     ++life.failuresInRow;
     if (life.failuresInRow >= failuresUntilAvoided) {
         life.avoidUntil = now + avoidFailing;
-        note("executor_avoided", {}, "executor=" + life.entry.id + " failures=" + std::to_string(life.failuresInRow));
+        note("executor_avoided", {},
+            "executor=" + life.entry.id + " failures=" + std::to_string(life.failuresInRow));
     }
     if (step.request().isGang) { // one failed member is one failed run of the gang
         if (step.lastFailedGangRun == key.run)
@@ -189,7 +193,8 @@
         ++task.failures;
     }
     const auto* queue = configuration.queueNamed(key.job->request.queue);
-    if (!step.request().isLasting && queue && task.failures >= queue->maxAttempts && !isFinal(key.job->phase)) {
+    if (!step.request().isLasting && queue && task.failures >= queue->maxAttempts
+        && !isFinal(key.job->phase)) {
         // Phase first: the runs that are stopped below must not be started again.
         finish(*key.job, JobPhase::Failed, now);
     }
@@ -222,7 +227,8 @@
             for (std::size_t i = 0; i < step.tasks.size(); ++i) {
                 const auto& other = step.tasks[i];
                 if (other.phase == TaskPhase::Active) {
-                    const RunKey otherKey { key.job, key.occurrence, key.step, static_cast<int>(i), other.run };
+                    const RunKey otherKey { key.job, key.occurrence, key.step, static_cast<int>(i),
+                        other.run };
                     auto member = lives[other.life].runs.find(otherKey);
                     if (member != lives[other.life].runs.end())
                         member->second.isOrphan = true;
@@ -254,8 +260,8 @@
     static constexpr std::string_view names[]
         = { "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete" };
     note("run_ended", end.task.job,
-        "task=" + text(end.task) + " run=" + std::to_string(end.run) + " how="
-            + std::string(names[static_cast<std::size_t>(end.how)]) + " executor=" + life.entry.id);
+        "task=" + text(end.task) + " run=" + std::to_string(end.run)
+            + " how=" + std::string(names[static_cast<std::size_t>(end.how)]) + " executor=" + life.entry.id);
     endRun(life, *key, end.how, end.checkpoint, now);
 }
 
@@ -268,7 +274,8 @@
         if (run == life.runs.end()) {
             if (life.strays.insert({ it.task, it.run }).second)
                 note("stray_run", it.task.job,
-                    "task=" + text(it.task) + " run=" + std::to_string(it.run) + " executor=" + life.entry.id);
+                    "task=" + text(it.task) + " run=" + std::to_string(it.run)
+                        + " executor=" + life.entry.id);
             continue;
         }
         listed.insert(*key);
@@ -327,12 +334,13 @@
     if (life.isSilent) // what may be lost must end in time: no order prolongs its lease
         return life.grantedClockMs;
     const auto sinceReading = now - life.clockAt;
-    // Its clock was read before the reading arrived, so it reaches the end of the lease by `latest` at the latest.
+    // Its clock was read before the reading arrived, so it reaches the end of the lease by `latest` at the
+    // latest.
     const auto latest = life.clockAt
         + std::chrono::duration_cast<Duration>((sinceReading + bounds.longestLease) * clockTolerance);
     life.leaseEnds = std::max(life.leaseEnds, latest);
-    life.grantedClockMs = std::max(
-        life.grantedClockMs, life.clockMs + static_cast<std::int64_t>(toMilliseconds(sinceReading + bounds.longestLease)));
+    life.grantedClockMs = std::max(life.grantedClockMs,
+        life.clockMs + static_cast<std::int64_t>(toMilliseconds(sinceReading + bounds.longestLease)));
     return life.grantedClockMs;
 }
 
@@ -383,7 +391,8 @@
                 wantStop(life, key, now);
             continue;
         }
-        const auto& checkpoint = step.request().isGang ? step.gangCheckpoint : step.tasks[key.index].checkpoint;
+        const auto& checkpoint
+            = step.request().isGang ? step.gangCheckpoint : step.tasks[key.index].checkpoint;
         run.inFlight = true;
         actions.starts.push_back({ number, life.entry.address, life.entry.id, refOf(key), key.run,
             key.job->request.payload, checkpoint, run.ticket, leaseClock(life, now) });
@@ -411,7 +420,8 @@
     }
 }
 
-void FleetScheduler::startAnswered(LifeId number, const TaskRef& task, int runNumber, OrderResult result, Instant now)
+void FleetScheduler::startAnswered(
+    LifeId number, const TaskRef& task, int runNumber, OrderResult result, Instant now)
 {
     auto& it = *m_impl;
     auto& life = it.lives[number];
@@ -483,7 +493,8 @@
     }
 }
 
-void FleetScheduler::stopAnswered(LifeId number, const TaskRef& task, int runNumber, OrderResult result, Instant now)
+void FleetScheduler::stopAnswered(
+    LifeId number, const TaskRef& task, int runNumber, OrderResult result, Instant now)
 {
     auto& it = *m_impl;
     auto& life = it.lives[number];
@@ -505,8 +516,8 @@
     }
 }
 
-void FleetScheduler::holdAnswered(LifeId number, OrderResult result, const std::optional<ExecutorReport>& report,
-    Instant sentAt, Instant now)
+void FleetScheduler::holdAnswered(LifeId number, OrderResult result,
+    const std::optional<ExecutorReport>& report, Instant sentAt, Instant now)
 {
     auto& it = *m_impl;
     auto& life = it.lives[number];
@@ -514,7 +525,8 @@
     if (life.isClosed)
         return;
     if (result == OrderResult::Ok && report) {
-        if (report->bornUnixMs != 0 && life.entry.bornUnixMs != 0 && report->bornUnixMs != life.entry.bornUnixMs) {
+        if (report->bornUnixMs != 0 && life.entry.bornUnixMs != 0
+            && report->bornUnixMs != life.entry.bornUnixMs) {
             life.nextHold = now + holdRetryFirst;
             if (report->bornUnixMs > life.entry.bornUnixMs) {
                 auto entry = life.entry;
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -39,7 +39,8 @@
     const auto* queue = configuration.queueNamed(request.queue);
     const auto lengths = chains(request);
     const int longest = lengths.empty() ? 0 : *std::max_element(lengths.begin(), lengths.end());
-    const double objectiveMs = queue ? queue->stretch * longest + static_cast<double>(queue->slackMs) : longest;
+    const double objectiveMs
+        = queue ? queue->stretch * longest + static_cast<double>(queue->slackMs) : longest;
     job->deadline = now + std::chrono::milliseconds(static_cast<long long>(objectiveMs));
     auto& added = *(jobs[request.id] = std::move(job));
     if (request.occurrences == 0) {
@@ -98,8 +99,8 @@
     for (auto& step : it->second.steps) {
         if (!step->isReady) {
             const auto& after = step->request().dependsOn;
-            step->isReady = std::all_of(
-                after.begin(), after.end(), [&](int earlier) { return it->second.steps[earlier]->isComplete(); });
+            step->isReady = std::all_of(after.begin(), after.end(),
+                [&](int earlier) { return it->second.steps[earlier]->isComplete(); });
         }
         if (step->isReady && step->waiting > 0) {
             ready.insert(step.get());
@@ -147,8 +148,8 @@
         if (occurrence.isDone)
             continue;
         refreshReady(job, it->first);
-        occurrence.isDone = std::all_of(
-            occurrence.steps.begin(), occurrence.steps.end(), [](const auto& step) { return step->isComplete(); });
+        occurrence.isDone = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+            [](const auto& step) { return step->isComplete(); });
         if (occurrence.isDone)
             job.doneOccurrences.insert(it->first);
     }
@@ -167,7 +168,9 @@
     }
     markDirty(job);
     stopRuns(job, now);
-    note(phase == JobPhase::Completed ? "job_completed" : phase == JobPhase::Failed ? "job_failed" : "job_cancelled",
+    note(phase == JobPhase::Completed   ? "job_completed"
+            : phase == JobPhase::Failed ? "job_failed"
+                                        : "job_cancelled",
         job.request.id, "age_ms=" + std::to_string(toMilliseconds(now - job.acceptedAt)));
 }
 
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -14,18 +14,23 @@
 namespace {
 
 constexpr auto placementInterval = 4ms; // a burst of events is answered by one pass
-constexpr auto idlePlacementInterval = 100ms; // steps that wait for a time, not for an event: asked again, avoided no more
+constexpr auto idlePlacementInterval
+    = 100ms; // steps that wait for a time, not for an event: asked again, avoided no more
 constexpr std::size_t stepsPerPass = 200; // a longer line of steps without room is looked at in the next pass
 constexpr auto longestSilence = 2500ms; // two looks of a second and their timeout
 constexpr std::size_t workersPerApproval = 30; // the objective of a job counts a call of this size
 constexpr auto askAgain = 250ms; // a step of which no approved executor had room
 constexpr auto ticketMargin = 150ms; // a commit and a start are on their way meanwhile
 constexpr double urgentReserve = 0.06; // share of a service that only the most urgent queue may use
-constexpr double urgentQuotaReserve = 0.12; // the same of a team's upper limit; less urgent work lasts ten times as long
+constexpr double urgentQuotaReserve
+    = 0.12; // the same of a team's upper limit; less urgent work lasts ten times as long
 
-constexpr double longCallMs = 120; // beyond this a call would make an urgent step behind it miss its objective
-constexpr double promiseFactor = 1.5; // room that is promised to open calls against what is free: not all will fit
-constexpr double longBacklogMs = 700; // calls handed out beyond one for each caller: the next in turn is ready
+constexpr double longCallMs
+    = 120; // beyond this a call would make an urgent step behind it miss its objective
+constexpr double promiseFactor
+    = 1.5; // room that is promised to open calls against what is free: not all will fit
+constexpr double longBacklogMs
+    = 700; // calls handed out beyond one for each caller: the next in turn is ready
 constexpr double shortBacklogMs = 60;
 constexpr int worthwhileTasks = 4; // a step that has its approvals asks again for this many tasks at once
 constexpr auto askAnyway = 1500ms; // ... or after this long
@@ -88,8 +93,10 @@
             !isLasting && end > step->job->deadline, step->job->deadline });
     }
     std::sort(order.begin(), order.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tie(a.isHopeless, a.priority, a.isLate, a.deadline, a.step->job->request.id, a.step->number)
-            < std::tie(b.isHopeless, b.priority, b.isLate, b.deadline, b.step->job->request.id, b.step->number);
+        return std::tie(
+                   a.isHopeless, a.priority, a.isLate, a.deadline, a.step->job->request.id, a.step->number)
+            < std::tie(
+                b.isHopeless, b.priority, b.isLate, b.deadline, b.step->job->request.id, b.step->number);
     });
     std::size_t looked = 0;
     for (const auto& it : order) {
@@ -102,7 +109,8 @@
 bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
 {
     const auto* queue = configuration.queueNamed(step.job->request.queue);
-    const double usable = queue && queue->priority > 0 && !step.request().isLasting ? 1 - urgentQuotaReserve : 1;
+    const double usable
+        = queue && queue->priority > 0 && !step.request().isLasting ? 1 - urgentQuotaReserve : 1;
     const auto fits = [&](std::int64_t after, std::int64_t limit) {
         return limit == 0 || static_cast<double>(after) <= usable * static_cast<double>(limit);
     };
@@ -136,7 +144,8 @@
             continue;
         if (!(life.used + room).fitsIn(life.entry.capacity))
             continue;
-        if (request.usesSpareCpu && life.used.cpuMilli + request.perTask.cpuMilli / 4 > life.entry.capacity.cpuMilli)
+        if (request.usesSpareCpu
+            && life.used.cpuMilli + request.perTask.cpuMilli / 4 > life.entry.capacity.cpuMilli)
             continue; // hardly anything would be left to fill
         const auto& labels = life.entry.labels;
         if (!request.requiredLabel.empty()
@@ -149,8 +158,8 @@
 }
 
 // The best executor for a task: near its data, not where it failed, and where the least room is left over.
-int FleetScheduler::Impl::pickLife(const StepState& step, const TaskState& task, const std::vector<LifeId>& from,
-    const std::unordered_map<LifeId, int>& perLife) const
+int FleetScheduler::Impl::pickLife(const StepState& step, const TaskState& task,
+    const std::vector<LifeId>& from, const std::unordered_map<LifeId, int>& perLife) const
 {
     const auto& request = step.request();
     const auto room = fillsAdjusted(request);
@@ -182,7 +191,8 @@
     return best;
 }
 
-// Whether a call would be served soon. Long calls leave a third of the callers to short ones, as the broker does.
+// Whether a call would be served soon. Long calls leave a third of the callers to short ones, as the broker
+// does.
 bool FleetScheduler::Impl::hasCaller(double expectedMs) const
 {
     const int reserved = approvalCallers > 1 ? std::max(1, approvalCallers / 3) : 0;
@@ -230,9 +240,11 @@
         else if (!step.decided.count(number))
             open.push_back(number);
     }
-    // Approvals stand, only their tickets lapse: the approved come first, then the fullest that still has room.
+    // Approvals stand, only their tickets lapse: the approved come first, then the fullest that still has
+    // room.
     std::sort(open.begin(), open.end(), [&](LifeId a, LifeId b) {
-        const auto leftOf = [&](LifeId n) { return lives[n].entry.capacity.cpuMilli - lives[n].used.cpuMilli; };
+        const auto leftOf
+            = [&](LifeId n) { return lives[n].entry.capacity.cpuMilli - lives[n].used.cpuMilli; };
         return std::make_pair(-leftOf(a), a) < std::make_pair(-leftOf(b), b);
     });
     std::vector<LifeId> chosen = approved;
@@ -288,8 +300,7 @@
     run.room = roomOf(step.request());
     run.charged = step.request().perTask;
     run.nextSend = now;
-    if (auto it = step.tickets.find(number); it != step.tickets.end())
-    {
+    if (auto it = step.tickets.find(number); it != step.tickets.end()) {
         run.ticket = it->second.text;
         run.ticketUntil = it->second.validUntil;
     }
@@ -414,7 +425,8 @@
 }
 
 void FleetScheduler::approvalAnswered(const std::string& stepName, bool isDecided,
-    const std::vector<std::string>& asked, const std::vector<Approval>& approved, Duration ticketLife, Instant now)
+    const std::vector<std::string>& asked, const std::vector<Approval>& approved, Duration ticketLife,
+    Instant now)
 {
     auto& it = *m_impl;
     it.placementDue = true;
@@ -450,8 +462,8 @@
         step.nextAsk = now + askAgain / 10;
 }
 
-// Tasks that fill disturb tasks that serve. Where a serving task nears its target, what fills beside it is slowed
-// at once; when all is calm it is let go on step by step.
+// Tasks that fill disturb tasks that serve. Where a serving task nears its target, what fills beside it is
+// slowed at once; when all is calm it is let go on step by step.
 void FleetScheduler::Impl::applyPacing(Life& life, const ExecutorReport& report)
 {
     double worst = 0; // tail against target
@@ -462,7 +474,8 @@
             continue;
         const auto& request = key->job->request.steps[key->step];
         if (request.isLasting && request.tailTargetMs > 0)
-            worst = std::max(worst, static_cast<double>(it.recentLoad) / static_cast<double>(request.tailTargetMs));
+            worst = std::max(
+                worst, static_cast<double>(it.recentLoad) / static_cast<double>(request.tailTargetMs));
         anyFill = anyFill || request.usesSpareCpu;
     }
     if (!anyFill)
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -138,7 +138,8 @@
     int silentLooks = 0;
     int failuresInRow = 0;
     Instant avoidUntil;
-    std::map<RunKey, Instant> echoes; // starts that got no answer, when last sent: they may be carried out late
+    std::map<RunKey, Instant>
+        echoes; // starts that got no answer, when last sent: they may be carried out late
     LifeId replaced = -1; // an earlier life of the same id whose runs are settled by our first report
 };
 
--- a/src/fleet/WorkRequest.cpp
+++ b/src/fleet/WorkRequest.cpp
@@ -6,9 +6,8 @@
 
 bool isJobId(const std::string& id)
 {
-    return id.size() == jobIdDigits && std::all_of(id.begin(), id.end(), [](unsigned char c) {
-        return std::isxdigit(c) != 0;
-    });
+    return id.size() == jobIdDigits
+        && std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
 namespace {
@@ -46,11 +45,11 @@
         return fail(reason, "the payload is longer than " + std::to_string(maxPayloadBytes) + " bytes");
     if (request.steps.empty() || request.steps.size() > static_cast<std::size_t>(maxStepsPerJob))
         return fail(reason, "a job has 1 to " + std::to_string(maxStepsPerJob) + " steps");
-    int tasks = 0;
+    std::int64_t tasks = 0;
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
         if (!validateStep(request, i, reason))
             return false;
-        tasks += std::min(request.steps[i].taskCount, maxTasksPerJob);
+        tasks += request.steps[i].taskCount;
     }
     if (tasks > maxTasksPerJob)
         return fail(reason, "a job has at most " + std::to_string(maxTasksPerJob) + " tasks");
--- /dev/null
+++ b/standin/FleetPlatform.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "net/HttpServer.h"
+#include "quay/core/Time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace quay::standin {
+
+/**
+ * A small stand-in of the users' platform for tests: the store with rows, transactions and changes, an
+ * approval service that approves all, and executors that fence, hold leases and list ends. It refuses what
+ * the published pages say is refused.
+ *
+ * Usage: `FleetPlatform platform(4); platform.configure(text); ... platform.storeAddress()`
+ */
+class FleetPlatform {
+public:
+    explicit FleetPlatform(int executors);
+    ~FleetPlatform();
+    FleetPlatform(const FleetPlatform&) = delete;
+    FleetPlatform& operator=(const FleetPlatform&) = delete;
+
+    std::string storeAddress() const { return m_store->address(); }
+
+    /** Writes the operator's configuration. */
+    void configure(const std::string& configuration);
+    /** Answers all store calls with 503, or as usual again. */
+    void refuseStoreCalls(bool refuse);
+    /** How long a task works from now on. */
+    void setTaskTime(Duration time);
+    /** Drops the history of changes: who asks for them must read anew. */
+    void dropHistory();
+
+    std::size_t startedRuns() const;
+    /** Rules that were broken: two runs at once, a start after an acknowledged end, capacity. */
+    std::vector<std::string> violations() const;
+
+private:
+    struct Executor;
+    struct Row {
+        std::string value; // base64, as it came
+        std::int64_t version = 0;
+    };
+    using RowName = std::tuple<std::string, std::string, std::string>; // table, partition, key
+
+    void serveStore(const HttpRequest& request, Respond respond);
+    HttpResponse transact(const HttpRequest& request);
+    HttpResponse readRows(const HttpRequest& request);
+    void changes(const HttpRequest& request, const Respond& respond, Instant until);
+    HttpResponse approve(const HttpRequest& request) const;
+    void serveExecutor(Executor& executor, const HttpRequest& request, const Respond& respond);
+    HttpResponse start(Executor& executor, const boost::json::object& body);
+    HttpResponse stop(Executor& executor, const boost::json::object& body);
+    void hold(Executor& executor, const boost::json::object& body, const Respond& respond, Instant until);
+    void advance(Executor& executor);
+    void putRow(const RowName& name, const std::string& value);
+    boost::json::object rowOf(const RowName& name, const Row& row) const;
+    void after(Duration delay, std::function<void()> action);
+
+    mutable std::mutex m_mutex; // of all below; the servers' thread and the test use it
+    boost::asio::io_context m_context;
+    std::map<RowName, Row> m_rows;
+    std::vector<RowName> m_changed; // by version, from m_firstChange on
+    std::int64_t m_firstChange = 1;
+    std::int64_t m_version = 0;
+    bool m_isRefusing = false;
+    Duration m_taskTime = 50ms;
+    std::size_t m_startedRuns = 0;
+    std::set<std::string> m_doneTasks; // whose end was acknowledged
+    std::vector<std::string> m_violations;
+    std::unique_ptr<HttpServer> m_store;
+    std::vector<std::unique_ptr<Executor>> m_executors;
+    std::thread m_thread;
+};
+
+} // namespace quay::standin
--- /dev/null
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -0,0 +1,232 @@
+#include "edge/EdgeNode.h"
+#include "FleetPlatform.h"
+#include "net/HttpClient.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+#include <unistd.h>
+
+// Whole nodes against the stand-in of the platform, in one process: each node on a loopback address of its
+// own.
+using namespace quay;
+
+namespace {
+
+constexpr auto generous = 30s; // no verdict depends on it but that of a test that hangs
+
+const std::string configuration
+    = R"({"version":1,"routes":[{"name":"q","host":"h","prefix":"/q/","service":"service","attempts":3,"sloMs":300,)"
+      R"("advice":{"decisionMs":1,"perItemMs":0.1,"validMs":2000}}],)"
+      R"("services":[{"name":"service"}],"tenants":[{"name":"t","apiKeys":["key"],"weight":1,"maxCount":{}}]})";
+
+template <typename Condition> void waitFor(const char* what, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + generous;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            FAIL(what);
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
+class Node {
+public:
+    Node(int number, const std::string& store)
+        : m_address("127.0.1." + std::to_string(number))
+        , m_port(20000 + (getpid() * 8) % 20000)
+    {
+        platform::NodeSettings settings;
+        settings.node = "n" + std::to_string(number);
+        settings.ip = m_address;
+        settings.zone = "z";
+        settings.callerAddress = callers();
+        settings.readinessAddress = m_address + ":" + std::to_string(m_port + 1);
+        settings.firstPeerPort = static_cast<std::uint16_t>(m_port + 2);
+        settings.storeAddress = settings.approvalAddress = store;
+        settings.longestLease = 6000ms;
+        settings.stopTime = 900ms;
+        settings.grace = 6s;
+        settings.keepFinished = 120s;
+        m_node = std::make_unique<edge::EdgeNode>(settings);
+        m_thread = std::thread([this] { m_node->run(); });
+    }
+    ~Node() { kill(); }
+
+    void kill()
+    {
+        if (!m_thread.joinable())
+            return;
+        m_node->halt();
+        m_thread.join();
+        m_node.reset();
+    }
+
+    std::string callers() const { return m_address + ":" + std::to_string(m_port); }
+    std::string readiness() const { return m_address + ":" + std::to_string(m_port + 1); }
+
+private:
+    std::string m_address;
+    int m_port;
+    std::unique_ptr<edge::EdgeNode> m_node;
+    std::thread m_thread;
+};
+
+// Status 0: no answer.
+HttpResponse call(const std::string& address, const std::string& method, const std::string& target,
+    const std::string& body = {}, const std::string& key = "key")
+{
+    boost::asio::io_context context;
+    HttpClient client(context, 1, 1 << 20);
+    HttpRequest request = jsonPost(target, body);
+    request.method = method;
+    request.headers["host"] = "h";
+    request.headers["authorization"] = "Bearer " + key;
+    HttpResponse answer;
+    answer.status = 0;
+    client.send(address, request, 5s, [&](HttpResult result) {
+        if (result.response)
+            answer = *result.response;
+    });
+    context.run();
+    return answer;
+}
+
+std::string jobId(int number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", number);
+    return text;
+}
+
+bool isCompleted(const Node& node, const std::string& id)
+{
+    return call(node.callers(), "GET", "/q/" + id).body.find("completed") != std::string::npos;
+}
+
+const std::string twoSteps
+    = R"({"spec":"x","steps":[{"count":5,"cpu":1000,"memMb":10,"estimateMs":50},{"count":2,"cpu":500,"after":[0]}]})";
+
+} // namespace
+
+TEST_CASE("a node serves a job from its acceptance to its end, and answers what is wrong with a request")
+{
+    standin::FleetPlatform platform(3);
+    Node node(1, platform.storeAddress());
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 503); // no configuration yet
+    platform.configure(configuration);
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200);
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200); // the same job again
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(platform.startedRuns() == 7);
+    struct Row {
+        const char* name;
+        const char* method;
+        std::string target, body;
+        const char* key;
+        unsigned status;
+    };
+    const Row rows[] = {
+        { "another body under the same id", "POST", "/q/" + jobId(1), R"({"steps":[{"count":1}]})", "key",
+            409 },
+        { "no such queue", "POST", "/other/" + jobId(2), twoSteps, "key", 404 },
+        { "unknown key", "POST", "/q/" + jobId(2), twoSteps, "nobody", 401 },
+        { "an id of another form", "POST", "/q/12", twoSteps, "key", 400 },
+        { "a malformed body", "POST", "/q/" + jobId(2), "{", "key", 400 },
+        { "another method", "PUT", "/q/" + jobId(2), twoSteps, "key", 400 },
+        { "state of an unknown job", "GET", "/q/" + jobId(9), "", "key", 410 },
+        { "cancel of an unknown job", "DELETE", "/q/" + jobId(9), "", "key", 410 },
+        { "count of waiting jobs", "GET", "/q/", "", "key", 200 },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        CHECK(call(node.callers(), row.method, row.target, row.body, row.key).status == row.status);
+    }
+    CHECK(platform.startedRuns() == 7); // nothing of the refused requests ran
+    CHECK(platform.violations().empty());
+}
+
+TEST_CASE("a job outlives the nodes that accepted and scheduled it, and no task runs twice")
+{
+    standin::FleetPlatform platform(3);
+    platform.configure(configuration);
+    platform.setTaskTime(400ms);
+    auto first = std::make_unique<Node>(2, platform.storeAddress());
+    waitFor(
+        "the first node is ready", [&] { return call(first->readiness(), "GET", "/ready").status == 200; });
+    Node second(3, platform.storeAddress());
+    waitFor(
+        "the second node is ready", [&] { return call(second.readiness(), "GET", "/ready").status == 200; });
+    for (int i = 1; i <= 6; ++i)
+        CHECK(call(first->callers(), "POST", "/q/" + jobId(i), twoSteps).status == 200);
+    waitFor("work has begun", [&] { return platform.startedRuns() > 0; });
+    first->kill();
+    for (int i = 1; i <= 6; ++i)
+        waitFor("each job is completed", [&] { return isCompleted(second, jobId(i)); });
+    CHECK(platform.startedRuns() == 6 * 7);
+    CHECK(platform.violations().empty());
+}
+
+TEST_CASE("while the store refuses, jobs are refused as not run; afterwards the same id is taken")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(4, platform.storeAddress());
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    platform.refuseStoreCalls(true);
+    waitFor("the node says that it is not ready",
+        [&] { return call(node.readiness(), "GET", "/ready").status == 503; });
+    const auto refused = call(node.callers(), "POST", "/q/" + jobId(1), twoSteps);
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.count("retry-after") == 1);
+    CHECK(refused.body.find("not run") != std::string::npos);
+    CHECK(platform.startedRuns() == 0);
+    platform.refuseStoreCalls(false);
+    waitFor("the job is taken",
+        [&] { return call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200; });
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(platform.startedRuns() == 7);
+}
+
+TEST_CASE("a node reads anew when the store's history is dropped, and follows new configurations and keys")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(5, platform.storeAddress());
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    auto next = configuration;
+    next.replace(next.find("\"version\":1"), 11, "\"version\":4");
+    next.replace(next.find("\"key\""), 5, "\"other\"");
+    platform.configure(next);
+    platform.dropHistory();
+    waitFor("the new key is in force",
+        [&] { return call(node.callers(), "POST", "/q/" + jobId(1), twoSteps, "other").status == 200; });
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(2), twoSteps, "key").status == 401);
+    waitFor("the job is completed", [&] {
+        return call(node.callers(), "GET", "/q/" + jobId(1), {}, "other").body.find("completed")
+            != std::string::npos;
+    });
+}
+
+TEST_CASE("a cancelled job's tasks are stopped")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    platform.setTaskTime(60s);
+    Node node(6, platform.storeAddress());
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200);
+    waitFor("its tasks run", [&] { return platform.startedRuns() == 5; });
+    CHECK(call(node.callers(), "DELETE", "/q/" + jobId(1)).status == 200);
+    waitFor("it is shown as cancelled", [&] {
+        return call(node.callers(), "GET", "/q/" + jobId(1)).body.find("cancelled") != std::string::npos;
+    });
+    // Room for five tasks of the same size comes free only when the first five have been stopped.
+    platform.setTaskTime(50ms);
+    const std::string wide = R"({"steps":[{"count":16,"cpu":1000}]})";
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(2), wide).status == 200);
+    waitFor("the next job is completed", [&] { return isCompleted(node, jobId(2)); });
+    CHECK(platform.violations().empty());
+}
--- /dev/null
+++ b/tests/contract/PlatformWireTest.cpp
@@ -0,0 +1,189 @@
+#include "NodeSettings.h"
+#include "Wire.h"
+#include "edge/JobRows.h"
+#include "quay/fleet/JobRecord.h"
+
+#include <doctest/doctest.h>
+
+using namespace quay;
+using namespace quay::fleet;
+using namespace quay::platform;
+
+namespace {
+
+constexpr const char* goodId = "5c0e7a21d94b36f8";
+
+} // namespace
+
+TEST_CASE("a job's body: what is refused, and that the error names the field")
+{
+    struct Row {
+        const char* name;
+        std::string body;
+        const char* expected; // part of the reason; null: accepted
+    };
+    const Row rows[] = {
+        { "smallest", R"({"spec":"x","steps":[{"count":1,"cpu":500}]})", nullptr },
+        { "unknown fields are ignored", R"({"spec":"x","new":1,"steps":[{"count":1,"newer":{}}]})", nullptr },
+        { "two steps in order", R"({"steps":[{"count":1},{"count":2,"after":[0]}]})", nullptr },
+        { "not JSON", "{", "not JSON" },
+        { "empty", "", "not JSON" },
+        { "a list", "[]", "object" },
+        { "no steps", R"({"spec":"x"})", "steps" },
+        { "steps of another type", R"({"steps":{}})", "steps" },
+        { "no task", R"({"steps":[{"count":0}]})", "no task" },
+        { "a count of another type", R"({"steps":[{"count":"4"}]})", "count" },
+        { "a count beyond every bound", R"({"steps":[{"count":5000000000}]})", "count" },
+        { "too many tasks", R"({"steps":[{"count":4097}]})", "tasks" },
+        { "a negative demand", R"({"steps":[{"count":1,"cpu":-1}]})", "below zero" },
+        { "waits for itself", R"({"steps":[{"count":1,"after":[0]}]})", "earlier" },
+        { "waits for a later step", R"({"steps":[{"count":1,"after":[1]},{"count":1}]})", "earlier" },
+        { "waits for a step below zero", R"({"steps":[{"count":1,"after":[-1]}]})", "earlier" },
+        { "a payload that is too long",
+            R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})", "payload" },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        Reason reason;
+        auto work = decodeWork(row.body, reason);
+        bool isGood = work.has_value();
+        if (isGood) {
+            work->id = goodId;
+            isGood = validate(*work, reason);
+        }
+        CHECK(isGood == (row.expected == nullptr));
+        if (row.expected)
+            CHECK(reason.explain().find(row.expected) != std::string::npos);
+    }
+}
+
+TEST_CASE("a job's id is 16 hexadecimal digits")
+{
+    CHECK(isJobId(goodId));
+    CHECK(isJobId("5C0E7A21D94B36F8"));
+    for (const char* id :
+        { "", "5c0e7a21d94b36f", "5c0e7a21d94b36f80", "5c0e7a21d94b36fg", "5c0e7a21d94b36f " })
+        CHECK_FALSE(isJobId(id));
+}
+
+TEST_CASE("a registration that something else wrote names no executor")
+{
+    struct Row {
+        const char* name;
+        const char* body;
+        bool isGood;
+    };
+    const Row rows[] = {
+        { "whole", R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","capacity":{"cpu":1}})",
+            true },
+        { "leaving", R"({"service":"s","address":"a:1","state":"draining","remainingMs":5,"capacity":{}})",
+            true },
+        { "no service", R"({"address":"a:1","state":"ready","capacity":{}})", false },
+        { "no address", R"({"service":"s","state":"ready","capacity":{}})", false },
+        { "no capacity", R"({"service":"s","address":"a:1","state":"ready"})", false },
+        { "unknown state", R"({"service":"s","address":"a:1","state":"asleep","capacity":{}})", false },
+        { "address of another type", R"({"service":"s","address":7,"state":"ready","capacity":{}})", false },
+        { "not JSON", "\x01\x02", false },
+        { "a text", "\"x\"", false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        Reason reason;
+        CHECK(decodeExecutorEntry("i-1", row.body, reason).has_value() == row.isGood);
+    }
+}
+
+TEST_CASE("a report of an executor is decoded by position")
+{
+    Reason reason;
+    const auto report = decodeReport(
+        R"({"clockMs":482113,"born":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"bb8",41,12.6]],)"
+        R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"alone",""]]})",
+        reason);
+    REQUIRE(report);
+    CHECK(report->clockMs == 482113);
+    CHECK(report->running == std::vector { RunningTask { { goodId, 0, 1, 17 }, 2, "bb8", 41, 13 } });
+    CHECK(report->ended
+        == std::vector { EndedTask { 58, { goodId, 0, 1, 9 }, 1, RunEnd::GangIncomplete, "" } });
+    for (const char* bad : { R"({"running":[]})", R"({"clockMs":1,"running":[["x",1]]})",
+             R"({"clockMs":1,"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})" })
+        CHECK_FALSE(decodeReport(bad, reason));
+}
+
+TEST_CASE("a configuration: queues by longest prefix, keys, limits")
+{
+    Reason reason;
+    const auto configuration = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/x/","service":"s","priority":2,"attempts":2,)"
+        R"("stretch":2.2,"sloMs":1200,"advice":{"decisionMs":430.0,"perItemMs":6.1,"validMs":2000}},)"
+        R"({"name":"b","host":"h","prefix":"/x/y/","service":"s","public":true}],)"
+        R"("services":[{"name":"s","enforcesCapacity":true}],)"
+        R"("tenants":[{"name":"t","apiKeys":["k"],"weight":12,"maxCount":{"cpu":10,"memMb":0,"gpu":0}}]})",
+        reason);
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    CHECK(configuration->queueFor("h", "/x/1")->name == "a");
+    CHECK(configuration->queueFor("h", "/x/y/1")->name == "b");
+    CHECK(configuration->queueFor("other", "/x/1") == nullptr);
+    CHECK(configuration->queueNamed("a")->approval->ticketLifeMs == 2000);
+    CHECK(configuration->teamOfKey("k")->upperLimit.cpuMilli == 10);
+    CHECK(configuration->teamOfKey("") == nullptr);
+    CHECK_FALSE(decodeConfiguration(R"({"routes":[]})", reason));
+    CHECK_FALSE(decodeConfiguration(R"({"version":1,"routes":[{"name":3}]})", reason));
+}
+
+TEST_CASE("settings: an error names the field")
+{
+    const std::string good
+        = R"({"node":"n","ip":"127.0.0.1","zone":"z","listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2"},)"
+          R"("portRange":[7420,7435],"platform":{"address":"127.0.0.1:3"},"bounds":{"maxHoldMs":6000},"new":{}})";
+    Reason reason;
+    const auto settings = parseNodeSettings(good, reason);
+    REQUIRE(settings);
+    CHECK(settings->longestLease == 6000ms);
+    CHECK(settings->firstPeerPort == 7420);
+    struct Row {
+        const char* from;
+        const char* to;
+        const char* expected;
+    };
+    const Row rows[] = {
+        { R"("node":"n",)", "", "node" },
+        { R"("front":"127.0.0.1:1")", R"("front":1)", "listen.front" },
+        { R"("address":"127.0.0.1:3")", "", "platform.address" },
+        { R"([7420,7435])", "[]", "portRange" },
+        { R"("maxHoldMs":6000)", R"("maxHoldMs":"6000")", "bounds.maxHoldMs" },
+        { R"("maxHoldMs":6000)", R"("maxHoldMs":-1)", "bounds.maxHoldMs" },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.expected));
+        auto text = good;
+        text.replace(text.find(row.from), std::string(row.from).size(), row.to);
+        CHECK_FALSE(parseNodeSettings(text, reason));
+        CHECK(reason.explain().find(row.expected) != std::string::npos);
+    }
+    CHECK_FALSE(parseNodeSettings("nothing", reason));
+}
+
+TEST_CASE("rows of our own survive encoding, and foreign bytes are refused")
+{
+    Reason reason;
+    JobRecord record;
+    record.phase = JobPhase::Running;
+    record.tasks = { { 0, 1, 2, 3, 1, true, "i-1", 1000, "c" }, { 0, 0, 4, 1, 0, false, "", 0, "" } };
+    record.done = { { 0, 0, { 0, 1, 2, 5, 7, 8 } } };
+    CHECK(decodeJobRecord(encode(record), reason) == record);
+    const edge::StoredJob job { goodId, "q", "t", R"({"spec":"\u0000é"})" };
+    CHECK(edge::decodeStoredJob(encode(job), reason) == job);
+    const edge::LeadRecord lead { "n", "a:1", 1ULL << 50U, 9 };
+    CHECK(edge::decodeLeadRecord(encode(lead), reason) == lead);
+    for (const char* bad : { "", "{}", "[]", R"({"phase":9,"tasks":[],"done":[]})" }) {
+        CHECK_FALSE(decodeJobRecord(bad, reason));
+        CHECK_FALSE(edge::decodeStoredJob(bad, reason));
+        CHECK_FALSE(edge::decodeLeadRecord(bad, reason));
+    }
+    for (const std::string& bytes :
+        { std::string(), std::string("a"), std::string("ab\0c", 4), std::string(300, '\xff') })
+        CHECK(decodeBase64(encodeBase64(bytes)) == bytes);
+    CHECK_FALSE(decodeBase64("!!!!"));
+}
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -91,7 +91,8 @@
         bool isLasting;
         JobPhase phase;
     };
-    for (const auto& row : { Row { "plain", false, JobPhase::Failed }, Row { "lasting", true, JobPhase::Running } }) {
+    for (const auto& row :
+        { Row { "plain", false, JobPhase::Failed }, Row { "lasting", true, JobPhase::Running } }) {
         CAPTURE(row.name);
         FleetWorld world(3, 2);
         world.behaviour = [&](const TaskRef&, int) {
@@ -184,7 +185,8 @@
     CHECK(world.phase(jobA) == JobPhase::Completed);
 }
 
-TEST_CASE("seeded: lost, late and unanswered orders, takeovers, crashes, rebirths: never two runs, all work done")
+TEST_CASE(
+    "seeded: lost, late and unanswered orders, takeovers, crashes, rebirths: never two runs, all work done")
 {
     struct Row {
         const char* name;
--- a/tests/cores/FleetWorld.cpp
+++ b/tests/cores/FleetWorld.cpp
@@ -125,7 +125,8 @@
 }
 
 template <typename Answer>
-void FleetWorld::order(const std::string& id, std::function<OrderResult(FakeExecutor&)> carryOut, Answer answer)
+void FleetWorld::order(
+    const std::string& id, std::function<OrderResult(FakeExecutor&)> carryOut, Answer answer)
 {
     const int generation = m_generation;
     const auto reply = [this, generation, answer](Duration delay, OrderResult result) {
@@ -214,8 +215,8 @@
     auto report = std::make_shared<ExecutorReport>();
     const auto sentAt = now;
     const auto fence = m_fence;
-    // A look names the lifetime, and a later one refuses it. Starts and stops are let through all the same: the
-    // interface leaves open whether a lifetime of the same id counts as another.
+    // A look names the lifetime, and a later one refuses it. Starts and stops are let through all the same:
+    // the interface leaves open whether a lifetime of the same id counts as another.
     const auto born = executors.at(action.executor).entry.bornUnixMs;
     order(
         action.executor,
@@ -226,8 +227,8 @@
                 return OrderResult::Fenced;
             executor.fence = fence;
             if (action.leaseUntilClockMs > 0)
-                executor.leaseUntil = std::max(
-                    executor.leaseUntil, std::min(action.leaseUntilClockMs, clockOf(executor) + longestLeaseMs));
+                executor.leaseUntil = std::max(executor.leaseUntil,
+                    std::min(action.leaseUntilClockMs, clockOf(executor) + longestLeaseMs));
             std::erase_if(executor.ended, [&](const EndedTask& end) {
                 if (end.number > action.acknowledged)
                     return false;
@@ -276,11 +277,13 @@
     for (const auto& it : actions.starts)
         order(
             it.executor, [this, it, fence](FakeExecutor& executor) { return start(executor, it, fence); },
-            [this, it](OrderResult result) { scheduler->startAnswered(it.life, it.task, it.run, result, now); });
+            [this, it](
+                OrderResult result) { scheduler->startAnswered(it.life, it.task, it.run, result, now); });
     for (const auto& it : actions.stops)
         order(
             it.executor, [this, it, fence](FakeExecutor& executor) { return stop(executor, it, fence); },
-            [this, it](OrderResult result) { scheduler->stopAnswered(it.life, it.task, it.run, result, now); });
+            [this, it](
+                OrderResult result) { scheduler->stopAnswered(it.life, it.task, it.run, result, now); });
     for (const auto& it : actions.holds)
         hold(it);
     for (const auto& it : actions.approvals) {
--- a/tests/cores/FleetWorld.h
+++ b/tests/cores/FleetWorld.h
@@ -10,8 +10,9 @@
 #include <string>
 #include <vector>
 
-// A small world around the scheduler: executors that fence, lease and list ends; messages that are late, lost or
-// unanswered; commits that may be lost; successors that start from what is durable. Deterministic for a seed.
+// A small world around the scheduler: executors that fence, lease and list ends; messages that are late, lost
+// or unanswered; commits that may be lost; successors that start from what is durable. Deterministic for a
+// seed.
 namespace quay::fleet::test {
 
 /** Chances of a message's fate, of 1000. */
@@ -63,7 +64,8 @@
     void cancel(const std::string& id);
     /** Advances in steps of 5 ms. */
     void run(Duration span);
-    /** The scheduler is gone; a successor starts from what is durable. Orders on their way stay on their way. */
+    /** The scheduler is gone; a successor starts from what is durable. Orders on their way stay on their way.
+     */
     void takeover();
     void crash(const std::string& id);
     /** Starts again under the same id, knowing nothing. */
@@ -77,7 +79,10 @@
         Instant at;
         std::uint64_t order;
         std::function<void()> deliver;
-        bool operator<(const Message& other) const { return std::tie(at, order) < std::tie(other.at, other.order); }
+        bool operator<(const Message& other) const
+        {
+            return std::tie(at, order) < std::tie(other.at, other.order);
+        }
     };
 
     void later(Duration delay, std::function<void()> action);
