--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-struct EdgeNode::Impl {
+class EdgeNode::Impl {
+public:
     explicit Impl(const NodeSettings& settings)
         : m_settings(settings)
         , m_log(settings.node)
@@ -101,6 +102,14 @@
         return 0;
     }
 
+    void halt() { m_context.stop(); }
+
+    void postDrain()
+    {
+        asio::post(m_context, [this] { drain(); });
+    }
+
+private:
     static HttpLimits limits()
     {
         HttpLimits limits;
@@ -299,11 +308,8 @@
     return m_impl->run();
 }
 
-void EdgeNode::drain()
-{
-    asio::post(m_impl->m_context, [this] { m_impl->drain(); });
-}
+void EdgeNode::drain() { m_impl->postDrain(); }
 
-void EdgeNode::halt() { m_impl->m_context.stop(); }
+void EdgeNode::halt() { m_impl->halt(); }
 
 } // namespace quay::edge
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -28,7 +28,7 @@
     void halt();
 
 private:
-    struct Impl;
+    class Impl;
     std::unique_ptr<Impl> m_impl;
 };
 
