--- a/src/edge/DecisionLog.cpp
+++ b/src/edge/DecisionLog.cpp
@@ -1,5 +1,7 @@
 #include "edge/DecisionLog.h"
 
+#include "edge/EventCatalogue.h"
+
 #include <boost/json.hpp>
 #include <cstdio>
 
@@ -66,7 +68,7 @@
     if (!admit(event))
         return;
     std::string line = "{\"unix_ms\":" + stamp() + ",\"node\":\"" + m_node + "\",\"event\":\"";
-    line.append(event).append("\"");
+    line.append(event).append("\",\"id\":\"").append(eventNumber(event)).append("\"");
     if (!request.empty())
         line.append(",\"request\":").append(json::serialize(json::value(request)));
     for (const auto& [name, value] : fields)
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -20,7 +20,7 @@
 constexpr auto drainPause = 1300ms; // the balancer asks once a second whether this node is ready
 constexpr auto drainPoll = 50ms;
 constexpr auto graceSpare = 700ms; // before the platform kills the process
-constexpr std::uint16_t metricsOffset = 1; // from the first peer port
+constexpr std::uint16_t metricsPort = 9464; // the same on all machines, named in the deploy file
 
 } // namespace
 
@@ -53,8 +53,7 @@
               [this](const HttpRequest&, const Respond& respond) { answerReadiness(respond); })
         , m_peerServer(m_context, peerAddress(settings), limits(),
               [this](const HttpRequest& request, Respond respond) { servePeer(request, std::move(respond)); })
-        , m_metricsServer(m_context,
-              settings.ip + ":" + std::to_string(settings.firstPeerPort + metricsOffset), limits(),
+        , m_metricsServer(m_context, settings.ip + ":" + std::to_string(metricsPort), limits(),
               [this](const HttpRequest&, const Respond& respond) {
                   HttpResponse response;
                   response.contentType = "text/plain; version=0.0.4";
--- a/tools/quayctl/Command.h
+++ b/tools/quayctl/Command.h
@@ -55,6 +55,7 @@
 
 // Commands, one file a family.
 int runAsk(const Invocation& invocation);
+int runExplain(const Invocation& invocation);
 int runJobSubmit(const Invocation& invocation);
 int runJobStatus(const Invocation& invocation);
 int runJobCancel(const Invocation& invocation);
--- a/tools/quayctl/main.cpp
+++ b/tools/quayctl/main.cpp
@@ -19,6 +19,8 @@
         { "job list", "list the team's jobs that have not ended", "job list", runJobList },
         { "job explain", "say in words what happened to a job and why", "job explain d1.18c2-1",
             runJobExplain },
+        { "explain", "join the log lines of all nodes about one request into a timeline",
+            "explain 5c0e7a21d94b36f8 --logs node-1.log --logs node-2.log", runExplain },
         { "watch", "print changes of the team's jobs as they happen", "watch --cursor 0", runWatch },
         { "config check", "check a base file and its overlays", "config check base.toml site.toml",
             runConfigCheck },
