--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t greetConnections = 2;
+constexpr std::size_t acceptConnections = 40; // a burst of a node's callers during one slow commit
 constexpr std::size_t connections = 4;
 constexpr std::size_t slowConnections = 8;
 constexpr std::size_t maxResponseBytes = 256 * 1024;
@@ -100,7 +102,9 @@
 } // namespace
 
 PeerClient::PeerClient(boost::asio::io_context& context)
-    : m_client(context, connections, maxResponseBytes)
+    : m_greetings(context, greetConnections, maxResponseBytes)
+    , m_accepts(context, acceptConnections, maxResponseBytes)
+    , m_client(context, connections, maxResponseBytes)
     , m_slow(context, slowConnections, maxResponseBytes)
 {
 }
@@ -110,7 +114,7 @@
 {
     auto request
         = jsonPost(greetPath, json::serialize(json::object { { "node", node }, { "address", ownAddress } }));
-    m_client.send(address, std::move(request), timeout, [done = std::move(done)](HttpResult result) {
+    m_greetings.send(address, std::move(request), timeout, [done = std::move(done)](HttpResult result) {
         Greeting greeting;
         if (result.response && result.response->status == 200)
             greeting = decodeGreeting(result.response->body).value_or(Greeting {});
@@ -122,7 +126,7 @@
 void PeerClient::accept(const std::string& address, const StoredJob& job, Duration timeout,
     std::function<void(AcceptOutcome)> done)
 {
-    m_client.send(
+    m_accepts.send(
         address, jsonPost(acceptPath, encode(job)), timeout, [done = std::move(done)](HttpResult result) {
             if (!result.response) {
                 done(result.mayHaveArrived ? AcceptOutcome::Unknown : AcceptOutcome::NotWritten);
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -68,6 +68,9 @@
         Duration timeout, std::function<void(platform::ApprovalAnswer)> done);
 
 private:
+    // A greeting must never wait behind calls that take their time: the leader would seem silent.
+    HttpClient m_greetings;
+    HttpClient m_accepts; // each is open until the leader's commit
     HttpClient m_client;
     HttpClient m_slow; // approvals may take a second each
 };
