Leaving executors are evacuated, and are known to have left without waiting for a lease

Cause: an executor that drained and left kept its runs in doubt for the longest lease (7 s of a lasting task). Now lasting tasks and those that save their work are stopped when it begins to drain, and a closed port after its own deregistration says that it has left.

--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -87,6 +87,8 @@
         "look for another scheduler in the logs" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent { 2702, "executor_leaving", "an executor drains: no new starts", "nothing to do" },
+    CataloguedEvent { 2710, "executor_evacuated",
+        "tasks of a leaving executor are stopped to go on elsewhere", "nothing to do" },
     CataloguedEvent { 2703, "executor_unlisted",
         "a registration was removed; its runs count until their leases have lapsed", "see runs_lost" },
     CataloguedEvent {
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -119,12 +119,16 @@
             "executor=" + entry.id + " runs=" + std::to_string(life->runs.size())
                 + " remaining_ms=" + std::to_string(entry.remainingMs));
     const auto born = life->entry.bornUnixMs;
+    if (entry.isDraining && !life->entry.isDraining)
+        life->leavesAt = now + std::chrono::milliseconds(entry.remainingMs);
     life->entry = entry;
     if (entry.bornUnixMs == 0)
         life->entry.bornUnixMs = born;
     life->rack = rackOf(entry);
     life->isListed = true;
     m_impl->placementDue = true;
+    if (life->entry.isDraining && !life->isEvacuated)
+        m_impl->evacuate(*life, now);
 }
 
 void FleetScheduler::executorGone(const std::string& id, Instant now)
@@ -133,6 +137,7 @@
     if (!life || !life->isListed)
         return;
     life->isListed = false;
+    life->unlistedAt = now;
     life->nextHold = std::min(life->nextHold, now);
     m_impl->note("executor_unlisted", {}, "executor=" + id + " runs=" + std::to_string(life->runs.size()));
 }
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -19,6 +19,7 @@
 constexpr auto startRetrySilent = 400ms;
 constexpr auto stopRetry = 150ms;
 constexpr auto longestEcho = 20s; // an unanswered order may be carried out seconds later; 12 s were seen
+constexpr auto ownDeregistration = 1500ms; // a ping interval; silence takes three of them
 constexpr auto avoidUnhealthy = 700ms; // half an executor's ping interval
 constexpr auto avoidFailing = 3000ms; // two ping intervals
 constexpr int failuresUntilAvoided = 3; // in a row, of any job
@@ -118,6 +119,37 @@
     }
 }
 
+// What would not end in time, and loses less by a stop than by the executor's end, goes on elsewhere: lasting
+// tasks, and those whose stop saves their work.
+void FleetScheduler::Impl::evacuate(Life& life, Instant now)
+{
+    life.isEvacuated = true;
+    std::vector<RunKey> leaving;
+    for (const auto& [key, run] : life.runs) {
+        const auto& request = key.job->request.steps[key.step];
+        if (run.isOrphan || run.phase != RunPhase::Running || request.isGang)
+            continue;
+        const auto spent = now - run.startedAt;
+        const auto left = run.progress > 0 ? spent * (100 - run.progress) / run.progress : Duration::max();
+        if (request.isLasting
+            || (request.savesCheckpoints && now + std::min<Duration>(left, 3600s) > life.leavesAt))
+            leaving.push_back(key);
+    }
+    if (!leaving.empty())
+        note("executor_evacuated", {},
+            "executor=" + life.entry.id + " runs=" + std::to_string(leaving.size()));
+    for (const auto& key : leaving)
+        wantStop(life, key, now);
+}
+
+// An executor that drained, took its registration away while it still answered, and whose port is closed now
+// has left. One that was cut off loses its registration only after several ping intervals of silence.
+bool FleetScheduler::Impl::hasLeft(const Life& life, OrderResult result) const
+{
+    return result == OrderResult::Unreachable && life.entry.isDraining && !life.isListed && life.hasAnswered
+        && life.unlistedAt - life.lastAnswer < ownDeregistration;
+}
+
 void FleetScheduler::Impl::closeLife(Life& life)
 {
     life.isClosed = true;
@@ -282,9 +314,11 @@
         if (run->second.phase != RunPhase::Running) {
             run->second.phase = RunPhase::Running;
             run->second.confirmedAt = now;
+            run->second.startedAt = now;
             if (!run->second.wantsStop)
                 attention.erase({ life.number, *key });
         }
+        run->second.progress = it.percent;
         if (!it.checkpoint.empty() && !run->second.isOrphan) {
             auto& step = *key->job->occurrences[key->occurrence].steps[key->step];
             step.tasks[key->index].checkpoint = it.checkpoint;
@@ -449,6 +483,7 @@
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
+            run.startedAt = now;
             if (!run.wantsStop)
                 it.attention.erase({ number, *key });
         }
@@ -557,6 +592,8 @@
         life.isSilent = true;
         return;
     }
+    if (it.hasLeft(life, result))
+        it.loseRuns(life, now, "left");
     if (!life.isSilent) {
         life.isSilent = true;
         it.note("executor_silent", {}, "executor=" + life.entry.id + " result=" + std::string(text(result)));
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -110,6 +110,8 @@
     bool wantsStop = false;
     bool stopAcknowledged = false;
     Instant confirmedAt; // of the start or the stop: reports asked for later are conclusive
+    int progress = 0; // percent done, as last reported
+    Instant startedAt;
     int wantedPercent = 100;
     int percent = 100; // acknowledged by the executor
     bool isPacing = false;
@@ -131,6 +133,9 @@
     std::int64_t grantedClockMs = 0; // the longest lease that was asked for, on its clock
     Instant leaseEnds; // all that runs there has ended by then, unless prolonged
     Instant lastAnswer;
+    Instant unlistedAt;
+    Instant leavesAt; // of a draining one: it serves at least until then
+    bool isEvacuated = false;
     std::int64_t processedEnds = 0; // in memory
     std::int64_t acknowledgedEnds = 0; // durable
     bool holdInFlight = false;
@@ -200,6 +205,8 @@
     void settleReplaced(Life& life, Instant now);
     void loseRuns(Life& life, Instant now, std::string_view why);
     void closeLife(Life& life);
+    void evacuate(Life& life, Instant now);
+    bool hasLeft(const Life& life, OrderResult result) const;
     void applyReport(Life& life, const ExecutorReport& report, Instant sentAt, Instant now);
     void applyEnd(Life& life, const EndedTask& end, Instant now);
     void applyRunning(Life& life, const ExecutorReport& report, Instant sentAt, Instant now);
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -84,6 +84,41 @@
     }
 }
 
+TEST_CASE("what runs on a leaving executor goes on elsewhere without waiting for its lease")
+{
+    struct Row {
+        const char* name;
+        bool isLasting;
+        Duration goesOnWithin;
+    };
+    const Row rows[] = {
+        { "lasting: stopped and started elsewhere at once", true, 500ms },
+        { "plain: runs until the executor has left", false, 2700ms },
+    };
+    for (const auto& row : rows) {
+        const std::string name = row.name;
+        CAPTURE(name);
+        FleetWorld world(9, 3);
+        world.behaviour = endless;
+        auto request = jobOf(jobA, 1);
+        request.steps[0].isLasting = row.isLasting;
+        world.submit(request);
+        world.run(1s);
+        const TaskRef task { jobA, 0, 0, 0 };
+        std::string holder;
+        for (const auto& [id, executor] : world.executors) {
+            if (executor.running.count(task))
+                holder = id;
+        }
+        REQUIRE_FALSE(holder.empty());
+        world.leave(holder, 2s);
+        world.run(row.goesOnWithin);
+        CHECK(world.runsOf(task) == 1);
+        CHECK(world.executors.at(holder).running.count(task) == 0);
+        checkNoViolation(world);
+    }
+}
+
 TEST_CASE("a task fails its job after the queue's attempts, a lasting one never")
 {
     struct Row {
--- a/tests/cores/FleetWorld.cpp
+++ b/tests/cores/FleetWorld.cpp
@@ -138,7 +138,9 @@
     const auto born = executors.at(id).entry.bornUnixMs;
     const auto arrive = [this, id, carryOut, born]() -> OrderResult {
         auto it = executors.find(id);
-        if (it == executors.end() || !it->second.isUp || !it->second.isReachable)
+        if (it->second.hasLeft)
+            return OrderResult::Unreachable;
+        if (!it->second.isUp || !it->second.isReachable)
             return OrderResult::NoAnswer;
         // Nobody can keep an order for the process before from a process that was not asked for anything yet.
         if (it->second.entry.bornUnixMs != born && now < it->second.born + rebirthGrace)
@@ -340,6 +342,20 @@
     scheduler->executorSeen(executor.entry, now);
 }
 
+void FleetWorld::leave(const std::string& id, Duration delay)
+{
+    auto entry = executors.at(id).entry;
+    entry.isDraining = true;
+    entry.remainingMs = toMilliseconds(delay);
+    executors.at(id).entry = entry;
+    scheduler->executorSeen(entry, now);
+    later(delay, [this, id] {
+        crash(id);
+        executors.at(id).hasLeft = true;
+        unlist(id);
+    });
+}
+
 void FleetWorld::unlist(const std::string& id)
 {
     m_unlisted.insert(id);
--- a/tests/cores/FleetWorld.h
+++ b/tests/cores/FleetWorld.h
@@ -41,6 +41,7 @@
     Instant born;
     bool isUp = true;
     bool isReachable = true;
+    bool hasLeft = false; // its port is closed
 };
 
 class FleetWorld {
@@ -71,6 +72,8 @@
     /** Starts again under the same id, knowing nothing. */
     void reborn(const std::string& id);
     void unlist(const std::string& id);
+    /** Drains for the time given, then leaves: what runs ends, the registration goes, the port is closed. */
+    void leave(const std::string& id, Duration after);
     std::size_t runsOf(const TaskRef& task) const;
     JobPhase phase(const std::string& job) const;
 
