--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -80,6 +80,7 @@
                 openOccurrence(*job, number);
                 note("occurrence_due", request.id, "occurrence=" + std::to_string(number));
             }
+            job->deadline += now - job->acceptedAt; // the objective counts from the due time
             job->acceptedAt = now;
         }
     }
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -184,6 +184,31 @@
     CHECK(world.startedRuns == 3);
 }
 
+TEST_CASE("a scheduled job runs each occurrence once, never before its time, also over a takeover")
+{
+    FleetWorld world(10, 3);
+    auto request = jobOf(jobA, 2);
+    request.occurrences = 4;
+    request.firstDueUnixMs = toMilliseconds(world.now.time_since_epoch()) + 1000;
+    request.intervalMs = 1000;
+    std::vector<int> starts(4, 0);
+    world.behaviour = [&](const TaskRef& task, int) {
+        ++starts[static_cast<std::size_t>(task.occurrence)];
+        CHECK(toMilliseconds(world.now.time_since_epoch())
+            >= request.firstDueUnixMs + request.intervalMs * task.occurrence);
+        FakeRun run;
+        run.endsAt = world.now + 1500ms; // occurrences overlap
+        return run;
+    };
+    world.submit(request);
+    world.run(2600ms);
+    world.takeover();
+    world.run(6s);
+    CHECK(world.phase(jobA) == JobPhase::Completed);
+    CHECK(starts == std::vector<int>(4, 2));
+    checkNoViolation(world);
+}
+
 TEST_CASE("a gang starts whole or not at all, and one failed member ends the run of all")
 {
     FleetWorld world(6, 2); // room for 16 tasks of one core
