--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -16,7 +16,6 @@
 constexpr auto unusableAfter = 2000ms; // some transactions at sixty times their usual length
 constexpr auto refusedFor = 450ms; // a store that refuses this node may serve the others
 constexpr int refusalsUntilUnusable = 3;
-constexpr auto commitTimeoutFirst = 500ms;
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains; a start may be repeated
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
@@ -39,7 +38,6 @@
     , m_leadVersion(version)
     , m_fence(version)
     , m_deposed(std::move(deposed))
-    , m_commitTimeout(commitTimeoutFirst)
     , m_lastCommit(clockNow())
     , m_tickTimer(services.context)
     , m_starts(services.metrics.counter("quay_start_orders_total", "Orders to start a task"))
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -139,7 +139,7 @@
     std::vector<Accept> m_committing; // part of the commit in hand
     bool m_isGivingUp = false;
     std::function<void()> m_gaveUp;
-    Duration m_commitTimeout;
+    Duration m_commitTimeout {};
     Instant m_lastCommit;
     Duration m_lastCommitTime {};
     int m_commitFailures = 0; // attempts in a row that the store did not carry out
