--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -189,7 +189,8 @@
             greeting.isUsable = leader && leader->isUsable(std::chrono::steady_clock::now());
             greeting.configurationVersion = m_follower.version();
             if (leader) {
-                greeting.pending = leader->pending();
+                if (leader->isLoaded())
+                    greeting.pending = leader->pending();
                 m_approvals.callerSeen(textOf("node"), textOf("address"), std::chrono::steady_clock::now());
             }
             response.body = encode(greeting);
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -69,8 +69,10 @@
                 "leader_found", {}, { { "leader", m_known.node }, { "address", m_known.address } });
         m_isLeaderUp = true;
         m_missed = 0;
-        m_pending = greeting.pending;
-        m_pendingAt = clockNow();
+        if (greeting.pending) {
+            m_pending = *greeting.pending;
+            m_pendingAt = clockNow();
+        }
         if (greeting.configurationVersion > m_follower.version())
             m_follower.refresh();
         schedule(greetInterval);
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -19,11 +19,15 @@
 
 std::string encode(const Greeting& greeting)
 {
-    json::object pending;
-    for (const auto& [queue, count] : greeting.pending)
-        pending[queue] = count;
-    return json::serialize(json::object { { "leader", greeting.isLeader }, { "usable", greeting.isUsable },
-        { "version", greeting.configurationVersion }, { "pending", std::move(pending) } });
+    json::object object { { "leader", greeting.isLeader }, { "usable", greeting.isUsable },
+        { "version", greeting.configurationVersion } };
+    if (greeting.pending) {
+        json::object pending;
+        for (const auto& [queue, count] : *greeting.pending)
+            pending[queue] = count;
+        object["pending"] = std::move(pending);
+    }
+    return json::serialize(object);
 }
 
 std::optional<Greeting> decodeGreeting(const std::string& body)
@@ -36,8 +40,11 @@
         greeting.isLeader = object.at("leader").as_bool();
         greeting.isUsable = object.at("usable").as_bool();
         greeting.configurationVersion = object.at("version").to_number<std::int64_t>();
-        for (const auto& it : object.at("pending").as_object())
-            greeting.pending[std::string(it.key())] = it.value().to_number<std::int64_t>();
+        if (const auto* pending = object.if_contains("pending")) {
+            greeting.pending.emplace();
+            for (const auto& it : pending->as_object())
+                (*greeting.pending)[std::string(it.key())] = it.value().to_number<std::int64_t>();
+        }
         return greeting;
     } catch (const std::exception&) {
         return std::nullopt; // the caller treats it as no answer and logs the loss of the leader
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -28,7 +28,8 @@
     bool isLeader = false;
     bool isUsable = false; // it reaches the store
     std::int64_t configurationVersion = 0;
-    std::map<std::string, std::int64_t> pending; // by queue
+    // By queue; absent while the leader still reads what is durable: it knows no counts then, not even zeros.
+    std::optional<std::map<std::string, std::int64_t>> pending;
 
     bool operator==(const Greeting&) const = default;
 };
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -1,6 +1,7 @@
 #include "NodeSettings.h"
 #include "Wire.h"
 #include "edge/JobRows.h"
+#include "edge/PeerClient.h"
 #include "quay/fleet/JobRecord.h"
 
 #include <doctest/doctest.h>
@@ -165,6 +166,18 @@
     CHECK_FALSE(parseNodeSettings("nothing", reason));
 }
 
+TEST_CASE("a greeting without counts is not one of zeros")
+{
+    edge::Greeting greeting;
+    greeting.isAnswered = greeting.isLeader = greeting.isUsable = true;
+    greeting.configurationVersion = 7;
+    CHECK(edge::decodeGreeting(encode(greeting)) == greeting);
+    CHECK_FALSE(edge::decodeGreeting(encode(greeting))->pending);
+    greeting.pending = { { "q", 0 }, { "r", 12 } };
+    CHECK(edge::decodeGreeting(encode(greeting)) == greeting);
+    CHECK_FALSE(edge::decodeGreeting("{}"));
+}
+
 TEST_CASE("rows of our own survive encoding, and foreign bytes are refused")
 {
     Reason reason;
