A job whose row the store would refuse is refused with 413; at most 900 tasks a job

Cause: such a row would have failed every commit that it was part of. Table row in EdgeNodeTest; the stand-in refuses rows over 64 KB. The test of a blocked reader failed once beside other builds: it read before the writer's thread had written; it now waits for the pipe to be readable.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -63,13 +63,14 @@
     bool isLeaderLost = false; // or has answered: nothing is expected of it any more
 };
 
-CallerFront::CallerFront(
-    EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election)
+CallerFront::CallerFront(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower,
+    Election& election, std::size_t maxRowBytes)
     : m_services(services)
     , m_peers(peers)
     , m_follower(follower)
     , m_election(election)
     , m_gate(services.context, services.store, services.log)
+    , m_maxRowBytes(maxRowBytes)
     , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
     , m_refused(services.metrics.counter("quay_requests_refused_total", "Requests refused as not run"))
     , m_acceptTime(
@@ -188,6 +189,11 @@
         return;
     }
     call->job = { call->id, call->queue.name, call->team, call->request.body };
+    if (encode(call->job).size() > m_maxRowBytes) { // it would hold up every commit that it is part of
+        refuse(call, ErrorKind::TooLarge,
+            "a job takes at most " + std::to_string(m_maxRowBytes) + " bytes when stored");
+        return;
+    }
     const auto handed = [this, call](AcceptOutcome outcome) { handedToLeader(call, outcome); };
     if (auto* leader = m_election.leader())
         leader->accept(call->job, handed);
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -20,8 +20,9 @@
  */
 class CallerFront {
 public:
-    CallerFront(
-        EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election);
+    /** `maxRowBytes`: the largest row that the store takes. */
+    CallerFront(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Election& election,
+        std::size_t maxRowBytes);
 
     void serve(HttpRequest request, Respond respond);
 
@@ -59,6 +60,7 @@
     ConfigurationFollower& m_follower;
     Election& m_election;
     StoreGate m_gate;
+    std::size_t m_maxRowBytes;
     Counter& m_accepted;
     Counter& m_refused;
     DurationHistogram& m_acceptTime;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -44,7 +44,7 @@
                   m_election.configurationChanged(configuration);
               })
         , m_election(m_services, m_peers, m_follower, identity(settings), boundsOf(settings))
-        , m_front(m_services, m_peers, m_follower, m_election)
+        , m_front(m_services, m_peers, m_follower, m_election, settings.maxRowBytes)
         , m_callers(m_context, settings.callerAddress, limits(),
               [this](HttpRequest request, Respond respond) {
                   m_front.serve(std::move(request), std::move(respond));
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -14,6 +14,7 @@
 constexpr auto pollInterval = 5ms;
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr std::int64_t cpuMilli = 8000;
+constexpr std::size_t maxRowBytes = 65536;
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -209,6 +210,10 @@
     if (!holds)
         return answer(412, { { "rows", present }, { "ver", m_version } });
     ++m_version;
+    for (const auto& it : body.at("puts").as_array()) {
+        if (textOf(it.as_object(), "value").size() > maxRowBytes / 3 * 4 + 4) // base64
+            return answer(400, { { "error", "a row is too large" } });
+    }
     for (const auto& it : body.at("puts").as_array()) {
         m_rows[nameOf(it)] = { textOf(it.as_object(), "value"), m_version };
         m_changed.push_back(nameOf(it));
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -135,6 +135,8 @@
         { "unknown key", "POST", "/q/" + jobId(2), twoSteps, "nobody", 401 },
         { "an id of another form", "POST", "/q/12", twoSteps, "key", 400 },
         { "a malformed body", "POST", "/q/" + jobId(2), "{", "key", 400 },
+        { "a body that no row of the store holds", "POST", "/q/" + jobId(2),
+            R"({"steps":[{"count":1}],"padding":")" + std::string(70'000, 'x') + "\"}", "key", 413 },
         { "another method", "PUT", "/q/" + jobId(2), twoSteps, "key", 400 },
         { "state of an unknown job", "GET", "/q/" + jobId(9), "", "key", 410 },
         { "cancel of an unknown job", "DELETE", "/q/" + jobId(9), "", "key", 410 },
--- a/tests/contract/NodeLogTest.cpp
+++ b/tests/contract/NodeLogTest.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <poll.h>
 #include <regex>
 #include <set>
 #include <sstream>
@@ -56,7 +57,9 @@
         for (int i = 0; i < 20'000; ++i)
             log.write("event_" + std::to_string(i % 300), wide, {});
         CHECK(log.bytesWritten() > 1'000'000);
-        // The writer's thread is released before it is joined.
+        // The writer's thread has met the pipe; it is released before it is joined.
+        pollfd readable { ends[0], POLLIN, 0 };
+        REQUIRE(poll(&readable, 1, 30'000) == 1);
         REQUIRE(dup2(output, STDOUT_FILENO) >= 0);
         close(ends[1]);
         std::string drained(1 << 16, ' ');
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -35,7 +35,7 @@
         { "no task", R"({"steps":[{"count":0}]})", "no task" },
         { "a count of another type", R"({"steps":[{"count":"4"}]})", "count" },
         { "a count beyond every bound", R"({"steps":[{"count":5000000000}]})", "count" },
-        { "too many tasks", R"({"steps":[{"count":4097}]})", "tasks" },
+        { "too many tasks", R"({"steps":[{"count":901}]})", "tasks" },
         { "a negative demand", R"({"steps":[{"count":1,"cpu":-1}]})", "below zero" },
         { "waits for itself", R"({"steps":[{"count":1,"after":[0]}]})", "earlier" },
         { "waits for a later step", R"({"steps":[{"count":1,"after":[1]},{"count":1}]})", "earlier" },
