--- a/include/quay/fleet/WorkRequest.h
+++ b/include/quay/fleet/WorkRequest.h
@@ -48,7 +48,7 @@
 /** Limits of one job; larger ones are refused. */
 constexpr std::size_t maxPayloadBytes = 4000; // the published bound
 constexpr int maxStepsPerJob = 64;
-constexpr int maxTasksPerJob = 900; // the record of a job takes some 70 bytes a task, a row of the store 64 KB
+constexpr int maxTasksPerJob = 900; // a record has some 70 bytes a task, a row of the store 64 KB
 constexpr std::size_t jobIdDigits = 16;
 
 /** True for 16 hexadecimal digits. */
