--- a/tests/processes/QuotaTest.cpp
+++ b/tests/processes/QuotaTest.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <iostream>
 #include <thread>
 
 using namespace quay;
@@ -180,7 +181,11 @@
     std::string lowered = configuration;
     lowered.replace(lowered.rfind("upper_limit = 12"), 16, "upper_limit = 10");
     std::optional<HttpResponse> answer;
-    std::thread applying([&] { answer = fleet.applyConfiguration(0, lowered); });
+    std::thread applying([&] {
+        answer = fleet.applyConfiguration(0, lowered);
+        if (!answer || answer->status != 200)
+            std::cerr << "the change was answered " << (answer ? answer->body : "not at all") << "\n";
+    });
     waitFor("the lower limit is the target", [&] { return standing(fleet, 0, "target") == 10; });
     CHECK(standing(fleet, 0, "limit") > 10);
     const auto cancelled
