--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -156,12 +156,8 @@
 
     /** What may be shown of a job: only what is durable. Nothing if the job is not known. */
     std::optional<JobPhase> shownPhase(const std::string& job) const;
-    /** The team that a job belongs to; empty if there is none or the job is not known. */
-    std::string teamOf(const std::string& job) const;
     /** Accepted jobs of a queue of which no task has started. */
     std::int64_t pending(const std::string& queue) const;
-    /** Share of the executors in use that did not answer lately. */
-    double unreachableShare(Instant now) const;
 
     SchedulerCounts counts() const;
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -57,7 +57,6 @@
     {
         return m_scheduler.shownPhase(id);
     }
-    std::string teamOf(const std::string& id) const { return m_scheduler.teamOf(id); }
     std::map<std::string, std::int64_t> pending() const;
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
     std::int64_t fence() const { return m_fence; }
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -68,7 +68,6 @@
             m_services.log.write(
                 "leader_found", {}, { { "leader", m_known.node }, { "address", m_known.address } });
         m_isLeaderUp = true;
-        m_missed = 0;
         if (greeting.pending) {
             m_pending = *greeting.pending;
             m_pendingAt = clockNow();
@@ -78,7 +77,6 @@
         schedule(greetInterval);
         return;
     }
-    ++m_missed;
     m_isUnusable = greeting.isAnswered && greeting.isLeader;
     if (m_isLeaderUp)
         m_services.log.write("leader_missed", {},
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -65,7 +65,6 @@
     bool m_isLeaderUp = false;
     bool m_isUnusable = false; // the leader said that the store refuses it
     bool m_isRetired = false;
-    int m_missed = 0; // greetings in a row
     std::int64_t m_suspectVersion = -1; // of the leadership row when the leader was first suspected
     Instant m_suspectedAt;
     std::map<std::string, std::int64_t> m_pending;
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -125,7 +125,6 @@
         Greeting greeting;
         if (result.response && result.response->status == 200)
             greeting = decodeGreeting(result.response->body).value_or(Greeting {});
-        greeting.isRefused = !result.response && result.reason.detail.find("refused") != std::string::npos;
         done(std::move(greeting));
     });
 }
@@ -175,12 +174,9 @@
             if (!ec && value.is_object()) {
                 const auto& object = value.get_object();
                 const auto* phase = object.if_contains("phase");
-                const auto* team = object.if_contains("team");
                 answer.isAnswered = phase && phase->is_int64();
                 if (answer.isAnswered && phase->get_int64() >= 0)
                     answer.phase = static_cast<fleet::JobPhase>(phase->get_int64());
-                if (team && team->is_string())
-                    answer.team = std::string(team->get_string());
             }
         }
         done(std::move(answer));
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -24,7 +24,6 @@
 /** What the leader tells a node that greets it. */
 struct Greeting {
     bool isAnswered = false;
-    bool isRefused = false; // no process listens there
     bool isLeader = false;
     bool isUsable = false; // it reaches the store
     std::int64_t configurationVersion = 0;
@@ -47,7 +46,6 @@
 struct StateAnswer {
     bool isAnswered = false; // false: the leader gave no answer
     std::optional<fleet::JobPhase> phase; // nothing: it does not know the job
-    std::string team;
 };
 
 /**
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -225,12 +225,6 @@
     return job.shown;
 }
 
-std::string FleetScheduler::teamOf(const std::string& id) const
-{
-    auto it = m_impl->jobs.find(id);
-    return it == m_impl->jobs.end() ? std::string() : it->second->request.team;
-}
-
 std::int64_t FleetScheduler::pending(const std::string& queue) const
 {
     return std::count_if(m_impl->jobs.begin(), m_impl->jobs.end(), [&](const auto& it) {
@@ -239,21 +233,6 @@
     });
 }
 
-double FleetScheduler::unreachableShare(Instant now) const
-{
-    (void)now;
-    std::size_t listed = 0;
-    std::size_t silent = 0;
-    for (const auto& life : m_impl->lives) {
-        if (life.isClosed || !life.isListed)
-            continue;
-        ++listed;
-        if (life.isSilent)
-            ++silent;
-    }
-    return listed == 0 ? 0 : static_cast<double>(silent) / static_cast<double>(listed);
-}
-
 SchedulerCounts FleetScheduler::counts() const
 {
     auto counts = m_impl->totals;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -178,7 +178,6 @@
     Impl(const SchedulerBounds& theBounds, Instant now)
         : bounds(theBounds)
         , authorityUntil(now + theBounds.leaseAuthority)
-        , startedAt(now)
     {
     }
 
@@ -242,7 +241,6 @@
 
     SchedulerBounds bounds;
     Instant authorityUntil; // leases are prolonged until then
-    Instant startedAt;
     FleetConfiguration configuration;
     std::unordered_map<std::string, std::unique_ptr<JobState>> jobs;
     std::deque<Life> lives; // by LifeId; closed ones stay as small shells
