--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -179,7 +179,7 @@
                     answer.phase = static_cast<fleet::JobPhase>(phase->get_int64());
             }
         }
-        done(std::move(answer));
+        done(answer);
     });
 }
 
