Configuration: a change of the voters alone makes no operator's change conflict

Cause: when the first configuration is taken before a second VM is seen, it names one voter; the voters are then completed by a change of the same document, which raises the version. An operator's change sent with the version read before is refused (VersionConflict), or finds the change of the voters in hand and is refused.

Change: rows carry the version since which the document is the same; a change builds on any version from that one on; an operator's change goes before one of the voters alone.

--- a/include/quay/core/ConfigRollout.h
+++ b/include/quay/core/ConfigRollout.h
@@ -17,6 +17,7 @@
     Configuration document;
     std::set<std::string> voters; // entry VMs that may accept the version after this one
     std::string by; // unique token of the operator's request
+    std::uint64_t contentSince = 0; // the document is the same in all versions from this one on
 
     bool operator==(const RolloutRow&) const = default;
 };
@@ -72,6 +73,7 @@
     std::uint64_t base = 0; // newest version, accepted or prepared, that the operator has seen
     Configuration document; // its version is ignored
     std::set<std::string> voters; // empty: as they are
+    bool votersOnly = false; // the document stays; gives way to an operator's change
 
     bool operator==(const ApplyRequest&) const = default;
 };
@@ -179,6 +181,7 @@
     std::optional<ApplyRequest> apply; // the operator's request in work
     std::optional<std::uint64_t> applyRequest; // its write in flight
     bool applySent = false;
+    std::uint64_t applyOver = 0; // the newest version when the write was sent
 };
 
 /** The result of one step. */
--- a/src/core/ConfigRollout.cpp
+++ b/src/core/ConfigRollout.cpp
@@ -122,11 +122,18 @@
     state.applySent = false;
 }
 
+const RolloutRow& newestRow(const RolloutState& state)
+{
+    return state.view.pending() ? state.view.prepared.row : state.view.accepted.row;
+}
+
 RolloutRow preparedRow(const RolloutState& state)
 {
     const auto& apply = *state.apply;
-    RolloutRow row { apply.document, apply.voters, apply.token };
+    const auto& newest = newestRow(state);
+    RolloutRow row { apply.votersOnly ? newest.document : apply.document, apply.voters, apply.token };
     row.document.version = newestVersion(state) + 1;
+    row.contentSince = apply.votersOnly ? newest.contentSince : row.document.version;
     if (row.voters.empty())
         row.voters = state.view.accepted.row.voters;
     return row;
@@ -138,11 +145,21 @@
         || state.view.accepted.row.by == state.apply->token;
 }
 
-// Our write could only make version base + 1. If that version is the newest and not ours, ours
+// Versions from contentSince on hold the document that the operator has seen. A change of the voters builds
+// on the newest version only: there is no hurry in it.
+bool hasSeenDocument(const RolloutState& state)
+{
+    const auto base = state.apply->base;
+    if (state.apply->votersOnly)
+        return base == newestVersion(state);
+    return base >= newestRow(state).contentSince && base <= newestVersion(state);
+}
+
+// Our write could only make version applyOver + 1. If that version is the newest and not ours, ours
 // never got in; if still later ones hide it, we can't tell.
 ErrorKind lostRaceKind(const RolloutState& state)
 {
-    const bool hidden = newestVersion(state) > state.apply->base + 1;
+    const bool hidden = newestVersion(state) > state.applyOver + 1;
     return state.applySent && hidden ? ErrorKind::OutcomeUnknown : ErrorKind::VersionConflict;
 }
 
@@ -154,11 +171,12 @@
         return;
     if (applyIsVisible(state))
         return finishApply(state, ErrorKind::None, actions);
-    if (state.rules.checkBaseVersion && newestVersion(state) != state.apply->base)
+    if (state.rules.checkBaseVersion && !hasSeenDocument(state))
         return finishApply(state, lostRaceKind(state), actions);
     const auto request = newRequest(state, now);
     state.applyRequest = request;
     state.applySent = true;
+    state.applyOver = newestVersion(state);
     actions.emplace_back(rollout::Write { request, false, state.view, preparedRow(state) });
 }
 
@@ -284,6 +302,8 @@
 
 void onEvent(RolloutState& state, const rollout::Apply& event, Instant now, Actions& actions)
 {
+    if (state.apply && state.apply->votersOnly && !event.request.votersOnly)
+        finishApply(state, ErrorKind::VersionConflict, actions); // it is proposed again while it is wanted
     if (state.apply) {
         actions.emplace_back(
             rollout::ApplyDone { event.request.token, ErrorKind::VersionConflict, newestVersion(state) });
@@ -432,7 +452,7 @@
     for (const auto& voter : row.voters)
         voters.emplace_back(voter);
     return boost::json::serialize(boost::json::object { { "by", row.by }, { "voters", std::move(voters) },
-        { "document", boost::json::parse(toJson(row.document)) } });
+        { "content_since", row.contentSince }, { "document", boost::json::parse(toJson(row.document)) } });
 }
 
 std::optional<RolloutRow> parseRolloutRow(const std::string& text, Reason& reason)
@@ -448,6 +468,8 @@
         if (!document)
             return std::nullopt;
         row.document = std::move(*document);
+        const auto* since = object.if_contains("content_since"); // rows of earlier releases lack it
+        row.contentSince = since ? since->to_number<std::uint64_t>() : row.document.version;
         return row;
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::InvalidConfiguration, error.what());
--- a/src/service/ConfigurationChanges.cpp
+++ b/src/service/ConfigurationChanges.cpp
@@ -17,22 +17,24 @@
 void ConfigurationService::apply(std::uint64_t baseVersion, Configuration next, ApplyDone done)
 {
     const bool queued = post([this, baseVersion, next = std::move(next), done] {
+        const auto propose = [=, this] { begin({ {}, baseVersion, next, wantedVoters() }, done); };
         const auto earliest = m_state.startedAt + firstChangeDelay;
         const auto now = monotonicNow();
         if (m_state.view.accepted.storeVersion || now >= earliest)
-            begin(baseVersion, next, done);
+            propose();
         else
-            after(earliest - now, [this, baseVersion, next, done] { begin(baseVersion, next, done); });
+            after(earliest - now, propose);
     });
     if (!queued)
         done(std::nullopt, Reason { ErrorKind::Overloaded, {} });
 }
 
-void ConfigurationService::begin(std::uint64_t baseVersion, Configuration next, ApplyDone done)
+// The request gets its token here.
+void ConfigurationService::begin(ApplyRequest request, ApplyDone done)
 {
-    const auto token = m_self.text + "/" + std::to_string(m_nextToken++);
-    m_changes[token] = Change { std::move(done), monotonicNow() + changeTimeout };
-    feed(rollout::Apply { { token, baseVersion, std::move(next), wantedVoters() } });
+    request.token = m_self.text + "/" + std::to_string(m_nextToken++);
+    m_changes[request.token] = Change { std::move(done), monotonicNow() + changeTimeout };
+    feed(rollout::Apply { std::move(request) });
 }
 
 std::string ConfigurationService::currentVersions() const
--- a/src/service/ConfigurationMembers.cpp
+++ b/src/service/ConfigurationMembers.cpp
@@ -101,7 +101,7 @@
     if (!accepted.storeVersion || first != m_vm || !(missing || alone) || m_state.apply
         || m_state.view.pending() || wanted == accepted.row.voters || !servesKeyedWork(m_state, now))
         return;
-    begin(accepted.row.document.version, accepted.row.document, [](auto, const auto&) {});
+    begin({ {}, accepted.row.document.version, {}, wanted, true }, [](auto, const auto&) {});
 }
 
 MemberRollout ConfigurationService::ownStatus() const
--- a/src/service/ConfigurationService.h
+++ b/src/service/ConfigurationService.h
@@ -93,7 +93,7 @@
     void publish();
     Instant freshUntil(Instant now) const;
 
-    void begin(std::uint64_t baseVersion, Configuration next, ApplyDone done);
+    void begin(ApplyRequest request, ApplyDone done);
     void settleChanges();
     bool settle(const std::string& token, const Change& change);
     void giveUp(const std::string& token, const Change& change);
