The leader belongs on a strong machine; what was read is restored in portions

Change: greetings name the processor share, the leadership row the strongest node's; weak nodes wait longer and hand over to stronger ones; rows are decoded once, completed jobs by name only, in portions with heartbeats between.

--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -61,6 +61,8 @@
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
     std::int64_t fence() const { return m_fence; }
 
+    /** What the leadership row says of the nodes' processors from the next commit on. */
+    void strongestNode(double share) { m_lead.strongestShare = share; }
     /** Writes that anybody may lead, then calls `done`. Nothing is ordered from now on. */
     void giveUp(std::function<void()> done);
     /** Nothing is ordered or committed from now on. */
@@ -74,6 +76,8 @@
         std::int64_t firstVersion = 0);
     void load();
     void loaded();
+    void restoreSome();
+    void restoreJob(const platform::StoreRow& row);
     void takeJobRow(const platform::StoreRow& row);
     void takeExecutorRow(const platform::StoreRow& row);
     void followExecutors();
@@ -123,10 +127,13 @@
     bool m_isStopped = false;
     bool m_pumpPosted = false;
 
+    // What was read and is not yet known to the scheduler.
     std::shared_ptr<Rows> m_loadedRecords = std::make_shared<Rows>();
     std::shared_ptr<Rows> m_loadedJobs = std::make_shared<Rows>();
     std::shared_ptr<Rows> m_loadedExecutors = std::make_shared<Rows>();
-    int m_loading = 0;
+    std::map<std::string, fleet::JobRecord> m_recordsToRestore;
+    std::size_t m_restored = 0; // of m_loadedJobs
+    int m_loading = 0; // tables that are still being read
     std::int64_t m_jobsSeen = 0;
     std::int64_t m_executorsSeen = 0;
     std::set<std::string> m_listed; // executors whose registration we saw
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -18,6 +18,7 @@
 constexpr auto executorsWait = 1000ms; // under the 2 s after which a leaving executor takes no starts
 constexpr auto executorsPause = 250ms; // registrations change some thirty times a second
 constexpr auto jobsPause = 700ms; // a lost message about a job costs at most this
+constexpr std::size_t restorePortion = 40; // jobs; some milliseconds of a tenth of a processor
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
@@ -76,38 +77,68 @@
 
 void CellLeader::loaded()
 {
-    const auto now = clockNow();
     for (const auto& row : *m_loadedExecutors)
         takeExecutorRow(row);
-    std::map<std::string, JobRecord> records;
     for (const auto& row : *m_loadedRecords) {
         Reason reason;
         if (auto record = decodeJobRecord(row.value, reason))
-            records[row.key] = std::move(*record);
+            m_recordsToRestore[row.key] = std::move(*record);
         else
             m_services.log.write("record_unreadable", row.key, { { "reason", reason.explain() } });
     }
-    for (const auto& row : *m_loadedJobs) {
-        auto record = records.find(row.key);
-        Reason reason;
-        auto job = record == records.end() ? std::nullopt : decodeStoredJob(row.value, reason);
-        auto request = job ? requestOf(*job, reason) : std::nullopt;
-        if (request)
-            m_scheduler.restore(*request, record->second, now);
+    m_loadedRecords = m_loadedExecutors = nullptr;
+    restoreSome();
+}
+
+// In portions: heartbeats go out between them, or a weak machine would be replaced before it has begun. A
+// job's key comes right before that of its cancellation.
+void CellLeader::restoreSome()
+{
+    if (m_isStopped)
+        return;
+    const auto end = std::min(m_restored + restorePortion, m_loadedJobs->size());
+    for (; m_restored < end; ++m_restored)
+        restoreJob((*m_loadedJobs)[m_restored]);
+    if (end < m_loadedJobs->size()) {
+        boost::asio::post(m_services.context, [self = shared_from_this()] { self->restoreSome(); });
+        return;
     }
-    for (const auto& row : *m_loadedJobs)
-        takeJobRow(row);
     m_services.log.write("scheduler_loaded", {},
         { { "fence", std::to_string(m_fence) }, { "jobs", std::to_string(m_loadedJobs->size()) },
-            { "records", std::to_string(records.size()) },
+            { "records", std::to_string(m_recordsToRestore.size()) },
             { "executors", std::to_string(m_listed.size()) } });
-    m_loadedJobs = m_loadedRecords = m_loadedExecutors = nullptr;
+    m_loadedJobs = nullptr;
+    m_recordsToRestore.clear();
     m_isLoaded = true;
     followExecutors();
     followJobs();
     pumpSoon();
 }
 
+void CellLeader::restoreJob(const StoreRow& row)
+{
+    auto record = m_recordsToRestore.find(row.key);
+    if (record == m_recordsToRestore.end()) {
+        takeJobRow(row);
+        return;
+    }
+    WorkRequest request;
+    request.id = row.key;
+    if (record->second.phase != JobPhase::Completed) { // of a completed job only its name matters
+        Reason reason;
+        const auto job = decodeStoredJob(row.value, reason);
+        auto decoded = job ? requestOf(*job, reason) : std::nullopt;
+        if (!decoded) {
+            m_services.log.write("job_unreadable", row.key, { { "reason", reason.explain() } });
+            return;
+        }
+        request = std::move(*decoded);
+    }
+    m_scheduler.restore(request, record->second, clockNow());
+    if (m_earlyCancels.erase(request.id))
+        m_scheduler.cancel(request.id, clockNow());
+}
+
 void CellLeader::takeJobRow(const StoreRow& row)
 {
     if (row.isDeleted)
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -125,7 +125,7 @@
     {
         std::random_device random;
         const auto incarnation = (static_cast<std::uint64_t>(random()) << 20U) ^ random();
-        return { settings.node, peerAddress(settings), incarnation };
+        return { settings.node, peerAddress(settings), incarnation, settings.processorShare };
     }
 
     static fleet::SchedulerBounds boundsOf(const NodeSettings& settings)
@@ -184,6 +184,12 @@
             return it && it->is_string() ? std::string(it->get_string()) : std::string();
         };
         if (path == greetPath) {
+            const auto greeter = decodeGreeter(request.body);
+            if (!greeter) {
+                response.status = 400;
+                respond(std::move(response));
+                return;
+            }
             Greeting greeting;
             greeting.isLeader = leader != nullptr;
             greeting.isUsable = leader && leader->isUsable(std::chrono::steady_clock::now());
@@ -191,7 +197,8 @@
             if (leader) {
                 if (leader->isLoaded())
                     greeting.pending = leader->pending();
-                m_approvals.callerSeen(textOf("node"), textOf("address"), std::chrono::steady_clock::now());
+                m_approvals.callerSeen(greeter->node, greeter->address, std::chrono::steady_clock::now());
+                m_election.heard(greeter->node, greeter->processorShare);
             }
             response.body = encode(greeting);
         } else if (path == jobPath && leader) {
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -1,5 +1,6 @@
 #include "edge/Election.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace quay::edge {
@@ -16,6 +17,8 @@
 constexpr auto silenceOfUnusable = 250ms; // of a leader that says itself that the store refuses it
 constexpr auto jitterLongest = 120; // ms; spreads candidates over a few transactions
 constexpr auto acquireTimeout = 1200ms;
+constexpr auto weakPatience = 800ms; // a strong candidate has seen the silence and written the row by then
+constexpr auto handOverPause = 15000ms; // of one node; many times what a change of leader costs
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -55,8 +58,14 @@
 
 void Election::greet()
 {
-    m_peers.greet(m_known.address, m_identity.node, m_identity.peerAddress, greetTimeout,
-        [this](Greeting greeting) { greeted(greeting); });
+    m_peers.greet(m_known.address, self(), greetTimeout, [this](Greeting greeting) { greeted(greeting); });
+}
+
+// The share is that of a candidate: a node that could not lead now names none.
+Greeter Election::self() const
+{
+    const bool isFit = !m_isRetired && m_follower.current() && m_follower.isStoreReachable(clockNow());
+    return { m_identity.node, m_identity.peerAddress, isFit ? m_identity.processorShare : 0 };
 }
 
 void Election::greeted(const Greeting& greeting)
@@ -116,9 +125,16 @@
     const bool isVacant = !lead || lead->node.empty();
     const bool isOwnPast
         = lead && lead->node == m_identity.node && lead->incarnation != m_identity.incarnation;
+    const Duration patience = lead && isWeak(m_identity.processorShare, lead->strongestShare)
+        ? Duration(weakPatience)
+        : Duration();
+    if (!isVacant && !isOwnPast)
+        m_vacantSince = {};
+    else if (m_vacantSince == Instant {})
+        m_vacantSince = now;
     if (isVacant || isOwnPast) {
         m_isLeaderUp = false;
-        if (mayLead)
+        if (mayLead && now - m_vacantSince >= patience)
             acquire(row.version);
         else
             schedule(examineInterval);
@@ -135,20 +151,19 @@
             schedule(Duration::zero());
         } else {
             schedule(examineInterval);
-            m_peers.greet(m_known.address, m_identity.node, m_identity.peerAddress, greetTimeout,
-                [this](const Greeting& greeting) {
-                    m_isUnusable = greeting.isAnswered && greeting.isLeader && !greeting.isUsable;
-                    if (m_leader || !greeting.isAnswered || !greeting.isLeader || !greeting.isUsable)
-                        return;
-                    m_suspectVersion = -1;
-                    greeted(greeting);
-                });
+            m_peers.greet(m_known.address, self(), greetTimeout, [this](const Greeting& greeting) {
+                m_isUnusable = greeting.isAnswered && greeting.isLeader && !greeting.isUsable;
+                if (m_leader || !greeting.isAnswered || !greeting.isLeader || !greeting.isUsable)
+                    return;
+                m_suspectVersion = -1;
+                greeted(greeting);
+            });
         }
         return;
     }
     const auto jitter = std::chrono::milliseconds(std::hash<std::string>()(m_identity.node) % jitterLongest);
     const auto silence = m_isUnusable ? silenceOfUnusable : silenceUntilReplaced;
-    if (mayLead && now - m_suspectedAt >= silence + jitter)
+    if (mayLead && now - m_suspectedAt >= silence + jitter + patience)
         acquire(row.version);
     else
         schedule(examineInterval);
@@ -156,7 +171,8 @@
 
 void Election::acquire(std::int64_t version)
 {
-    const LeadRecord lead { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0 };
+    const LeadRecord lead { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
+        std::max(m_identity.processorShare, m_known.strongestShare) };
     StoreTransaction transaction;
     transaction.conditions.push_back({ leadTable, cellPartition, leadKey, {}, version, false });
     transaction.puts.push_back({ leadTable, cellPartition, leadKey, encode(lead), 0, false });
@@ -193,7 +209,10 @@
     }
     m_suspectVersion = -1;
     m_isLeaderUp = false;
-    m_known = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0 };
+    m_known = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
+        std::max(m_identity.processorShare, m_known.strongestShare) };
+    m_vacantSince = {};
+    m_strengths = {};
     m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_known, version, [this] {
         m_leader.reset();
         m_known = {};
@@ -205,12 +224,29 @@
 void Election::retire(std::function<void()> done)
 {
     m_isRetired = true;
-    if (!m_leader) {
+    if (m_leader)
+        giveUp("this node stops", std::move(done));
+    else
         done();
+}
+
+void Election::heard(const std::string& node, double share)
+{
+    const auto now = clockNow();
+    m_strengths.heard(node, share, now);
+    if (!m_leader || m_isRetired || !m_leader->isLoaded() || !m_leader->isUsable(now))
         return;
-    }
-    m_leader->giveUp([this, done = std::move(done)] {
-        m_services.log.write("leadership_given_up", {}, {});
+    m_leader->strongestNode(std::max(m_identity.processorShare, m_strengths.strongest(now)));
+    if (now < m_nextHandOver || !m_strengths.hasStronger(m_identity.processorShare, now))
+        return;
+    m_nextHandOver = now + handOverPause;
+    giveUp("a stronger node is there", [] {});
+}
+
+void Election::giveUp(std::string_view why, std::function<void()> done)
+{
+    m_leader->giveUp([this, why = std::string(why), done = std::move(done)] {
+        m_services.log.write("leadership_given_up", {}, { { "reason", why } });
         m_leader->stop();
         m_leader.reset();
         m_known = {};
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -2,6 +2,7 @@
 
 #include "edge/CellLeader.h"
 #include "edge/ConfigurationFollower.h"
+#include "edge/NodeStrength.h"
 #include "edge/PeerClient.h"
 
 #include <memory>
@@ -14,7 +15,8 @@
  *
  * A leader rewrites the leadership row with each commit. Who wants its place writes the row under the
  * condition that it has not changed for some time: a leader at work can't be replaced, whatever its peers see
- * of it.
+ * of it. Nodes that are clearly weaker than the strongest known one wait longer, and a weak leader hands over
+ * to a stronger node.
  *
  * Usage: `Election election(services, peers, follower, identity, bounds); election.start();`
  */
@@ -24,6 +26,7 @@
         std::string node;
         std::string peerAddress;
         std::uint64_t incarnation = 0; // of this process
+        double processorShare = 0; // 0: not told
     };
 
     Election(EdgeServices services, PeerClient& peers, ConfigurationFollower& follower, Identity identity,
@@ -32,6 +35,8 @@
     void start();
     /** Gives up the leadership, if held, and never takes it again; then calls `done`. */
     void retire(std::function<void()> done);
+    /** A greeting of another node; a leader hands over to a clearly stronger one. */
+    void heard(const std::string& node, double share);
 
     /** Null unless this node leads. */
     CellLeader* leader() const { return m_leader.get(); }
@@ -44,6 +49,7 @@
     void configurationChanged(const fleet::FleetConfiguration& configuration);
 
 private:
+    Greeter self() const;
     void schedule(Duration delay);
     void step();
     void greet();
@@ -53,6 +59,7 @@
     void acquire(std::int64_t version);
     void acquired(const platform::StoreResult& result, std::int64_t condition);
     void lead(std::int64_t version);
+    void giveUp(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
     PeerClient& m_peers;
@@ -67,6 +74,9 @@
     bool m_isRetired = false;
     std::int64_t m_suspectVersion = -1; // of the leadership row when the leader was first suspected
     Instant m_suspectedAt;
+    Instant m_vacantSince; // the leadership row names nobody since then; of no meaning while it does
+    NodeStrengths m_strengths; // while this node leads
+    Instant m_nextHandOver {};
     std::map<std::string, std::int64_t> m_pending;
     Instant m_pendingAt;
 };
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -41,7 +41,8 @@
 std::string encode(const LeadRecord& lead)
 {
     return json::serialize(json::object { { "node", lead.node }, { "address", lead.address },
-        { "incarnation", lead.incarnation }, { "sequence", lead.sequence } });
+        { "incarnation", lead.incarnation }, { "sequence", lead.sequence },
+        { "strongest", lead.strongestShare } });
 }
 
 std::optional<LeadRecord> decodeLeadRecord(const std::string& bytes, Reason& reason)
@@ -49,10 +50,13 @@
     try {
         const auto value = json::parse(bytes);
         const auto& object = value.as_object();
-        return LeadRecord { std::string(object.at("node").as_string()),
+        LeadRecord lead { std::string(object.at("node").as_string()),
             std::string(object.at("address").as_string()),
             object.at("incarnation").to_number<std::uint64_t>(),
             object.at("sequence").to_number<std::uint64_t>() };
+        if (const auto* it = object.if_contains("strongest")) // rows of earlier releases lack it
+            lead.strongestShare = it->to_number<double>();
+        return lead;
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("lead record: ") + error.what());
     }
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -46,6 +46,7 @@
     std::string address; // for peers
     std::uint64_t incarnation = 0; // of the process
     std::uint64_t sequence = 0; // of the last commit
+    double strongestShare = 0; // largest processor share among the nodes that could lead
 
     bool operator==(const LeadRecord&) const = default;
 };
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -17,6 +17,24 @@
 
 } // namespace
 
+std::string encode(const Greeter& greeter)
+{
+    return json::serialize(json::object {
+        { "node", greeter.node }, { "address", greeter.address }, { "share", greeter.processorShare } });
+}
+
+std::optional<Greeter> decodeGreeter(const std::string& body)
+{
+    try {
+        const auto value = json::parse(body);
+        const auto& object = value.as_object();
+        return Greeter { std::string(object.at("node").as_string()),
+            std::string(object.at("address").as_string()), object.at("share").to_number<double>() };
+    } catch (const std::exception&) {
+        return std::nullopt; // refused by the node that is greeted, which the greeter logs
+    }
+}
+
 std::string encode(const Greeting& greeting)
 {
     json::object object { { "leader", greeting.isLeader }, { "usable", greeting.isUsable },
@@ -116,11 +134,10 @@
 {
 }
 
-void PeerClient::greet(const std::string& address, const std::string& node, const std::string& ownAddress,
-    Duration timeout, std::function<void(Greeting)> done)
+void PeerClient::greet(
+    const std::string& address, const Greeter& self, Duration timeout, std::function<void(Greeting)> done)
 {
-    auto request
-        = jsonPost(greetPath, json::serialize(json::object { { "node", node }, { "address", ownAddress } }));
+    auto request = jsonPost(greetPath, encode(self));
     m_greetings.send(address, std::move(request), timeout, [done = std::move(done)](HttpResult result) {
         Greeting greeting;
         if (result.response && result.response->status == 200)
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -21,6 +21,18 @@
 constexpr const char* statePath = "/peer/state";
 constexpr const char* approvePath = "/peer/approve";
 
+/** Who greets the leader. */
+struct Greeter {
+    std::string node;
+    std::string address; // for peers
+    double processorShare = 0; // 0: it could not lead now, or was not told its share
+
+    bool operator==(const Greeter&) const = default;
+};
+
+std::string encode(const Greeter& greeter);
+std::optional<Greeter> decodeGreeter(const std::string& body);
+
 /** What the leader tells a node that greets it. */
 struct Greeting {
     bool isAnswered = false;
@@ -49,14 +61,14 @@
 };
 
 /**
- * Usage: `peers.greet(address, "edge-1", ownAddress, 500ms, [](Greeting greeting) { ... });`
+ * Usage: `peers.greet(address, { "edge-1", ownAddress, 0.25 }, 500ms, [](Greeting greeting) { ... });`
  */
 class PeerClient {
 public:
     explicit PeerClient(boost::asio::io_context& context);
 
-    void greet(const std::string& address, const std::string& node, const std::string& ownAddress,
-        Duration timeout, std::function<void(Greeting)> done);
+    void greet(const std::string& address, const Greeter& self, Duration timeout,
+        std::function<void(Greeting)> done);
     void accept(const std::string& address, const StoredJob& job, Duration timeout,
         std::function<void(AcceptOutcome)> done);
     void tellJob(const std::string& address, const StoredJob& job);
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -31,9 +31,29 @@
     }
 }
 
+// Status 0: no answer.
+HttpResponse call(const std::string& address, const std::string& method, const std::string& target,
+    const std::string& body = {}, const std::string& key = "key")
+{
+    boost::asio::io_context context;
+    HttpClient client(context, 1, 1 << 20);
+    HttpRequest request = jsonPost(target, body);
+    request.method = method;
+    request.headers["host"] = "h";
+    request.headers["authorization"] = "Bearer " + key;
+    HttpResponse answer;
+    answer.status = 0;
+    client.send(address, request, 5s, [&](HttpResult result) {
+        if (result.response)
+            answer = *result.response;
+    });
+    context.run();
+    return answer;
+}
+
 class Node {
 public:
-    Node(int number, const std::string& store)
+    Node(int number, const std::string& store, double processorShare = 0)
         : m_address("127.0.1." + std::to_string(number))
         , m_port(20000 + (getpid() * 8) % 20000)
     {
@@ -48,6 +68,7 @@
         settings.longestLease = 6000ms;
         settings.stopTime = 900ms;
         settings.grace = 6s;
+        settings.processorShare = processorShare;
         settings.keepFinished = 120s;
         m_node = std::make_unique<edge::EdgeNode>(settings);
         m_thread = std::thread([this] { m_node->run(); });
@@ -65,6 +86,11 @@
 
     std::string callers() const { return m_address + ":" + std::to_string(m_port); }
     std::string readiness() const { return m_address + ":" + std::to_string(m_port + 1); }
+    bool leads() const
+    {
+        return call(m_address + ":9464", "GET", "/metrics").body.find("\nquay_leads 1\n")
+            != std::string::npos;
+    }
 
 private:
     std::string m_address;
@@ -73,26 +99,6 @@
     std::thread m_thread;
 };
 
-// Status 0: no answer.
-HttpResponse call(const std::string& address, const std::string& method, const std::string& target,
-    const std::string& body = {}, const std::string& key = "key")
-{
-    boost::asio::io_context context;
-    HttpClient client(context, 1, 1 << 20);
-    HttpRequest request = jsonPost(target, body);
-    request.method = method;
-    request.headers["host"] = "h";
-    request.headers["authorization"] = "Bearer " + key;
-    HttpResponse answer;
-    answer.status = 0;
-    client.send(address, request, 5s, [&](HttpResult result) {
-        if (result.response)
-            answer = *result.response;
-    });
-    context.run();
-    return answer;
-}
-
 std::string jobId(int number)
 {
     char text[17];
@@ -232,3 +238,22 @@
     waitFor("the next job is completed", [&] { return isCompleted(node, jobId(2)); });
     CHECK(platform.violations().empty());
 }
+
+TEST_CASE("a weak node hands the leadership to a stronger one, and takes it back only when that one is gone")
+{
+    standin::FleetPlatform platform(3);
+    platform.configure(configuration);
+    Node weak(7, platform.storeAddress(), 0.12);
+    waitFor("the weak node leads", [&] { return weak.leads(); });
+    auto strong = std::make_unique<Node>(8, platform.storeAddress(), 0.5);
+    waitFor("the strong node leads", [&] { return strong->leads(); });
+    waitFor("the weak one leads no more", [&] { return !weak.leads(); });
+    CHECK(call(weak.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200);
+    waitFor("the job is completed", [&] { return isCompleted(weak, jobId(1)); });
+    strong->kill();
+    waitFor("the weak node leads again", [&] { return weak.leads(); });
+    CHECK(call(weak.callers(), "POST", "/q/" + jobId(2), twoSteps).status == 200);
+    waitFor("the next job is completed", [&] { return isCompleted(weak, jobId(2)); });
+    CHECK(platform.startedRuns() == 2 * 7);
+    CHECK(platform.violations().empty());
+}
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -166,6 +166,14 @@
     CHECK_FALSE(parseNodeSettings("nothing", reason));
 }
 
+TEST_CASE("a greeting names its sender and what it could lead with")
+{
+    const edge::Greeter greeter { "n", "a:1", 0.25 };
+    CHECK(edge::decodeGreeter(encode(greeter)) == greeter);
+    for (const char* bad : { "", "[]", "{}", R"({"node":"n","address":"a:1","share":"much"})" })
+        CHECK_FALSE(edge::decodeGreeter(bad));
+}
+
 TEST_CASE("a greeting without counts is not one of zeros")
 {
     edge::Greeting greeting;
@@ -188,7 +196,7 @@
     CHECK(decodeJobRecord(encode(record), reason) == record);
     const edge::StoredJob job { goodId, "q", "t", R"({"spec":"\u0000é"})" };
     CHECK(edge::decodeStoredJob(encode(job), reason) == job);
-    const edge::LeadRecord lead { "n", "a:1", 1ULL << 50U, 9 };
+    const edge::LeadRecord lead { "n", "a:1", 1ULL << 50U, 9, 0.5 };
     CHECK(edge::decodeLeadRecord(encode(lead), reason) == lead);
     for (const char* bad : { "", "{}", "[]", R"({"phase":9,"tasks":[],"done":[]})" }) {
         CHECK_FALSE(decodeJobRecord(bad, reason));
