Scheduler: executors indexed by service and free processors; no scan of all executors for a waiting step

Counts of waiting jobs were taken over all jobs for each queue and greeting.

Change: a pool for each service keeps its executors in order of free processors and the sums of what is free and promised; steps know their queue and team; approvals look at tickets only; an empty search waits for room or the idle interval; counts of all queues in one look, kept for 100 ms.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -7,6 +7,7 @@
 #include "quay/fleet/WorkRequest.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -156,8 +157,8 @@
 
     /** What may be shown of a job: only what is durable. Nothing if the job is not known. */
     std::optional<JobPhase> shownPhase(const std::string& job) const;
-    /** Accepted jobs of a queue of which no task has started. */
-    std::int64_t pending(const std::string& queue) const;
+    /** Accepted jobs of which no task has started, by queue. Looks at all jobs. */
+    std::map<std::string, std::int64_t> pending() const;
 
     SchedulerCounts counts() const;
 
--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -435,8 +435,8 @@
 
 void CallerFront::countPending(const CallPointer& call)
 {
-    if (const auto* leader = m_election.leader(); leader && leader->isLoaded()) {
-        const auto pending = leader->pending();
+    if (auto* leader = m_election.leader(); leader && leader->isLoaded()) {
+        const auto& pending = leader->pending();
         auto it = pending.find(call->queue.name);
         answer(call, statusAccepted, encodePending(it == pending.end() ? 0 : it->second), "pending_shown");
         return;
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -16,6 +16,7 @@
 constexpr auto unusableAfter = 2000ms; // some transactions at sixty times their usual length
 constexpr auto refusedFor = 450ms; // a store that refuses this node may serve the others
 constexpr int refusalsUntilUnusable = 3;
+constexpr auto pendingInterval = 100ms; // many nodes ask within the interval of greetings
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains; a start may be repeated
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
@@ -59,7 +60,6 @@
 
 void CellLeader::configure(const FleetConfiguration& configuration)
 {
-    m_configuration = configuration;
     m_scheduler.configure(configuration);
     pumpSoon();
 }
@@ -70,12 +70,14 @@
     return silence < unusableAfter && (silence < refusedFor || m_commitFailures < refusalsUntilUnusable);
 }
 
-std::map<std::string, std::int64_t> CellLeader::pending() const
+const std::map<std::string, std::int64_t>& CellLeader::pending()
 {
-    std::map<std::string, std::int64_t> result;
-    for (const auto& queue : m_configuration.queues)
-        result[queue.name] = m_scheduler.pending(queue.name);
-    return result;
+    const auto now = clockNow();
+    if (now - m_pendingAt >= pendingInterval) {
+        m_pending = m_scheduler.pending();
+        m_pendingAt = now;
+    }
+    return m_pending;
 }
 
 void CellLeader::after(Duration delay, std::function<void()> action)
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -57,7 +57,8 @@
     {
         return m_scheduler.shownPhase(id);
     }
-    std::map<std::string, std::int64_t> pending() const;
+    /** Jobs that have not begun, by queue; at most a tenth of a second old. */
+    const std::map<std::string, std::int64_t>& pending();
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
     std::int64_t fence() const { return m_fence; }
 
@@ -122,7 +123,6 @@
     std::int64_t m_leadVersion; // of the leadership row as far as we know
     std::int64_t m_fence;
     std::function<void()> m_deposed;
-    fleet::FleetConfiguration m_configuration;
     bool m_isLoaded = false;
     bool m_isStopped = false;
     bool m_pumpPosted = false;
@@ -148,6 +148,8 @@
     Duration m_commitTimeout {};
     Instant m_lastCommit;
     Duration m_lastCommitTime {};
+    std::map<std::string, std::int64_t> m_pending;
+    Instant m_pendingAt {};
     int m_commitFailures = 0; // attempts in a row that the store did not carry out
     boost::asio::steady_timer m_tickTimer;
     Counter& m_starts;
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -29,6 +29,12 @@
             merged.queues.push_back(queue);
     }
     m_impl->configuration = std::move(merged);
+    for (auto& [id, job] : m_impl->jobs) {
+        for (auto& [number, occurrence] : job->occurrences) {
+            for (auto& step : occurrence.steps)
+                m_impl->lookUpPolicies(*step);
+        }
+    }
     m_impl->placementDue = true;
 }
 
@@ -126,6 +132,7 @@
         life->entry.bornUnixMs = born;
     life->rack = rackOf(entry);
     life->isListed = true;
+    m_impl->repool(*life);
     m_impl->placementDue = true;
     if (life->entry.isDraining && !life->isEvacuated)
         m_impl->evacuate(*life, now);
@@ -137,6 +144,7 @@
     if (!life || !life->isListed)
         return;
     life->isListed = false;
+    m_impl->repool(*life);
     life->unlistedAt = now;
     life->nextHold = std::min(life->nextHold, now);
     m_impl->note("executor_unlisted", {}, "executor=" + id + " runs=" + std::to_string(life->runs.size()));
@@ -225,12 +233,16 @@
     return job.shown;
 }
 
-std::int64_t FleetScheduler::pending(const std::string& queue) const
+std::map<std::string, std::int64_t> FleetScheduler::pending() const
 {
-    return std::count_if(m_impl->jobs.begin(), m_impl->jobs.end(), [&](const auto& it) {
-        const auto& job = *it.second;
-        return job.request.queue == queue && !job.hasStarted && !isFinal(job.phase);
-    });
+    std::map<std::string, std::int64_t> result;
+    for (const auto& queue : m_impl->configuration.queues)
+        result[queue.name] = 0;
+    for (const auto& [id, job] : m_impl->jobs) {
+        if (!job->hasStarted && !isFinal(job->phase))
+            ++result[job->request.queue];
+    }
+    return result;
 }
 
 SchedulerCounts FleetScheduler::counts() const
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -44,8 +44,7 @@
     } else {
         ++task.failures;
     }
-    const auto* queue = configuration.queueNamed(key.job->request.queue);
-    if (!step.request().isLasting && queue && task.failures >= queue->maxAttempts
+    if (!step.request().isLasting && step.queue && task.failures >= step.queue->maxAttempts
         && !isFinal(key.job->phase)) {
         // Phase first: the runs that are stopped below must not be started again.
         finish(*key.job, JobPhase::Failed, now);
@@ -314,6 +313,7 @@
     if (result == OrderResult::OtherLife) {
         it.loseRuns(life, now, "another process at its address");
         life.isListed = false;
+        it.repool(life);
         life.nextHold = now + holdRetryLongest;
         life.isSilent = true;
         return;
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -35,21 +35,11 @@
 }
 
 // Asking for more than there is room for wastes the service's time: the tickets lapse unused.
-bool FleetScheduler::Impl::hasRoomBesideOpenAsks(const StepState& step, const std::string& service) const
+bool FleetScheduler::Impl::hasRoomBesideOpenAsks(const StepState& step) const
 {
-    std::int64_t free = 0;
-    for (const auto& [id, number] : lifeById) {
-        const auto& life = lives[number];
-        if (life.isListed && life.entry.service == service)
-            free += std::max<std::int64_t>(0, life.entry.capacity.cpuMilli - life.used.cpuMilli);
-    }
-    std::int64_t promised = 0;
-    for (const auto& [name, ask] : asking) {
-        if (ask.service == service)
-            promised += ask.cpuMilli;
-    }
-    return static_cast<double>(promised) + static_cast<double>(roomOf(step.request()).cpuMilli)
-        <= promiseFactor * static_cast<double>(free);
+    const auto& pool = pools.at(step.queue->service);
+    return static_cast<double>(pool.promisedCpu + roomOf(step.request()).cpuMilli)
+        <= promiseFactor * static_cast<double>(pool.freeCpu());
 }
 
 void FleetScheduler::approvalCallers(int count)
@@ -59,54 +49,50 @@
     m_impl->approvalCallers = std::max(1, count);
 }
 
-void FleetScheduler::Impl::askApproval(
-    StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions)
+void FleetScheduler::Impl::askApproval(StepState& step, Instant now, SchedulerActions& actions)
 {
-    if (step.isAsking || now < step.nextAsk)
-        return;
-    auto possible = candidates(step, queue.service, now);
-    std::vector<LifeId> approved;
-    std::vector<LifeId> open;
-    for (LifeId number : possible) {
-        if (step.tickets.count(number))
-            approved.push_back(number);
-        else if (!step.decided.count(number))
-            open.push_back(number);
-    }
-    // Approvals stand, only their tickets lapse: the approved come first, then the fullest that still has
-    // room.
-    std::sort(open.begin(), open.end(), [&](LifeId a, LifeId b) {
-        const auto leftOf
-            = [&](LifeId n) { return lives[n].entry.capacity.cpuMilli - lives[n].used.cpuMilli; };
-        return std::make_pair(-leftOf(a), a) < std::make_pair(-leftOf(b), b);
-    });
-    std::vector<LifeId> chosen = approved;
-    const auto enough = static_cast<std::size_t>(step.waiting);
-    if (approved.size() < enough) {
-        for (LifeId number : open) {
-            if (chosen.size() >= workersPerApproval)
-                break;
+    const auto& policy = *step.queue->approval;
+    if (step.isAsking || now < step.nextAsk || !hasCaller(policy.decisionMs) || !hasRoomBesideOpenAsks(step))
+        return; // asked when a call in hand is answered, or room comes free
+    const auto room = roomOf(step.request());
+    const auto atWork
+        = step.request().maxPerExecutor > 0 ? tasksPerLife(step) : std::unordered_map<LifeId, int>();
+    const auto isOpen = [&](LifeId number) {
+        const auto here = atWork.find(number);
+        return (here == atWork.end() || here->second < step.request().maxPerExecutor)
+            && isCandidate(step, lives[number], room, now);
+    };
+    // Approvals stand, only their tickets lapse: the approved come first, then the emptiest.
+    std::vector<LifeId> chosen;
+    for (const auto& [number, ticket] : step.tickets) {
+        if (isOpen(number))
             chosen.push_back(number);
-        }
     }
+    std::sort(chosen.begin(), chosen.end());
     if (chosen.size() > workersPerApproval)
         chosen.resize(workersPerApproval);
-    if (chosen.empty()) {
-        placementDue = true;
-        return;
+    auto& pool = pools.at(step.queue->service);
+    if (chosen.size() < static_cast<std::size_t>(step.waiting)) {
+        for (auto it = pool.byFreeCpu.rbegin();
+             it != pool.byFreeCpu.rend() && it->first >= room.cpuMilli && chosen.size() < workersPerApproval;
+             ++it) {
+            if (!step.tickets.count(it->second) && !step.decided.count(it->second) && isOpen(it->second))
+                chosen.push_back(it->second);
+        }
     }
-    const double expectedMs
-        = queue.approval->decisionMs + queue.approval->perWorkerMs * static_cast<double>(chosen.size());
-    if (!hasCaller(expectedMs) || !hasRoomBesideOpenAsks(step, queue.service))
-        return; // asked when a call in hand is answered
+    if (chosen.empty())
+        return; // the next pass is due when room comes free, or after the idle interval
+    const double expectedMs = policy.decisionMs + policy.perWorkerMs * static_cast<double>(chosen.size());
+    if (!hasCaller(expectedMs))
+        return;
     if (!step.decided.empty() && expectedMs > longCallMs && now - step.lastAsk < askAnyway) {
-        int room = 0;
+        int places = 0;
         for (LifeId number : chosen) {
             const auto left = lives[number].entry.capacity - lives[number].used;
-            const auto each = std::max<std::int64_t>(1, roomOf(step.request()).cpuMilli);
-            room += static_cast<int>(std::max<std::int64_t>(0, left.cpuMilli / each));
+            const auto each = std::max<std::int64_t>(1, room.cpuMilli);
+            places += static_cast<int>(std::max<std::int64_t>(0, left.cpuMilli / each));
         }
-        if (room < std::min(step.waiting, worthwhileTasks)) {
+        if (places < std::min(step.waiting, worthwhileTasks)) {
             step.nextAsk = now + askAgain;
             return;
         }
@@ -121,7 +107,9 @@
         ask.workers.push_back(lives[number].entry.id);
     ask.expectedMs = expectedMs;
     step.isAsking = true;
-    asking[ask.step] = { expectedMs, queue.service, roomOf(step.request()).cpuMilli * step.waiting };
+    const std::int64_t promised = room.cpuMilli * step.waiting;
+    pool.promisedCpu += promised;
+    asking[ask.step] = { expectedMs, &pool, promised };
     actions.approvals.push_back(std::move(ask));
 }
 
@@ -135,6 +123,7 @@
         it.askingMs -= call->second.expectedMs;
         if (call->second.expectedMs > longCallMs)
             it.askingLongMs -= call->second.expectedMs;
+        call->second.pool->promisedCpu -= call->second.cpuMilli;
         it.asking.erase(call);
     }
     const auto ref = parseTaskRef(stepName + ".0");
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -45,10 +45,12 @@
     const LifeId oldNumber = old.number;
     old.isListed = false;
     old.entry.address.clear();
+    repool(old);
     auto& life = addLife(entry, now);
     life.isListed = true;
     life.replaced = oldNumber;
     lifeById[entry.id] = life.number;
+    repool(life);
     note("executor_reborn", {},
         "executor=" + entry.id + " runs_before=" + std::to_string(lives[oldNumber].runs.size()));
 }
@@ -89,6 +91,7 @@
         life.runs.emplace(key, barred);
         attention.insert({ life.number, key });
     }
+    repool(life);
     loseRuns(old, now, "restarted");
     closeLife(old);
 }
@@ -138,10 +141,30 @@
         && life.unlistedAt - life.lastAnswer < ownDeregistration;
 }
 
+// Called after each change of what counts for its place: its registration, its capacity, what is in use.
+void FleetScheduler::Impl::repool(Life& life)
+{
+    if (life.pool) {
+        life.pool->byFreeCpu.erase({ life.pooledFree, life.number });
+        life.pool->totalCpu -= life.pooledTotal;
+        life.pool->usedCpu -= life.pooledTotal - life.pooledFree;
+        life.pool = nullptr;
+    }
+    if (!life.isListed)
+        return;
+    life.pool = &pools[life.entry.service];
+    life.pooledTotal = life.entry.capacity.cpuMilli;
+    life.pooledFree = life.pooledTotal - life.used.cpuMilli;
+    life.pool->byFreeCpu.insert({ life.pooledFree, life.number });
+    life.pool->totalCpu += life.pooledTotal;
+    life.pool->usedCpu += life.pooledTotal - life.pooledFree;
+}
+
 void FleetScheduler::Impl::closeLife(Life& life)
 {
     life.isClosed = true;
     life.isListed = false;
+    repool(life);
     life.strays.clear();
     auto it = lifeById.find(life.entry.id);
     if (it != lifeById.end() && it->second == life.number)
@@ -167,6 +190,7 @@
     if (it == life.runs.end())
         return;
     life.used -= it->second.room;
+    repool(life);
     teamUsage[key.job->request.team] -= it->second.charged;
     attention.erase({ life.number, key });
     life.runs.erase(it);
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -64,6 +64,7 @@
         step->tasks.resize(job.request.steps[i].taskCount);
         step->waiting = job.request.steps[i].taskCount;
         step->chainMs = lengths[i];
+        lookUpPolicies(*step);
         occurrence.steps.push_back(std::move(step));
     }
     refreshReady(job, number);
@@ -268,6 +269,7 @@
     run.room = roomOf(step.request());
     run.charged = step.request().perTask;
     life->used += run.room;
+    repool(*life);
     teamUsage[job.request.team] += run.charged;
     life->runs.emplace(RunKey { &job, record.occurrence, record.step, record.index, record.run }, run);
     task.phase = TaskPhase::Active;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -17,6 +17,7 @@
 // Steps that wait for a time, not for an event: asked again, avoided no more.
 constexpr auto idlePlacementInterval = 100ms;
 constexpr std::size_t stepsPerPass = 200; // a longer line of steps without room is looked at in the next pass
+constexpr std::size_t spareCandidates = 32; // beside one for each waiting task: some are avoided or take none
 constexpr auto longestSilence = 2500ms; // two looks of a second and their timeout
 constexpr auto ticketMargin = 150ms; // a commit and a start are on their way meanwhile
 constexpr double urgentReserve = 0.06; // share of a service that only the most urgent queue may use
@@ -39,16 +40,6 @@
         limit.accelerators ? limit.accelerators : most };
 }
 
-std::unordered_map<LifeId, int> tasksPerLife(const StepState& step)
-{
-    std::unordered_map<LifeId, int> result;
-    for (const auto& task : step.tasks) {
-        if (task.phase == TaskPhase::Active)
-            ++result[task.life];
-    }
-    return result;
-}
-
 Resources fillsAdjusted(const StepRequest& request)
 {
     Resources room = request.perTask;
@@ -59,8 +50,24 @@
 
 } // namespace
 
+std::unordered_map<LifeId, int> internal::tasksPerLife(const StepState& step)
+{
+    std::unordered_map<LifeId, int> result;
+    for (const auto& task : step.tasks) {
+        if (task.phase == TaskPhase::Active)
+            ++result[task.life];
+    }
+    return result;
+}
+
 Resources FleetScheduler::Impl::roomOf(const StepRequest& request) const { return fillsAdjusted(request); }
 
+void FleetScheduler::Impl::lookUpPolicies(StepState& step) const
+{
+    step.queue = configuration.queueNamed(step.job->request.queue);
+    step.team = configuration.teamNamed(step.job->request.team);
+}
+
 void FleetScheduler::Impl::place(Instant now, SchedulerActions& actions)
 {
     const bool isTimeDue = !ready.empty() && now >= nextPlacement + idlePlacementInterval;
@@ -71,9 +78,9 @@
     std::vector<Candidate> order;
     order.reserve(ready.size());
     for (auto* step : ready) {
-        const auto* queue = configuration.queueNamed(step->job->request.queue);
+        const auto* queue = step->queue;
         if (!queue)
-            continue; // a removed queue starts nothing
+            continue; // of a queue that nobody has configured
         const auto objective = step->job->deadline - step->job->acceptedAt;
         const bool isLasting = step->request().isLasting;
         const auto end = now + std::chrono::milliseconds(step->chainMs);
@@ -96,13 +103,11 @@
 
 bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
 {
-    const auto* queue = configuration.queueNamed(step.job->request.queue);
-    const double usable
-        = queue && queue->priority > 0 && !step.request().isLasting ? 1 - urgentQuotaReserve : 1;
+    const double usable = step.queue->priority > 0 && !step.request().isLasting ? 1 - urgentQuotaReserve : 1;
     const auto fits = [&](std::int64_t after, std::int64_t limit) {
         return limit == 0 || static_cast<double>(after) <= usable * static_cast<double>(limit);
     };
-    const auto* team = configuration.teamNamed(step.job->request.team);
+    const auto* team = step.team;
     if (!team)
         return true;
     const auto& limit = team->upperLimit;
@@ -115,31 +120,63 @@
         && fits(after.accelerators, limit.accelerators);
 }
 
-// Executors of the service that have room for a task of the step now.
-std::vector<LifeId> FleetScheduler::Impl::candidates(
-    const StepState& step, const std::string& service, Instant now) const
+// Whether the executor may be given a task of the step now; what the step has there already is not counted.
+bool FleetScheduler::Impl::isCandidate(
+    const StepState& step, const Life& life, const Resources& room, Instant now) const
 {
     const auto& request = step.request();
+    if (!life.isListed || life.isSilent || life.entry.isDraining || life.entry.service != step.queue->service
+        || now < life.avoidUntil || now - life.lastAnswer > longestSilence || life.replaced >= 0)
+        return false;
+    if (!(life.used + room).fitsIn(life.entry.capacity))
+        return false;
+    if (request.usesSpareCpu
+        && life.used.cpuMilli + request.perTask.cpuMilli / 4 > life.entry.capacity.cpuMilli)
+        return false; // hardly anything would be left to fill
+    const auto& labels = life.entry.labels;
+    return request.requiredLabel.empty()
+        || std::find(labels.begin(), labels.end(), request.requiredLabel) != labels.end();
+}
+
+// Executors of the service that have room for a task of the step now. The fullest come first, and more than a
+// step could use are not looked for, unless where they are matters.
+std::vector<LifeId> FleetScheduler::Impl::candidates(const StepState& step, Instant now) const
+{
+    const auto& request = step.request();
+    const auto pool = pools.find(step.queue->service);
+    if (pool == pools.end())
+        return {};
     const auto room = fillsAdjusted(request);
+    const bool isPlaceImportant = request.isGang || !request.dataRack.empty();
+    const auto enough = static_cast<std::size_t>(step.waiting) + spareCandidates;
     const auto atWork = request.maxPerExecutor > 0 ? tasksPerLife(step) : std::unordered_map<LifeId, int>();
     std::vector<LifeId> result;
-    for (const auto& [id, number] : lifeById) {
-        const auto& life = lives[number];
-        if (auto it = atWork.find(number); it != atWork.end() && it->second >= request.maxPerExecutor)
-            continue;
-        if (!life.isListed || life.isSilent || life.entry.isDraining || life.entry.service != service
-            || now < life.avoidUntil || now - life.lastAnswer > longestSilence || life.replaced >= 0)
-            continue;
-        if (!(life.used + room).fitsIn(life.entry.capacity))
-            continue;
-        if (request.usesSpareCpu
-            && life.used.cpuMilli + request.perTask.cpuMilli / 4 > life.entry.capacity.cpuMilli)
-            continue; // hardly anything would be left to fill
-        const auto& labels = life.entry.labels;
-        if (!request.requiredLabel.empty()
-            && std::find(labels.begin(), labels.end(), request.requiredLabel) == labels.end())
-            continue;
-        result.push_back(number);
+    const auto& byFreeCpu = pool->second.byFreeCpu;
+    for (auto it = byFreeCpu.lower_bound({ room.cpuMilli, -1 }); it != byFreeCpu.end(); ++it) {
+        if (!isPlaceImportant && result.size() >= enough)
+            break;
+        const auto& life = lives[it->second];
+        const auto here = atWork.find(life.number);
+        const bool isFull = here != atWork.end() && here->second >= request.maxPerExecutor;
+        if (!isFull && isCandidate(step, life, room, now))
+            result.push_back(life.number);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+// The same among those that the step has a valid ticket for.
+std::vector<LifeId> FleetScheduler::Impl::approvedCandidates(const StepState& step, Instant now) const
+{
+    const auto& request = step.request();
+    const auto room = fillsAdjusted(request);
+    const auto atWork = request.maxPerExecutor > 0 ? tasksPerLife(step) : std::unordered_map<LifeId, int>();
+    std::vector<LifeId> result;
+    for (const auto& [number, ticket] : step.tickets) {
+        const auto here = atWork.find(number);
+        const bool isFull = here != atWork.end() && here->second >= request.maxPerExecutor;
+        if (ticket.validUntil >= now + ticketMargin && !isFull && isCandidate(step, lives[number], room, now))
+            result.push_back(number);
     }
     std::sort(result.begin(), result.end());
     return result;
@@ -192,6 +229,7 @@
         run.ticketUntil = it->second.validUntil;
     }
     life.used += run.room;
+    repool(life);
     teamUsage[step.job->request.team] += run.charged;
     task.run = runNumber;
     task.phase = TaskPhase::Active;
@@ -247,7 +285,7 @@
     if (chosen.size() < step.tasks.size())
         return false;
     // The team's limit holds for the gang as a whole.
-    if (const auto* team = configuration.teamNamed(step.job->request.team)) {
+    if (const auto* team = step.team) {
         auto after = teamUsage[team->name];
         for (std::size_t i = 0; i < step.tasks.size(); ++i)
             after += request.perTask;
@@ -264,32 +302,21 @@
 
 void FleetScheduler::Impl::placeStep(StepState& step, Instant now, SchedulerActions& actions)
 {
-    const auto* queue = configuration.queueNamed(step.job->request.queue);
     const auto& request = step.request();
-    if (!queue || !fitsQuota(step))
+    if (!fitsQuota(step))
         return;
-    auto from = candidates(step, queue->service, now);
-    if (queue->approval) {
-        std::erase_if(from, [&](LifeId number) {
-            auto it = step.tickets.find(number);
-            return it == step.tickets.end() || it->second.validUntil < now + ticketMargin;
-        });
-    }
-    if (queue->priority > 0) { // room that only the most urgent may use
-        std::int64_t total = 0;
-        std::int64_t used = 0;
-        for (const auto& [id, number] : lifeById) {
-            if (lives[number].isListed && lives[number].entry.service == queue->service) {
-                total += lives[number].entry.capacity.cpuMilli;
-                used += lives[number].used.cpuMilli;
-            }
-        }
-        if (static_cast<double>(total - used) < urgentReserve * static_cast<double>(total))
-            return;
-    }
+    const auto found = pools.find(step.queue->service);
+    if (found == pools.end() || found->second.largestFreeCpu() < roomOf(request).cpuMilli)
+        return;
+    const auto& pool = found->second;
+    if (step.queue->priority > 0 // room that only the most urgent may use
+        && static_cast<double>(pool.freeCpu()) < urgentReserve * static_cast<double>(pool.totalCpu))
+        return;
+    const bool needsApproval = step.queue->approval.has_value();
+    const auto from = needsApproval ? approvedCandidates(step, now) : candidates(step, now);
     if (request.isGang) {
-        if (!placeGang(step, from, now) && step.active == 0 && queue->approval)
-            askApproval(step, *queue, now, actions);
+        if (!placeGang(step, from, now) && step.active == 0 && needsApproval)
+            askApproval(step, now, actions);
         return;
     }
     std::unordered_map<LifeId, int> perLife;
@@ -307,8 +334,8 @@
         ++perLife[life];
         assign(step, static_cast<int>(i), life, task.run + 1, now);
     }
-    if (step.waiting > 0 && queue->approval)
-        askApproval(step, *queue, now, actions);
+    if (step.waiting > 0 && needsApproval)
+        askApproval(step, now, actions);
 }
 
 // Tasks that fill disturb tasks that serve. Where a serving task nears its target, what fills beside it is
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -52,6 +52,8 @@
     bool isAsking = false;
     Instant nextAsk;
     Instant lastAsk;
+    const QueuePolicy* queue = nullptr; // as configured now; null: the queue was never configured
+    const TeamPolicy* team = nullptr; // null: none, or it was removed
     bool isReady = false; // its dependencies are done and its time has come
     int chainMs = 0; // longest chain of estimates from here to the job's end
 
@@ -117,6 +119,17 @@
     bool isPacing = false;
 };
 
+// The registered executors of one service.
+struct ServicePool {
+    std::set<std::pair<std::int64_t, LifeId>> byFreeCpu; // the fullest first; counts processors only
+    std::int64_t totalCpu = 0;
+    std::int64_t usedCpu = 0;
+    std::int64_t promisedCpu = 0; // what the steps of open calls for approval would take
+
+    std::int64_t freeCpu() const { return totalCpu - usedCpu; }
+    std::int64_t largestFreeCpu() const { return byFreeCpu.empty() ? 0 : byFreeCpu.rbegin()->first; }
+};
+
 struct Life {
     LifeId number = -1;
     ExecutorEntry entry;
@@ -145,13 +158,17 @@
     Instant avoidUntil;
     std::map<RunKey, Instant>
         echoes; // starts that got no answer, when last sent: they may be carried out late
+    // As it stands in the pool of its service; null: it is in none.
+    ServicePool* pool = nullptr;
+    std::int64_t pooledFree = 0;
+    std::int64_t pooledTotal = 0;
     LifeId replaced = -1; // an earlier life of the same id whose runs are settled by our first report
 };
 
 // A call for approval in hand, and what its step would take.
 struct OpenAsk {
     double expectedMs = 0;
-    std::string service;
+    ServicePool* pool = nullptr;
     std::int64_t cpuMilli = 0;
 };
 
@@ -164,6 +181,8 @@
 };
 
 std::string rackOf(const ExecutorEntry& entry);
+// How many tasks of the step each executor has in hand.
+std::unordered_map<LifeId, int> tasksPerLife(const StepState& step);
 
 } // namespace internal
 
@@ -204,6 +223,7 @@
     void settleReplaced(Life& life, Instant now);
     void loseRuns(Life& life, Instant now, std::string_view why);
     void closeLife(Life& life);
+    void repool(Life& life);
     void evacuate(Life& life, Instant now);
     bool hasLeft(const Life& life, OrderResult result) const;
     void applyReport(Life& life, const ExecutorReport& report, Instant sentAt, Instant now);
@@ -227,10 +247,13 @@
     void place(Instant now, SchedulerActions& actions);
     void placeStep(StepState& step, Instant now, SchedulerActions& actions);
     bool placeGang(StepState& step, const std::vector<LifeId>& candidates, Instant now);
-    void askApproval(StepState& step, const QueuePolicy& queue, Instant now, SchedulerActions& actions);
+    void askApproval(StepState& step, Instant now, SchedulerActions& actions);
     bool hasCaller(double expectedMs) const;
-    bool hasRoomBesideOpenAsks(const StepState& step, const std::string& service) const;
-    std::vector<LifeId> candidates(const StepState& step, const std::string& service, Instant now) const;
+    bool hasRoomBesideOpenAsks(const StepState& step) const;
+    bool isCandidate(const StepState& step, const Life& life, const Resources& room, Instant now) const;
+    std::vector<LifeId> candidates(const StepState& step, Instant now) const;
+    std::vector<LifeId> approvedCandidates(const StepState& step, Instant now) const;
+    void lookUpPolicies(StepState& step) const;
     int pickLife(const StepState& step, const TaskState& task, const std::vector<LifeId>& from,
         const std::unordered_map<LifeId, int>& perLife) const;
     bool fitsQuota(const StepState& step) const;
@@ -245,6 +268,7 @@
     std::unordered_map<std::string, std::unique_ptr<JobState>> jobs;
     std::deque<Life> lives; // by LifeId; closed ones stay as small shells
     std::unordered_map<std::string, LifeId> lifeById;
+    std::map<std::string, internal::ServicePool> pools; // by service
     std::map<std::string, Resources> teamUsage;
     std::set<StepState*> ready; // steps with waiting tasks
     std::vector<JobState*> scheduled; // jobs with occurrences still to come
