A start without an answer is given up sooner and sent again at once

A start may be repeated under its run number, so waiting buys nothing but connections.

Change: the first start of a run is given up after 90 ms, later ones after 180 and 300; the second goes out at once. Ruled out: giving up after 60 ms (a new connection across failure domains takes 30 ms and may stand behind others).

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -37,6 +37,7 @@
     std::string checkpoint;
     std::string ticket;
     std::int64_t leaseUntilClockMs = 0;
+    int unanswered = 0; // earlier orders of this start that got no answer
 };
 
 struct StopAction {
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -17,7 +17,9 @@
 constexpr auto refusedFor = 450ms; // a store that refuses this node may serve the others
 constexpr int refusalsUntilUnusable = 3;
 constexpr auto pendingInterval = 100ms; // many nodes ask within the interval of greetings
-constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains; a start may be repeated
+constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains
+// A start may be repeated, and its task waits for it: the first one is given up sooner.
+constexpr auto startTimeoutFirst = 90ms; // a new connection across failure domains, and some orders before it
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
@@ -183,7 +185,8 @@
     m_services.log.write("start_sent", action.task.job,
         { { "task", text(action.task) }, { "run", std::to_string(action.run) },
             { "executor", action.executor } });
-    m_services.executors.start(target(action.address, action.executor), order, orderTimeout,
+    m_services.executors.start(target(action.address, action.executor), order,
+        std::min<Duration>(startTimeoutFirst * (1 + action.unanswered), orderTimeout),
         [self = shared_from_this(), life = action.life, task = action.task, run = action.run, sentAt,
             executor = action.executor](OrderAnswer answer) {
             if (self->m_isStopped)
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -216,7 +216,11 @@
     case OrderResult::NoAnswer:
         ++run.unanswered;
         life.echoes[*key] = now;
-        run.nextSend = now + (life.isSilent ? startRetrySilent : startRetry);
+        run.nextSend = now;
+        if (life.isSilent)
+            run.nextSend += startRetrySilent;
+        else if (run.unanswered > 1) // a single answer is lost more often than an executor is
+            run.nextSend += startRetry;
         break;
     case OrderResult::Unreachable:
         ++run.unreached;
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -286,7 +286,7 @@
             = step.request().isGang ? step.gangCheckpoint : step.tasks[key.index].checkpoint;
         run.inFlight = true;
         actions.starts.push_back({ number, life.entry.address, life.entry.id, refOf(key), key.run,
-            key.job->request.payload, checkpoint, run.ticket, leaseClock(life, now) });
+            key.job->request.payload, checkpoint, run.ticket, leaseClock(life, now), run.unanswered });
         ++totals.starts;
     }
     for (const auto& life : lives) {
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -306,3 +306,50 @@
         }
     }
 }
+
+TEST_CASE("a start without an answer is sent again at once, and with pauses from then on")
+{
+    Instant now { 100s };
+    FleetScheduler scheduler({}, now);
+    FleetConfiguration configuration;
+    configuration.queues = { { "q", "h", "/", "service", 0, 3, 1, 300, true, {} } };
+    scheduler.configure(configuration);
+    ExecutorEntry entry;
+    entry.id = "e";
+    entry.bornUnixMs = 1;
+    entry.service = "service";
+    entry.address = "a:1";
+    entry.capacity = { 32'000, 65'536, 0 };
+    scheduler.executorSeen(entry, now);
+    const auto pump = [&] {
+        SchedulerActions actions;
+        scheduler.pump(now, 0, actions);
+        return actions;
+    };
+    const auto holds = pump().holds;
+    REQUIRE(holds.size() == 1);
+    scheduler.holdAnswered(holds[0].life, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} }, now, now);
+    auto request = jobOf(jobA, 1);
+    request.queue = "q";
+    scheduler.submit(request, now);
+    now += 10ms;
+    const auto commit = pump().commit;
+    REQUIRE(commit);
+    scheduler.committed(commit->number, now, now);
+    struct Row {
+        Duration pause; // between the missing answer and the next order
+        int unanswered; // that the order names
+    };
+    for (const auto& row : { Row { 0ms, 0 }, Row { 0ms, 1 }, Row { 60ms, 2 }, Row { 60ms, 3 } }) {
+        CAPTURE(row.unanswered);
+        if (row.pause > Duration::zero()) {
+            CHECK(pump().starts.empty());
+            now += row.pause;
+        }
+        const auto starts = pump().starts;
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run == 1);
+        CHECK(starts[0].unanswered == row.unanswered);
+        scheduler.startAnswered(starts[0].life, starts[0].task, 1, OrderResult::NoAnswer, now);
+    }
+}
