Metrics: histograms of the waits, refusals by reason, executors, runs and quota by state and team; docs/METRICS.md

Issue: waits for room, end to note, finish to shown and the queue of approvals had no figures, refusals no reason. The page is held equal to docs/METRICS.md by a contract test that fetches it from a node at work.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -86,6 +86,14 @@
     std::string detail;
 };
 
+/** Durations for histograms, each measured once. */
+struct SchedulerTimes {
+    std::vector<Duration> waitForRoom; // of a task, from its step's turn to its place
+    std::vector<Duration>
+        endToNote; // of an executor's oldest open end, from hearing of it to its durable note
+    std::vector<Duration> finishToShown; // of a job, from its last end to its final state being shown
+};
+
 /** What the caller of the scheduler is to do. */
 struct SchedulerActions {
     std::optional<CommitAction> commit;
@@ -95,15 +103,17 @@
     std::vector<HoldAction> holds;
     std::vector<ApprovalAction> approvals;
     std::vector<DecisionNote> notes;
+    SchedulerTimes times;
 };
 
 /** Counts for metrics. */
 struct SchedulerCounts {
     std::size_t jobs = 0;
     std::size_t openJobs = 0;
-    std::size_t executors = 0;
-    std::size_t runs = 0; // recorded, starting, at work, stopping
+    std::map<std::string, std::size_t> executors; // by state
+    std::map<std::string, std::size_t> runs; // by state
     std::size_t waitingTasks = 0;
+    std::map<std::string, Resources> teamUsage; // what counts against each team's upper limit
     std::uint64_t starts = 0;
     std::uint64_t ends = 0;
     std::uint64_t lostRuns = 0;
--- a/src/edge/ApprovalBroker.cpp
+++ b/src/edge/ApprovalBroker.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-ApprovalBroker::ApprovalBroker(platform::ApprovalClient& own, Forward forward)
+ApprovalBroker::ApprovalBroker(platform::ApprovalClient& own, DurationHistogram& queueTime, Forward forward)
     : m_own(own)
+    , m_queueTime(queueTime)
     , m_forward(std::move(forward))
 {
 }
@@ -54,6 +55,7 @@
     }
     auto& caller = **it;
     const auto length = std::chrono::microseconds(static_cast<long long>(expectedMs * 1000));
+    m_queueTime.record(std::max<Duration>(caller.busyUntil - now, {}));
     caller.busyUntil = std::max(caller.busyUntil, now) + length;
     const auto timeout = caller.busyUntil - now + spareTime;
     if (caller.address.empty())
--- a/src/edge/ApprovalBroker.h
+++ b/src/edge/ApprovalBroker.h
@@ -2,6 +2,7 @@
 
 #include "ApprovalClient.h"
 #include "quay/core/Time.h"
+#include "quay/telemetry/Metrics.h"
 
 #include <functional>
 #include <map>
@@ -24,7 +25,7 @@
     using Forward = std::function<void(const std::string& address, const std::string& step,
         const std::vector<std::string>& workers, Duration timeout, Done done)>;
 
-    ApprovalBroker(platform::ApprovalClient& own, Forward forward);
+    ApprovalBroker(platform::ApprovalClient& own, DurationHistogram& queueTime, Forward forward);
 
     /** A node that can call; its address is empty for this one. */
     void callerSeen(const std::string& node, const std::string& address, Instant now);
@@ -41,6 +42,7 @@
     };
 
     platform::ApprovalClient& m_own;
+    DurationHistogram& m_queueTime; // a call's expected wait behind those that its caller has in hand
     Forward m_forward;
     std::map<std::string, Caller> m_callers; // in order of name: the first part keeps to short calls
 };
--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -72,7 +72,6 @@
     , m_gate(services.context, services.store, services.log)
     , m_maxRowBytes(maxRowBytes)
     , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
-    , m_refused(services.metrics.counter("quay_requests_refused_total", "Requests refused as not run"))
     , m_acceptTime(
           services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
 {
@@ -117,7 +116,7 @@
 
 void CallerFront::refuse(const CallPointer& call, ErrorKind kind, const std::string& detail)
 {
-    m_refused.add();
+    countRefusal(describe(kind).name);
     auto response = errorResponse(Reason { kind, detail }, retryAfterMs);
     m_services.log.write("request_refused", call->id,
         { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
@@ -127,6 +126,14 @@
     call->respond(std::move(response));
 }
 
+void CallerFront::countRefusal(std::string_view reason)
+{
+    m_services.metrics
+        .counter("quay_requests_refused_total", "Requests answered with an error, by its reason",
+            "reason=\"" + std::string(reason) + "\"")
+        .add();
+}
+
 void CallerFront::unknown(const CallPointer& call, const std::string& detail)
 {
     refuse(call, ErrorKind::SubmissionUnknown, detail);
@@ -147,6 +154,7 @@
     const auto path = call->request.path();
     const auto* queue = configuration->queueFor(hostOf(call->request), path);
     if (!queue) {
+        countRefusal("queue_unknown");
         answer(call, statusNotFound, "{\"error\":\"no such queue\"}", "queue_unknown");
         return;
     }
@@ -156,6 +164,7 @@
     if (team)
         call->team = team->name;
     if (!team && !queue->isPublic) {
+        countRefusal("key_unknown");
         answer(
             call, statusUnauthorized, "{\"error\":\"the key is missing or was withdrawn\"}", "key_unknown");
         return;
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -51,6 +51,7 @@
     bool refusedAtGate(const CallPointer& call);
 
     void answer(const CallPointer& call, unsigned status, std::string body, std::string_view why);
+    void countRefusal(std::string_view reason);
     void refuse(const CallPointer& call, ErrorKind kind, const std::string& detail);
     /** Says neither that it ran nor that it did not. */
     void unknown(const CallPointer& call, const std::string& detail);
@@ -62,7 +63,6 @@
     StoreGate m_gate;
     std::size_t m_maxRowBytes;
     Counter& m_accepted;
-    Counter& m_refused;
     DurationHistogram& m_acceptTime;
 };
 
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -50,6 +50,12 @@
           services.metrics.histogram("quay_start_order_seconds", "From sending a start to its answer"))
     , m_approvalTime(
           services.metrics.histogram("quay_approval_seconds", "From asking for approval to its answer"))
+    , m_waitForRoom(services.metrics.histogram(
+          "quay_wait_for_room_seconds", "Of a task's first run, from its step's turn to its place"))
+    , m_endToNote(services.metrics.histogram("quay_end_to_note_seconds",
+          "Of an executor's oldest open end, from hearing of it to its durable note"))
+    , m_finishToShown(services.metrics.histogram(
+          "quay_finish_to_shown_seconds", "Of a job, from its last end to its final state being shown"))
 {
 }
 
@@ -151,6 +157,12 @@
 {
     for (const auto& it : actions.notes)
         m_services.log.writeText(it.what, it.job, it.detail);
+    for (const auto& it : actions.times.waitForRoom)
+        m_waitForRoom.record(it);
+    for (const auto& it : actions.times.endToNote)
+        m_endToNote.record(it);
+    for (const auto& it : actions.times.finishToShown)
+        m_finishToShown.record(it);
     if (actions.commit)
         beginCommit(std::move(*actions.commit));
     for (const auto& it : actions.starts)
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -157,6 +157,9 @@
     DurationHistogram& m_commitTime;
     DurationHistogram& m_startTime;
     DurationHistogram& m_approvalTime;
+    DurationHistogram& m_waitForRoom;
+    DurationHistogram& m_endToNote;
+    DurationHistogram& m_finishToShown;
 };
 
 } // namespace quay::edge
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t maxBodyBytes = 512 * 1024; // the configured bound of callers' bodies is below it
 constexpr auto drainPause = 1300ms; // the balancer asks once a second whether this node is ready
+constexpr auto countsKept = 200ms; // longer than a page takes, shorter than any pause between pages
+constexpr double milliPerProcessor = 1000;
 constexpr auto drainPoll = 50ms;
 constexpr auto graceSpare = 700ms; // before the platform kills the process
 constexpr std::uint16_t metricsPort = 9464; // the same on all machines, named in the deploy file
@@ -34,6 +36,8 @@
         , m_approvalClient(m_context, settings.approvalAddress)
         , m_peers(m_context)
         , m_approvals(m_approvalClient,
+              m_metrics.histogram("quay_approval_queue_seconds",
+                  "A call for approval's expected wait behind others of its caller"),
               [this](const std::string& address, const std::string& step,
                   const std::vector<std::string>& workers, Duration timeout, ApprovalBroker::Done done) {
                   m_peers.approve(address, step, workers, timeout, std::move(done));
@@ -41,6 +45,7 @@
         , m_services { m_context, m_store, m_executors, m_approvals, m_log, m_metrics }
         , m_follower(m_context, m_store, m_log,
               [this](const fleet::FleetConfiguration& configuration) {
+                  watchTeams(configuration);
                   m_election.configurationChanged(configuration);
               })
         , m_election(m_services, m_peers, m_follower, identity(settings), boundsOf(settings))
@@ -68,19 +73,12 @@
 
     int run()
     {
-        m_metrics.counted("quay_store_calls_total", "Calls to the platform's store",
-            [this] { return static_cast<double>(m_store.calls()); });
+        watchStore();
+        watchScheduler();
         m_metrics.counted("quay_log_bytes_total", "Bytes of log lines",
             [this] { return static_cast<double>(m_log.bytesWritten()); });
         m_metrics.gauge("quay_leads", "1 while this node schedules the cell",
             [this] { return m_election.leader() ? 1.0 : 0.0; });
-        m_metrics.gauge("quay_runs", "Runs recorded, starting, at work or stopping", [this] {
-            return m_election.leader() ? static_cast<double>(m_election.leader()->counts().runs) : 0.0;
-        });
-        m_metrics.gauge("quay_waiting_tasks", "Tasks whose turn has come and that wait for room", [this] {
-            return m_election.leader() ? static_cast<double>(m_election.leader()->counts().waitingTasks)
-                                       : 0.0;
-        });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
             if (!ec)
                 drain();
@@ -109,6 +107,80 @@
     }
 
 private:
+    void watchStore()
+    {
+        m_store.observe([this](StoreCall call, StoreOutcome outcome, Duration taken) {
+            const auto label = "call=\"" + std::string(text(call)) + "\"";
+            m_metrics
+                .counter("quay_store_calls_total", "Calls to the platform's store, by what came of them",
+                    label + ",outcome=\"" + std::string(text(outcome)) + "\"")
+                .add();
+            m_metrics
+                .histogram("quay_store_call_seconds", "From sending a call to the store to its answer", label)
+                .record(taken);
+        });
+    }
+
+    // What only the leader knows reads 0 on the other nodes.
+    void watchScheduler()
+    {
+        const auto gauge = [this](const char* name, const char* help, auto read, const std::string& labels) {
+            m_metrics.gauge(
+                name, help,
+                [this, read] {
+                    return m_election.leader() ? static_cast<double>(read(schedulerCounts())) : 0.0;
+                },
+                labels);
+        };
+        for (const char* state : { "at_work", "leaving", "silent", "unlisted" })
+            gauge(
+                "quay_executors", "Executors that the leader knows, by state",
+                [state](const fleet::SchedulerCounts& counts) { return counts.executors.at(state); },
+                std::string("state=\"") + state + "\"");
+        for (const char* state : { "recording", "starting", "running", "inherited", "stopping" })
+            gauge(
+                "quay_runs", "Runs of tasks, by state",
+                [state](const fleet::SchedulerCounts& counts) { return counts.runs.at(state); },
+                std::string("state=\"") + state + "\"");
+        gauge("quay_waiting_tasks", "Tasks whose turn has come and that wait for room",
+            [](const fleet::SchedulerCounts& counts) { return counts.waitingTasks; }, {});
+        gauge("quay_open_jobs", "Jobs that are not finished",
+            [](const fleet::SchedulerCounts& counts) { return counts.openJobs; }, {});
+    }
+
+    // One look at all jobs serves a whole page.
+    const fleet::SchedulerCounts& schedulerCounts()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_countedAt >= countsKept) {
+            m_counts = m_election.leader()->counts();
+            m_countedAt = now;
+        }
+        return m_counts;
+    }
+
+    void watchTeams(const fleet::FleetConfiguration& configuration)
+    {
+        for (const auto& team : configuration.teams) {
+            const auto label = "team=\"" + team.name + "\"";
+            m_metrics.gauge(
+                "quay_team_cpu_used", "Processors that count against a team's upper limit",
+                [this, name = team.name] {
+                    if (!m_election.leader())
+                        return 0.0;
+                    const auto& usage = schedulerCounts().teamUsage;
+                    const auto it = usage.find(name);
+                    return it == usage.end() ? 0.0
+                                             : static_cast<double>(it->second.cpuMilli) / milliPerProcessor;
+                },
+                label);
+            m_metrics.gauge(
+                "quay_team_cpu_limit", "A team's upper limit of processors; 0: none",
+                [limit = team.upperLimit.cpuMilli] { return static_cast<double>(limit) / milliPerProcessor; },
+                label);
+        }
+    }
+
     static HttpLimits limits()
     {
         HttpLimits limits;
@@ -300,6 +372,8 @@
     bool m_isDraining = false;
     bool m_wasReady = false;
     Instant m_drainStarted;
+    fleet::SchedulerCounts m_counts; // of the leader
+    Instant m_countedAt {};
 };
 
 EdgeNode::EdgeNode(const NodeSettings& settings)
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -3,6 +3,8 @@
 #include "fleet/SchedulerState.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace quay::fleet {
 
@@ -58,11 +60,11 @@
     if (request.occurrences > 0 && !isFinal(record.phase)) {
         for (const auto& task : record.tasks) {
             if (!job.occurrences.count(task.occurrence))
-                m_impl->openOccurrence(job, task.occurrence);
+                m_impl->openOccurrence(job, task.occurrence, now);
         }
         for (const auto& done : record.done) {
             if (!job.occurrences.count(done.occurrence))
-                m_impl->openOccurrence(job, done.occurrence);
+                m_impl->openOccurrence(job, done.occurrence, now);
         }
     }
     for (const auto& done : record.done) {
@@ -184,12 +186,18 @@
     }
     for (const auto& [life, acknowledged] : batch.acknowledgements) {
         it.lives[life].acknowledgedEnds = acknowledged;
+        it.times.endToNote.push_back(now - it.lives[life].endsOpenSince);
+        it.lives[life].endsOpenSince = now; // further ends came meanwhile, if any
         if (!it.lives[life].holdInFlight)
             it.lives[life].nextHold = now;
     }
     for (const auto& [id, phase] : batch.shown) {
-        if (auto job = it.jobs.find(id); job != it.jobs.end())
-            job->second->shown = phase;
+        auto job = it.jobs.find(id);
+        if (job == it.jobs.end())
+            continue;
+        if (isFinal(phase) && !isFinal(job->second->shown))
+            it.times.finishToShown.push_back(now - job->second->finishedAt);
+        job->second->shown = phase;
     }
     for (const auto& id : batch.forgotten) {
         auto job = it.jobs.find(id);
@@ -219,6 +227,7 @@
     actions.notes.insert(actions.notes.end(), std::make_move_iterator(it.notes.begin()),
         std::make_move_iterator(it.notes.end()));
     it.notes.clear();
+    actions.times = std::exchange(it.times, {});
 }
 
 std::optional<JobPhase> FleetScheduler::shownPhase(const std::string& id) const
@@ -253,13 +262,24 @@
         if (!isFinal(job->phase))
             ++counts.openJobs;
     }
+    counts.executors = { { "at_work", 0 }, { "leaving", 0 }, { "silent", 0 }, { "unlisted", 0 } };
+    counts.runs
+        = { { "recording", 0 }, { "starting", 0 }, { "running", 0 }, { "inherited", 0 }, { "stopping", 0 } };
+    static constexpr std::array<const char*, 4> phaseNames { "recording", "starting", "running",
+        "inherited" };
     for (const auto& life : m_impl->lives) {
-        if (!life.isClosed)
-            ++counts.executors;
-        counts.runs += life.runs.size();
+        if (life.isClosed)
+            continue;
+        ++counts.executors[!life.isListed ? "unlisted"
+                : life.isSilent           ? "silent"
+                : life.entry.isDraining   ? "leaving"
+                                          : "at_work"];
+        for (const auto& [key, run] : life.runs)
+            ++counts.runs[run.wantsStop ? "stopping" : phaseNames[static_cast<std::size_t>(run.phase)]];
     }
     for (const auto* step : m_impl->ready)
         counts.waitingTasks += static_cast<std::size_t>(step->waiting);
+    counts.teamUsage = m_impl->teamUsage;
     return counts;
 }
 
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -172,6 +172,8 @@
     for (const auto& end : report.ended) {
         if (end.number <= life.processedEnds)
             continue;
+        if (life.processedEnds == life.acknowledgedEnds)
+            life.endsOpenSince = now;
         life.processedEnds = end.number;
         applyEnd(life, end, now);
     }
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -44,7 +44,7 @@
     job->deadline = now + std::chrono::milliseconds(static_cast<long long>(objectiveMs));
     auto& added = *(jobs[request.id] = std::move(job));
     if (request.occurrences == 0) {
-        openOccurrence(added, 0);
+        openOccurrence(added, 0, now);
         added.nextOccurrence = 1;
     } else {
         scheduled.push_back(&added);
@@ -52,7 +52,7 @@
     return added;
 }
 
-void FleetScheduler::Impl::openOccurrence(JobState& job, int number)
+void FleetScheduler::Impl::openOccurrence(JobState& job, int number, Instant now)
 {
     auto& occurrence = job.occurrences[number];
     const auto lengths = chains(job.request);
@@ -67,7 +67,7 @@
         lookUpPolicies(*step);
         occurrence.steps.push_back(std::move(step));
     }
-    refreshReady(job, number);
+    refreshReady(job, number, now);
 }
 
 void FleetScheduler::Impl::openDueOccurrences(Instant now, std::int64_t unixMs)
@@ -78,7 +78,7 @@
             && unixMs >= request.firstDueUnixMs + request.intervalMs * job->nextOccurrence) {
             const int number = job->nextOccurrence++;
             if (job->doneOccurrences.count(number) == 0 && job->occurrences.count(number) == 0) {
-                openOccurrence(*job, number);
+                openOccurrence(*job, number, now);
                 note("occurrence_due", request.id, "occurrence=" + std::to_string(number));
             }
             job->deadline += now - job->acceptedAt; // the objective counts from the due time
@@ -91,7 +91,7 @@
 }
 
 // A step is ready once all tasks of the steps that it waits for are done.
-void FleetScheduler::Impl::refreshReady(JobState& job, int occurrence)
+void FleetScheduler::Impl::refreshReady(JobState& job, int occurrence, Instant now)
 {
     if (isFinal(job.phase))
         return;
@@ -103,6 +103,7 @@
             const auto& after = step->request().dependsOn;
             step->isReady = std::all_of(after.begin(), after.end(),
                 [&](int earlier) { return it->second.steps[earlier]->isComplete(); });
+            step->readySince = now;
         }
         if (step->isReady && step->waiting > 0) {
             ready.insert(step.get());
@@ -149,7 +150,7 @@
         auto& occurrence = it->second;
         if (occurrence.isDone)
             continue;
-        refreshReady(job, it->first);
+        refreshReady(job, it->first, now);
         occurrence.isDone = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
             [](const auto& step) { return step->isComplete(); });
         if (occurrence.isDone)
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -231,6 +231,8 @@
     life.used += run.room;
     repool(life);
     teamUsage[step.job->request.team] += run.charged;
+    if (task.run == 0)
+        times.waitForRoom.push_back(now - step.readySince);
     task.run = runNumber;
     task.phase = TaskPhase::Active;
     task.life = number;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -55,6 +55,7 @@
     const QueuePolicy* queue = nullptr; // as configured now; null: the queue was never configured
     const TeamPolicy* team = nullptr; // null: none, or it was removed
     bool isReady = false; // its dependencies are done and its time has come
+    Instant readySince;
     int chainMs = 0; // longest chain of estimates from here to the job's end
 
     const StepRequest& request() const;
@@ -151,6 +152,7 @@
     bool isEvacuated = false;
     std::int64_t processedEnds = 0; // in memory
     std::int64_t acknowledgedEnds = 0; // durable
+    Instant endsOpenSince; // of no meaning while both are equal
     bool holdInFlight = false;
     Instant nextHold;
     int silentLooks = 0;
@@ -202,9 +204,9 @@
 
     // Jobs (SchedulerJobs.cpp)
     JobState& add(const WorkRequest& request, Instant now);
-    void openOccurrence(JobState& job, int number);
+    void openOccurrence(JobState& job, int number, Instant now);
     void openDueOccurrences(Instant now, std::int64_t unixMs);
-    void refreshReady(JobState& job, int occurrence);
+    void refreshReady(JobState& job, int occurrence, Instant now);
     void restoreTask(JobState& job, const TaskRecord& record, Instant now);
     void settle(JobState& job, Instant now);
     void finish(JobState& job, JobPhase phase, Instant now);
@@ -285,6 +287,7 @@
     double askingLongMs = 0; // of the long ones among them
     Instant nextForget;
     std::vector<DecisionNote> notes;
+    SchedulerTimes times;
     SchedulerCounts totals;
 };
 
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -5,6 +5,9 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <regex>
+#include <set>
 #include <thread>
 #include <unistd.h>
 
@@ -86,11 +89,8 @@
 
     std::string callers() const { return m_address + ":" + std::to_string(m_port); }
     std::string readiness() const { return m_address + ":" + std::to_string(m_port + 1); }
-    bool leads() const
-    {
-        return call(m_address + ":9464", "GET", "/metrics").body.find("\nquay_leads 1\n")
-            != std::string::npos;
-    }
+    std::string metrics() const { return call(m_address + ":9464", "GET", "/metrics").body; }
+    bool leads() const { return metrics().find("\nquay_leads 1\n") != std::string::npos; }
 
 private:
     std::string m_address;
@@ -257,3 +257,36 @@
     CHECK(platform.startedRuns() == 2 * 7);
     CHECK(platform.violations().empty());
 }
+
+TEST_CASE("the page of metrics shows what docs/METRICS.md lists, no more and no less")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(9, platform.storeAddress());
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200);
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(call(node.callers(), "POST", "/q/" + jobId(2), "{").status == 400);
+    const auto page = node.metrics();
+    std::set<std::string> shown;
+    const std::regex family("# HELP (\\S+) (.*)\n# TYPE \\S+ (\\S+)");
+    for (std::sregex_iterator it(page.begin(), page.end(), family), end; it != end; ++it)
+        shown.insert("| " + (*it)[1].str() + " | " + (*it)[3].str() + " | " + (*it)[2].str() + " |");
+    std::set<std::string> listed;
+    std::ifstream file(QUAY_SOURCE_DIR "/docs/METRICS.md");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("| quay_"))
+            listed.insert(line);
+    }
+    CHECK(!shown.empty());
+    for (const auto& it : shown)
+        CHECK_MESSAGE(listed.count(it) == 1, "not listed: " << it);
+    for (const auto& it : listed)
+        CHECK_MESSAGE(shown.count(it) == 1, "not shown: " << it);
+    // Values of a node that leads one team's finished job.
+    for (const char* line : { "quay_executors{state=\"at_work\"} 2", "quay_runs{state=\"running\"} 0",
+             "quay_open_jobs 0", "quay_team_cpu_used{team=\"t\"} 0", "quay_start_orders_total 7",
+             "quay_wait_for_room_seconds_count 7", "quay_finish_to_shown_seconds_count 1",
+             "quay_requests_refused_total{reason=\"malformed_request\"} 1" })
+        CHECK_MESSAGE(page.find(line) != std::string::npos, "no line: " << line);
+}
