--- a/src/service/AckRows.h
+++ b/src/service/AckRows.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/Transaction.h"
 #include "quay/core/ConfigRollout.h"
 #include "quay/core/Ids.h"
+#include "tableservice/Transaction.h"
 
 #include <map>
 #include <set>
--- a/src/service/ConfigurationService.h
+++ b/src/service/ConfigurationService.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "net/PeerLink.h"
-#include "platform/StoreService.h"
 #include "quay/core/ConfigRollout.h"
 #include "quay/kernel/Duty.h"
 #include "quay/kernel/Published.h"
 #include "service/AckRows.h"
 #include "service/Topology.h"
+#include "tableservice/StoreService.h"
 
 #include <functional>
 #include <map>
--- a/src/service/Daemon.cpp
+++ b/src/service/Daemon.cpp
@@ -1,7 +1,6 @@
 #include "service/Daemon.h"
 
 #include "net/PeerLink.h"
-#include "platform/StoreService.h"
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Kernel.h"
 #include "quay/telemetry/Telemetry.h"
@@ -12,6 +11,7 @@
 #include "service/JobService.h"
 #include "service/MembershipService.h"
 #include "service/QuotaService.h"
+#include "tableservice/StoreService.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/service/MembershipService.cpp
+++ b/src/service/MembershipService.cpp
@@ -1,7 +1,7 @@
 #include "service/MembershipService.h"
 
 #include "peer.pb.h"
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/src/service/MembershipService.h
+++ b/src/service/MembershipService.h
@@ -2,11 +2,11 @@
 
 #include "net/HttpClient.h"
 #include "net/PeerLink.h"
-#include "platform/StoreService.h"
 #include "quay/core/Roster.h"
 #include "quay/kernel/Duty.h"
 #include "quay/kernel/Published.h"
 #include "service/Topology.h"
+#include "tableservice/StoreService.h"
 
 #include <atomic>
 #include <set>
--- a/src/service/QuotaService.h
+++ b/src/service/QuotaService.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "platform/StoreService.h"
 #include "quay/core/QuotaGrants.h"
 #include "quay/core/TeamTokens.h"
 #include "quay/kernel/Duty.h"
@@ -8,6 +7,7 @@
 #include "service/ConfigurationService.h"
 #include "service/InheritedWork.h"
 #include "service/MembershipService.h"
+#include "tableservice/StoreService.h"
 
 #include <map>
 
--- a/src/service/RolloutCodec.h
+++ b/src/service/RolloutCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/Transaction.h"
 #include "quay/core/ConfigRollout.h"
+#include "tableservice/Transaction.h"
 
 #include <optional>
 #include <string>
--- a/src/platform/ServerListCodec.cpp
+++ b/src/tableservice/ServerListCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/src/platform/StoreService.cpp
+++ b/src/tableservice/StoreService.cpp
@@ -1,6 +1,6 @@
-#include "platform/StoreService.h"
+#include "tableservice/StoreService.h"
 
-#include "platform/TableCodec.h"
+#include "tableservice/TableCodec.h"
 
 #include <algorithm>
 #include <set>
--- a/src/platform/StoreService.h
+++ b/src/tableservice/StoreService.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "net/HttpClient.h"
-#include "platform/Transaction.h"
 #include "quay/kernel/Duty.h"
+#include "tableservice/Transaction.h"
 
 #include <deque>
 #include <functional>
--- a/src/platform/TableCodec.cpp
+++ b/src/tableservice/TableCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/TableCodec.h"
+#include "tableservice/TableCodec.h"
 
 #include <boost/json.hpp>
 
--- a/standin/Platform.cpp
+++ b/standin/Platform.cpp
@@ -1,7 +1,7 @@
 #include "Platform.h"
 
-#include "platform/ServerListCodec.h"
-#include "platform/TableCodec.h"
+#include "tableservice/ServerListCodec.h"
+#include "tableservice/TableCodec.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
--- a/standin/Platform.h
+++ b/standin/Platform.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "net/HttpServer.h"
-#include "platform/Transaction.h"
 #include "quay/core/Fleet.h"
+#include "tableservice/Transaction.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -2,7 +2,7 @@
 #include "Platform.h"
 #include "Worker.h"
 #include "net/HttpClient.h"
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
--- a/tests/contract/FuzzSeedsTest.cpp
+++ b/tests/contract/FuzzSeedsTest.cpp
@@ -1,11 +1,11 @@
 #include "cores/Seeded.h"
 #include "fuzz/Fuzz.h"
 #include "peer.pb.h"
-#include "platform/ServerListCodec.h"
-#include "platform/TableCodec.h"
 #include "quay/core/ConfigCompiler.h"
 #include "quay/core/Job.h"
 #include "quay/telemetry/Trace.h"
+#include "tableservice/ServerListCodec.h"
+#include "tableservice/TableCodec.h"
 
 #include <doctest/doctest.h>
 #include <fstream>
--- a/tests/contract/TableContractTest.cpp
+++ b/tests/contract/TableContractTest.cpp
@@ -1,6 +1,6 @@
 #include "Platform.h"
 #include "StandinThread.h"
-#include "platform/StoreService.h"
+#include "tableservice/StoreService.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/fuzz/FuzzServerList.cpp
+++ b/tests/fuzz/FuzzServerList.cpp
@@ -1,5 +1,5 @@
 #include "fuzz/Fuzz.h"
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 using namespace quay;
 
--- a/tests/fuzz/FuzzTransaction.cpp
+++ b/tests/fuzz/FuzzTransaction.cpp
@@ -1,5 +1,5 @@
 #include "fuzz/Fuzz.h"
-#include "platform/TableCodec.h"
+#include "tableservice/TableCodec.h"
 
 using namespace quay;
 
--- a/tests/processes/FailoverTest.cpp
+++ b/tests/processes/FailoverTest.cpp
@@ -1,6 +1,6 @@
 #include "LocalFleet.h"
 
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/tests/processes/InteractiveTest.cpp
+++ b/tests/processes/InteractiveTest.cpp
@@ -1,6 +1,6 @@
 #include "InteractiveLoad.h"
 
-#include "platform/ServerListCodec.h"
+#include "tableservice/ServerListCodec.h"
 
 #include <doctest/doctest.h>
 #include <map>
