Descriptors and looks bounded by the size of the cell; registrations are followed without a pause when behind

Change: idle connections for orders take a quarter of the machine's descriptors (limits.maxFds) over all executors; a look waits 2 ms an executor, 600 to 1,500 ms; a feed's answer of 200 rows or more is followed by the next call at once. Settings that nothing reads are gone.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -20,7 +20,6 @@
     Duration longestLease = 6000ms; // an executor shortens longer ones
     Duration stopTime = 900ms; // a stop takes at most this
     Duration leaseAuthority = 4000ms; // without the store for this long, leases are prolonged no more
-    double remoteFactor = 1; // slowdown away from the data
     Duration keepFinished = 120s; // how long a finished job is shown
 };
 
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -16,7 +16,8 @@
 constexpr auto readTimeout = 1500ms;
 constexpr auto readRetry = 150ms;
 constexpr auto executorsWait = 1000ms; // under the 2 s after which a leaving executor takes no starts
-constexpr auto executorsPause = 250ms; // registrations change some thirty times a second
+constexpr auto executorsPause = 250ms; // the registrations of 48 executors change some thirty times a second
+constexpr std::size_t manyChanges = 200; // in one answer; the next ones are there already
 constexpr auto jobsPause = 700ms; // a lost message about a job costs at most this
 constexpr std::size_t restorePortion = 40; // jobs; some milliseconds of a tenth of a processor
 constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
@@ -197,7 +198,9 @@
                 self->m_executorsSeen = std::max(self->m_executorsSeen, result.version);
                 self->pumpSoon();
             }
-            self->after(executorsPause, [self] { self->followExecutors(); });
+            const bool isBehind = result.hasMore || result.rows.size() >= manyChanges;
+            self->after(
+                isBehind ? Duration::zero() : Duration(executorsPause), [self] { self->followExecutors(); });
         });
 }
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -20,6 +20,8 @@
 constexpr auto drainPause = 1300ms; // the balancer asks once a second whether this node is ready
 constexpr auto countsKept = 200ms; // longer than a page takes, shorter than any pause between pages
 constexpr double milliPerProcessor = 1000;
+// The rest is for a long poll to each executor, for peers and for callers.
+constexpr std::size_t idleOrderPart = 4;
 constexpr auto drainPoll = 50ms;
 constexpr auto graceSpare = 700ms; // before the platform kills the process
 constexpr std::uint16_t metricsPort = 9464; // the same on all machines, named in the deploy file
@@ -32,7 +34,7 @@
         : m_settings(settings)
         , m_log(settings.node)
         , m_store(m_context, settings.storeAddress)
-        , m_executors(m_context)
+        , m_executors(m_context, settings.maxDescriptors / idleOrderPart)
         , m_approvalClient(m_context, settings.approvalAddress)
         , m_peers(m_context)
         , m_approvals(m_approvalClient,
@@ -205,7 +207,6 @@
         fleet::SchedulerBounds bounds;
         bounds.longestLease = settings.longestLease;
         bounds.stopTime = settings.stopTime;
-        bounds.remoteFactor = settings.remoteFactor;
         bounds.keepFinished = settings.keepFinished;
         return bounds;
     }
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-constexpr auto holdWait = 600ms; // a tenth of the longest lease: a cut of nine tenths of it ends nothing
+constexpr Duration holdWait = 600ms; // a tenth of the longest lease: a cut of nine tenths of it ends nothing
+// A larger cell is looked at less often: 500 looks a second, as long as a quarter of the lease allows it.
+constexpr Duration holdWaitPerExecutor = 2ms;
+constexpr Duration longestHoldWait = 1500ms;
 constexpr auto longestEcho = 20s; // an unanswered order may be carried out seconds later; 12 s were seen
 constexpr auto ownDeregistration = 1500ms; // a ping interval; silence takes three of them
 
@@ -299,13 +302,14 @@
 
 void FleetScheduler::Impl::sendHolds(Instant now, SchedulerActions& actions)
 {
+    const auto wait = std::clamp<Duration>(holdWaitPerExecutor * lifeById.size(), holdWait, longestHoldWait);
     for (auto& life : lives) {
         if (life.isClosed || life.holdInFlight || now < life.nextHold || life.entry.address.empty())
             continue;
         HoldAction hold { life.number, life.entry.address, life.entry.id, life.acknowledgedEnds, 0, {} };
         hold.leaseUntilClockMs = leaseClock(life, now);
         if (life.hasAnswered && !life.isSilent && life.processedEnds == life.acknowledgedEnds)
-            hold.wait = holdWait;
+            hold.wait = wait;
         life.holdInFlight = true;
         actions.holds.push_back(std::move(hold));
     }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -57,6 +58,8 @@
     std::size_t maxConnections;
     std::size_t maxResponseBytes;
     TlsContext tls; // null: plain HTTP
+    std::size_t mostIdle = std::numeric_limits<std::size_t>::max();
+    std::size_t idle = 0; // of all pools
     bool closed = false; // no connection is kept any more
     std::map<std::string, Pool> pools;
 };
@@ -224,9 +227,12 @@
 {
     auto exchange = std::move(m_exchange);
     auto& pool = m_client->pools[m_address];
-    if (keep && !m_client->closed) {
+    // With requests waiting the connection is in use again at once.
+    const bool isKept = m_client->idle < m_client->mostIdle || !pool.waiting.empty();
+    if (keep && !m_client->closed && isKept) {
         m_stream.tcp().expires_never();
         pool.idle.push_back(shared_from_this());
+        ++m_client->idle;
     } else {
         m_stream.tcp().close();
         --pool.open;
@@ -246,6 +252,7 @@
         if (!pool.idle.empty()) {
             connection = std::move(pool.idle.back());
             pool.idle.pop_back();
+            --idle;
             if (!connection->isReusable()) {
                 --pool.open;
                 continue;
@@ -261,6 +268,7 @@
         if (exchange->deadline <= std::chrono::steady_clock::now()) {
             // It waited too long for a connection; nothing was sent.
             pool.idle.push_back(std::move(connection));
+            ++idle;
             asio::post(context, [done = std::move(exchange->done), address] {
                 done(failure(false, address + ": no free connection in time"));
             });
@@ -284,6 +292,8 @@
         pool.idle.clear();
 }
 
+void HttpClient::keepIdle(std::size_t most) { m_impl->mostIdle = most; }
+
 void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, Done done)
 {
     auto exchange = std::make_unique<Exchange>();
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -29,6 +29,9 @@
         std::size_t maxResponseBytes, TlsContext tls = nullptr);
     ~HttpClient();
 
+    /** From now on at most so many idle connections are kept, of all addresses together. */
+    void keepIdle(std::size_t most);
+
     /**
      * Sends one request; call on the context's thread. `done` runs on that thread, exactly once.
      * With all connections of the address busy the request waits its turn inside the timeout.
--- a/tests/contract/HttpClientTest.cpp
+++ b/tests/contract/HttpClientTest.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <memory>
+#include <vector>
 
 using namespace quay;
 
@@ -16,6 +18,34 @@
 
 } // namespace
 
+TEST_CASE("a client keeps no more idle connections than it may")
+{
+    boost::asio::io_context context(1);
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    HttpClient client(context, 2, 1024);
+    client.keepIdle(3);
+    const auto before = openFiles();
+    for (int i = 0; i < 10; ++i) {
+        servers.push_back(std::make_unique<HttpServer>(context, "127.0.0.1:0", HttpLimits {},
+            [](const HttpRequest&, const Respond& respond) { respond(HttpResponse {}); }));
+        servers.back()->start();
+    }
+    const auto idleFree = openFiles();
+    for (int pass = 0; pass < 2; ++pass) { // a connection that was not kept is made again
+        for (const auto& server : servers) {
+            bool answered = false;
+            client.send(server->address(), HttpRequest {}, 10s,
+                [&](const HttpResult& result) { answered = result.response.has_value(); });
+            while (!answered)
+                context.run_one();
+        }
+    }
+    // Both ends of three connections.
+    while (openFiles() > idleFree + 6 && context.run_one_for(10s)) { }
+    CHECK(openFiles() == idleFree + 6);
+    CHECK(before < idleFree);
+}
+
 TEST_CASE("a client takes its idle connections with it")
 {
     boost::asio::io_context context(1);
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -137,11 +137,13 @@
 {
     const std::string good
         = R"({"node":"n","ip":"127.0.0.1","zone":"z","listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2"},)"
-          R"("portRange":[7420,7435],"platform":{"address":"127.0.0.1:3"},"bounds":{"maxHoldMs":6000},"new":{}})";
+          R"("portRange":[7420,7435],"platform":{"address":"127.0.0.1:3"},"limits":{"cpuShare":0.25,"maxFds":4100},"bounds":{"maxHoldMs":6000},"new":{}})";
     Reason reason;
     const auto settings = parseNodeSettings(good, reason);
     REQUIRE(settings);
     CHECK(settings->longestLease == 6000ms);
+    CHECK(settings->processorShare == 0.25);
+    CHECK(settings->maxDescriptors == 4100);
     CHECK(settings->firstPeerPort == 7420);
     struct Row {
         const char* from;
@@ -155,6 +157,7 @@
         { R"([7420,7435])", "[]", "portRange" },
         { R"("maxHoldMs":6000)", R"("maxHoldMs":"6000")", "bounds.maxHoldMs" },
         { R"("maxHoldMs":6000)", R"("maxHoldMs":-1)", "bounds.maxHoldMs" },
+        { R"("cpuShare":0.25)", R"("cpuShare":"much")", "limits.cpuShare" },
     };
     for (const auto& row : rows) {
         CAPTURE(std::string(row.expected));
