--- a/include/quay/quay.h
+++ b/include/quay/quay.h
@@ -9,3 +9,4 @@
 #include "quay/core/Reason.h"
 #include "quay/core/Settings.h"
 #include "quay/core/Time.h"
+#include "quay/fleet/FleetScheduler.h"
--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -1,6 +1,7 @@
 #include "edge/CallerFront.h"
 
 #include "Wire.h"
+#include "edge/Delay.h"
 
 #include <charconv>
 #include <utility>
@@ -77,15 +78,6 @@
 {
 }
 
-void CallerFront::after(Duration delay, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_services.context, delay);
-    timer->async_wait([timer, action = std::move(action)](boost::system::error_code ec) {
-        if (!ec)
-            action();
-    });
-}
-
 StoreClient::Done CallerFront::heard(StoreClient::Done done)
 {
     return [this, sentAt = clockNow(), done = std::move(done)](StoreResult result) {
@@ -224,7 +216,7 @@
 // A leader that falls silent gives no answer; its silence is noticed by the greetings.
 void CallerFront::watchLeader(const CallPointer& call, const std::string& address)
 {
-    after(leaderCheck, [this, call, address] {
+    callLater(m_services.context, leaderCheck, [this, call, address] {
         if (call->isLeaderLost)
             return;
         if (m_election.leaderAddress() == address && clockNow() < call->deadline) {
@@ -292,7 +284,7 @@
     const auto last
         = call->mayBeWritten ? call->deadline : std::min(call->deadline, call->arrived + refuseAfter);
     if (now + writeRetry < last) {
-        after(writeRetry, [this, call] { writeJob(call); });
+        callLater(m_services.context, writeRetry, [this, call] { writeJob(call); });
         return;
     }
     if (call->mayBeWritten)
@@ -349,7 +341,7 @@
         jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
             if (result.outcome != StoreOutcome::Ok) {
                 if (clockNow() + writeRetry + stateTimeout < call->deadline)
-                    after(writeRetry, [this, call] { showFromStore(call); });
+                    callLater(m_services.context, writeRetry, [this, call] { showFromStore(call); });
                 else
                     refuse(call, ErrorKind::StoreUnavailable, result.detail);
                 return;
@@ -404,7 +396,7 @@
         jobTable, cellPartition, call->id, m_gate.timeout(), heard([this, call](const StoreResult& result) {
             if (result.outcome != StoreOutcome::Ok) {
                 if (clockNow() + writeRetry + stateTimeout < call->deadline)
-                    after(writeRetry, [this, call] { cancel(call); });
+                    callLater(m_services.context, writeRetry, [this, call] { cancel(call); });
                 else
                     refuse(call, ErrorKind::StoreUnavailable, result.detail);
             } else if (result.rows.empty()) {
@@ -434,7 +426,7 @@
         if (result.outcome == StoreOutcome::Unknown)
             call->mayBeWritten = true;
         if (clockNow() + writeRetry < call->deadline)
-            after(writeRetry, [this, call] { writeCancel(call); });
+            callLater(m_services.context, writeRetry, [this, call] { writeCancel(call); });
         else if (call->mayBeWritten)
             unknown(call, result.detail);
         else
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -44,7 +44,6 @@
     void cancel(const CallPointer& call);
     void writeCancel(const CallPointer& call);
     void countPending(const CallPointer& call);
-    void after(Duration delay, std::function<void()> action);
     /** Passes an exchange's result on, once the gate has heard it. */
     platform::StoreClient::Done heard(platform::StoreClient::Done done);
     /** True, with the answer given, if the store is known not to answer. */
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -1,6 +1,7 @@
 #include "edge/CellLeader.h"
 
 #include "Wire.h"
+#include "edge/Delay.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -90,12 +91,10 @@
 
 void CellLeader::after(Duration delay, std::function<void()> action)
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_services.context, delay);
-    timer->async_wait(
-        [self = shared_from_this(), timer, action = std::move(action)](boost::system::error_code ec) {
-            if (!ec && !self->m_isStopped)
-                action();
-        });
+    callLater(m_services.context, delay, [self = shared_from_this(), action = std::move(action)] {
+        if (!self->m_isStopped)
+            action();
+    });
 }
 
 void CellLeader::submit(const StoredJob& job)
--- /dev/null
+++ b/src/edge/Delay.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "quay/core/Time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace quay::edge {
+
+/** Calls `action` on the context's thread once `delay` has passed; not at all if the context ends first. */
+void callLater(boost::asio::io_context& context, Duration delay, std::function<void()> action);
+
+} // namespace quay::edge
