A successor counts a lost executor's lease from the predecessor's last commit

The wait need only count from the predecessor's last commit, and the time of a stop was added twice.

Change: the election passes the moment at which the row's last version was first read; a leader's own authority counts from the sending of its row, not from the answer (a late answer stretched it). Test: fails on the old count (task not started again 1.4 s after the lease's end), passes now.

--- a/bench/FleetSchedulerBench.cpp
+++ b/bench/FleetSchedulerBench.cpp
@@ -61,7 +61,7 @@
 public:
     Cell(int executors, bool withApproval, int backlog)
         : m_now(Instant {} + 3600s)
-        , m_scheduler({}, m_now)
+        , m_scheduler({}, m_now, m_now)
         , m_listing(executors)
         , m_startsEachRound(startsPerSecondAtDesignSize * executors / designExecutors
               * std::chrono::duration<double>(round).count())
--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -132,7 +132,12 @@
 public:
     struct Impl; // defined beside the implementation
 
-    FleetScheduler(const SchedulerBounds& bounds, Instant now);
+    /**
+     * `lastForeignCommit`: no earlier scheduler has committed after this moment, so it prolonged no lease
+     * later than `leaseAuthority` after it. The present if nothing better is known. `ownCommitSent`: when the
+     * write was sent that made this one the scheduler; its own authority counts from there.
+     */
+    FleetScheduler(const SchedulerBounds& bounds, Instant lastForeignCommit, Instant ownCommitSent);
     ~FleetScheduler();
 
     void configure(const FleetConfiguration& configuration);
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -35,9 +35,9 @@
 } // namespace
 
 CellLeader::CellLeader(EdgeServices services, const SchedulerBounds& bounds, LeadRecord lead,
-    std::int64_t version, std::function<void()> deposed)
+    std::int64_t version, Instant lastForeignCommit, Instant rowSentAt, std::function<void()> deposed)
     : m_services(services)
-    , m_scheduler(bounds, clockNow())
+    , m_scheduler(bounds, lastForeignCommit, rowSentAt)
     , m_lead(std::move(lead))
     , m_leadVersion(version)
     , m_fence(version)
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -35,9 +35,13 @@
  */
 class CellLeader : public std::enable_shared_from_this<CellLeader> {
 public:
-    /** `lead` and `version`: the leadership row as we wrote it; the version is our fencing token. */
+    /**
+     * `lead` and `version`: the leadership row as we wrote it; the version is our fencing token.
+     * `lastForeignCommit`: no earlier leader has committed after this moment. `rowSentAt`: when we sent the
+     * row.
+     */
     CellLeader(EdgeServices services, const fleet::SchedulerBounds& bounds, LeadRecord lead,
-        std::int64_t version, std::function<void()> deposed);
+        std::int64_t version, Instant lastForeignCommit, Instant rowSentAt, std::function<void()> deposed);
 
     void begin(const fleet::FleetConfiguration& configuration);
     void configure(const fleet::FleetConfiguration& configuration);
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace quay::edge {
 
@@ -120,6 +121,9 @@
         return;
     }
     const auto& row = result.rows.front();
+    if (row.version != m_seenVersion)
+        m_seenSince = now;
+    m_seenVersion = row.version;
     Reason reason;
     const auto lead = decodeLeadRecord(row.value, reason);
     const bool isVacant = !lead || lead->node.empty();
@@ -176,6 +180,8 @@
     StoreTransaction transaction;
     transaction.conditions.push_back({ leadTable, cellPartition, leadKey, {}, version, false });
     transaction.puts.push_back({ leadTable, cellPartition, leadKey, encode(lead), 0, false });
+    if (m_acquireSentAt == Instant {})
+        m_acquireSentAt = clockNow();
     m_services.store.transact(
         transaction, acquireTimeout, [this, version](StoreResult result) { acquired(result, version); });
 }
@@ -186,24 +192,28 @@
         m_services.log.write("leadership_taken", {},
             { { "fence", std::to_string(result.version) }, { "before", m_known.node },
                 { "condition", std::to_string(condition) } });
-        lead(result.version);
+        // The row had this version from its first read on, so nobody has committed since.
+        lead(result.version, condition == m_seenVersion ? m_seenSince : clockNow());
         return;
     }
     if (result.outcome == StoreOutcome::ConditionFailed && !result.rows.empty()) {
         Reason reason;
         const auto now = decodeLeadRecord(result.rows.front().value, reason);
         if (now && now->node == m_identity.node && now->incarnation == m_identity.incarnation) {
-            lead(result.rows.front().version); // an attempt whose answer was lost
+            lead(result.rows.front().version, clockNow()); // an attempt whose answer was lost
             return;
         }
     }
+    if (result.outcome != StoreOutcome::Unknown)
+        m_acquireSentAt = {};
     m_suspectVersion = -1;
     schedule(examineInterval);
 }
 
-void Election::lead(std::int64_t version)
+void Election::lead(std::int64_t version, Instant lastForeignCommit)
 {
     if (m_isRetired) {
+        m_acquireSentAt = {};
         schedule(examineInterval);
         return;
     }
@@ -213,11 +223,12 @@
         std::max(m_identity.processorShare, m_known.strongestShare) };
     m_vacantSince = {};
     m_strengths = {};
-    m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_known, version, [this] {
-        m_leader.reset();
-        m_known = {};
-        schedule(Duration::zero());
-    });
+    m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_known, version, lastForeignCommit,
+        std::exchange(m_acquireSentAt, Instant {}), [this] {
+            m_leader.reset();
+            m_known = {};
+            schedule(Duration::zero());
+        });
     m_leader->begin(*m_follower.current());
 }
 
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -58,7 +58,7 @@
     void examined(const platform::StoreResult& result);
     void acquire(std::int64_t version);
     void acquired(const platform::StoreResult& result, std::int64_t condition);
-    void lead(std::int64_t version);
+    void lead(std::int64_t version, Instant lastForeignCommit);
     void giveUp(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
@@ -74,6 +74,9 @@
     bool m_isRetired = false;
     std::int64_t m_suspectVersion = -1; // of the leadership row when the leader was first suspected
     Instant m_suspectedAt;
+    std::int64_t m_seenVersion = -1; // of the leadership row when last read
+    Instant m_seenSince; // it was read with this version first
+    Instant m_acquireSentAt {}; // the first write of the row whose outcome is not known to be a failure
     Instant m_vacantSince; // the leadership row names nobody since then; of no meaning while it does
     NodeStrengths m_strengths; // while this node leads
     Instant m_nextHandOver {};
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -10,8 +10,9 @@
 
 using namespace internal;
 
-FleetScheduler::FleetScheduler(const SchedulerBounds& bounds, Instant now)
-    : m_impl(std::make_unique<Impl>(bounds, now))
+FleetScheduler::FleetScheduler(
+    const SchedulerBounds& bounds, Instant lastForeignCommit, Instant ownCommitSent)
+    : m_impl(std::make_unique<Impl>(bounds, lastForeignCommit, ownCommitSent))
 {
 }
 
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -263,8 +263,7 @@
             lifeById[record.executor] = life->number;
         }
     }
-    const auto longest = std::chrono::duration_cast<Duration>(bounds.longestLease * clockTolerance);
-    life->leaseEnds = std::max(life->leaseEnds, now + bounds.leaseAuthority + longest + bounds.stopTime);
+    life->leaseEnds = std::max(life->leaseEnds, foreignLeasesUntil);
     Run run;
     run.phase = RunPhase::Inherited;
     run.room = roomOf(step.request());
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -196,9 +196,12 @@
     using Run = internal::Run;
     using RunKey = internal::RunKey;
 
-    Impl(const SchedulerBounds& theBounds, Instant now)
+    Impl(const SchedulerBounds& theBounds, Instant lastForeignCommit, Instant ownCommitSent)
         : bounds(theBounds)
-        , authorityUntil(now + theBounds.leaseAuthority)
+        , foreignLeasesUntil(lastForeignCommit
+              + std::chrono::duration_cast<Duration>(
+                  (theBounds.leaseAuthority + theBounds.longestLease) * internal::clockTolerance))
+        , authorityUntil(ownCommitSent + theBounds.leaseAuthority)
     {
     }
 
@@ -265,6 +268,7 @@
     void note(std::string what, std::string job, std::string detail);
 
     SchedulerBounds bounds;
+    Instant foreignLeasesUntil; // no lease that an earlier scheduler asked for reaches further
     Instant authorityUntil; // leases are prolonged until then
     FleetConfiguration configuration;
     std::unordered_map<std::string, std::unique_ptr<JobState>> jobs;
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -310,7 +310,7 @@
 TEST_CASE("a start without an answer is sent again at once, and with pauses from then on")
 {
     Instant now { 100s };
-    FleetScheduler scheduler({}, now);
+    FleetScheduler scheduler({}, now, now);
     FleetConfiguration configuration;
     configuration.queues = { { "q", "h", "/", "service", 0, 3, 1, 300, true, {} } };
     scheduler.configure(configuration);
@@ -353,3 +353,30 @@
         scheduler.startAnswered(starts[0].life, starts[0].task, 1, OrderResult::NoAnswer, now);
     }
 }
+
+TEST_CASE("a successor waits for a lost executor's lease from the predecessor's last commit, not from its "
+          "own start")
+{
+    FleetWorld world(5, 3);
+    world.behaviour = endless;
+    world.submit(lastingJob(jobA, 1));
+    world.run(500ms);
+    const auto lastCommit = world.lastCommit();
+    const TaskRef task { jobA, 0, 0, 0 };
+    std::string holder;
+    for (const auto& [id, executor] : world.executors) {
+        if (executor.running.count(task))
+            holder = id;
+    }
+    REQUIRE_FALSE(holder.empty());
+    world.run(lastCommit + 2s - world.now);
+    world.crash(holder);
+    world.takeover();
+    // 2 % slow: what the predecessor may prolong without a commit, the longest lease; the time of a stop.
+    const auto leaseEnds = lastCommit + std::chrono::duration_cast<Duration>((4s + 6s) * 1.0205) + 900ms;
+    world.run(leaseEnds - 50ms - world.now);
+    CHECK(world.runsOf(task) == 0);
+    world.run(600ms);
+    CHECK(world.runsOf(task) == 1);
+    checkNoViolation(world);
+}
--- a/tests/cores/FleetWorld.cpp
+++ b/tests/cores/FleetWorld.cpp
@@ -52,7 +52,7 @@
         executor.born = now - std::chrono::seconds(10 + i);
         executors[executor.entry.id] = executor;
     }
-    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now);
+    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now, now);
     scheduler->configure(configuration);
     for (const auto& [id, it] : executors)
         scheduler->executorSeen(it.entry, now);
@@ -264,6 +264,7 @@
         }
         for (const auto& [id, record] : action.records)
             m_records[id] = record;
+        m_lastCommit = now;
         later(messageDelay, [this, generation, action, sentAt] {
             if (generation == m_generation)
                 scheduler->committed(action.number, sentAt, now);
@@ -306,7 +307,8 @@
 {
     ++m_generation;
     ++m_fence;
-    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now);
+    scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, m_lastCommit, now);
+    m_lastCommit = now; // the leadership row
     scheduler->configure(configuration);
     for (const auto& [id, it] : executors) {
         if (!m_unlisted.count(id))
--- a/tests/cores/FleetWorld.h
+++ b/tests/cores/FleetWorld.h
@@ -76,6 +76,8 @@
     void leave(const std::string& id, Duration after);
     std::size_t runsOf(const TaskRef& task) const;
     JobPhase phase(const std::string& job) const;
+    /** When the store carried out the last commit. */
+    Instant lastCommit() const { return m_lastCommit; }
 
 private:
     struct Message {
@@ -107,6 +109,7 @@
     std::set<Message> m_messages;
     std::uint64_t m_nextMessage = 0;
     std::int64_t m_fence = 1;
+    Instant m_lastCommit; // when the store carried it out
     int m_generation = 0; // of the scheduler: answers to an earlier one are dropped
     std::map<std::string, WorkRequest> m_jobs; // durable
     std::set<std::string> m_cancelled; // durable
