A job counts as waiting until an executor has begun a task of it

Change: the first acknowledged start, a listed run or a listed end 'done' or 'failed' begins a job; after a takeover the executors' reports say so.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -172,7 +172,7 @@
 
     /** What may be shown of a job: only what is durable. Nothing if the job is not known. */
     std::optional<JobPhase> shownPhase(const std::string& job) const;
-    /** Accepted jobs of which no task has started, by queue. Looks at all jobs. */
+    /** Accepted jobs of which no executor has begun a task, as far as known, by queue. Looks at all jobs. */
     std::map<std::string, std::int64_t> pending() const;
 
     SchedulerCounts counts() const;
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -57,7 +57,10 @@
         return;
     auto& job = m_impl->add(request, now);
     job.phase = job.shown = record.phase;
-    job.hasStarted = record.phase != JobPhase::Queued;
+    // Whether a task that is only recorded has begun is for its executor to say.
+    job.hasBegun = !record.done.empty()
+        || std::any_of(record.tasks.begin(), record.tasks.end(),
+            [](const TaskRecord& task) { return task.failures > 0; });
     if (request.occurrences > 0 && !isFinal(record.phase)) {
         for (const auto& task : record.tasks) {
             if (!job.occurrences.count(task.occurrence))
@@ -249,7 +252,7 @@
     for (const auto& queue : m_impl->configuration.queues)
         result[queue.name] = 0;
     for (const auto& [id, job] : m_impl->jobs) {
-        if (!job->hasStarted && !isFinal(job->phase))
+        if (!job->hasBegun && !isFinal(job->phase))
             ++result[job->request.queue];
     }
     return result;
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -113,6 +113,8 @@
     note("run_ended", end.task.job,
         "task=" + text(end.task) + " run=" + std::to_string(end.run)
             + " how=" + std::string(names[static_cast<std::size_t>(end.how)]) + " executor=" + life.entry.id);
+    if (end.how == RunEnd::Done || end.how == RunEnd::Failed)
+        key->job->hasBegun = true;
     endRun(life, *key, end.how, end.checkpoint, now);
 }
 
@@ -132,6 +134,7 @@
         listed.insert(*key);
         if (run->second.phase != RunPhase::Running) {
             run->second.phase = RunPhase::Running;
+            key->job->hasBegun = true;
             run->second.confirmedAt = now;
             run->second.startedAt = now;
             if (!run->second.wantsStop)
@@ -211,6 +214,7 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
             run.startedAt = now;
+            key->job->hasBegun = true;
             if (!run.wantsStop)
                 it.attention.erase({ number, *key });
         }
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -241,7 +241,6 @@
     life.runs.emplace(RunKey { step.job, step.occurrence, step.number, index, runNumber }, run);
     if (step.waiting == 0)
         ready.erase(&step);
-    step.job->hasStarted = true;
     if (step.job->phase == JobPhase::Queued)
         step.job->phase = JobPhase::Running;
     markDirty(*step.job);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -77,7 +77,7 @@
     Instant acceptedAt;
     Instant finishedAt;
     Instant deadline; // of the objective
-    bool hasStarted = false;
+    bool hasBegun = false; // an executor has begun a task of it, as far as we have heard
     bool isDirty = false;
     bool isForgotten = false; // its rows are being removed
 };
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -31,6 +31,48 @@
         FAIL_CHECK(it);
 }
 
+// One scheduler, one executor that answered a look, one job whose start was recorded.
+struct OneStart {
+    OneStart()
+    {
+        FleetConfiguration configuration;
+        configuration.queues = { { "q", "h", "/", "service", 0, 3, 1, 300, true, {} } };
+        scheduler.configure(configuration);
+        ExecutorEntry entry;
+        entry.id = "e";
+        entry.bornUnixMs = 1;
+        entry.service = "service";
+        entry.address = "a:1";
+        entry.capacity = { 32'000, 65'536, 0 };
+        scheduler.executorSeen(entry, now);
+        const auto holds = pump().holds;
+        REQUIRE(holds.size() == 1);
+        scheduler.holdAnswered(holds[0].life, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} }, now, now);
+        auto request = jobOf(jobA, 1);
+        request.queue = "q";
+        scheduler.submit(request, now);
+        now += 10ms;
+        commit();
+    }
+
+    SchedulerActions pump()
+    {
+        SchedulerActions actions;
+        scheduler.pump(now, 0, actions);
+        return actions;
+    }
+
+    void commit()
+    {
+        const auto commit = pump().commit;
+        REQUIRE(commit);
+        scheduler.committed(commit->number, now, now);
+    }
+
+    Instant now { 100s };
+    FleetScheduler scheduler { {}, now, now };
+};
+
 } // namespace
 
 TEST_CASE("a job of dependent steps completes, each step after the one before")
@@ -309,33 +351,7 @@
 
 TEST_CASE("a start without an answer is sent again at once, and with pauses from then on")
 {
-    Instant now { 100s };
-    FleetScheduler scheduler({}, now, now);
-    FleetConfiguration configuration;
-    configuration.queues = { { "q", "h", "/", "service", 0, 3, 1, 300, true, {} } };
-    scheduler.configure(configuration);
-    ExecutorEntry entry;
-    entry.id = "e";
-    entry.bornUnixMs = 1;
-    entry.service = "service";
-    entry.address = "a:1";
-    entry.capacity = { 32'000, 65'536, 0 };
-    scheduler.executorSeen(entry, now);
-    const auto pump = [&] {
-        SchedulerActions actions;
-        scheduler.pump(now, 0, actions);
-        return actions;
-    };
-    const auto holds = pump().holds;
-    REQUIRE(holds.size() == 1);
-    scheduler.holdAnswered(holds[0].life, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} }, now, now);
-    auto request = jobOf(jobA, 1);
-    request.queue = "q";
-    scheduler.submit(request, now);
-    now += 10ms;
-    const auto commit = pump().commit;
-    REQUIRE(commit);
-    scheduler.committed(commit->number, now, now);
+    OneStart it;
     struct Row {
         Duration pause; // between the missing answer and the next order
         int unanswered; // that the order names
@@ -343,14 +359,14 @@
     for (const auto& row : { Row { 0ms, 0 }, Row { 0ms, 1 }, Row { 60ms, 2 }, Row { 60ms, 3 } }) {
         CAPTURE(row.unanswered);
         if (row.pause > Duration::zero()) {
-            CHECK(pump().starts.empty());
-            now += row.pause;
+            CHECK(it.pump().starts.empty());
+            it.now += row.pause;
         }
-        const auto starts = pump().starts;
+        const auto starts = it.pump().starts;
         REQUIRE(starts.size() == 1);
         CHECK(starts[0].run == 1);
         CHECK(starts[0].unanswered == row.unanswered);
-        scheduler.startAnswered(starts[0].life, starts[0].task, 1, OrderResult::NoAnswer, now);
+        it.scheduler.startAnswered(starts[0].life, starts[0].task, 1, OrderResult::NoAnswer, it.now);
     }
 }
 
@@ -380,3 +396,21 @@
     CHECK(world.runsOf(task) == 1);
     checkNoViolation(world);
 }
+
+TEST_CASE("a job counts as waiting until an executor has begun a task of it")
+{
+    struct Row {
+        OrderResult answer;
+        std::int64_t waiting;
+    };
+    for (const auto& row : { Row { OrderResult::Ok, 0 }, Row { OrderResult::Unhealthy, 1 },
+             Row { OrderResult::NoTicket, 1 }, Row { OrderResult::NoAnswer, 1 } }) {
+        CAPTURE(std::string(text(row.answer)));
+        OneStart it;
+        CHECK(it.scheduler.pending().at("q") == 1);
+        const auto starts = it.pump().starts;
+        REQUIRE(starts.size() == 1);
+        it.scheduler.startAnswered(starts[0].life, starts[0].task, 1, row.answer, it.now);
+        CHECK(it.scheduler.pending().at("q") == row.waiting);
+    }
+}
