Direct writes of a node: two in flight, repeats with growing pauses

Ruled out: the leader's processor (loads of 0.2 to 0.4 s, strong machines).

Change: at most two direct writes of jobs in flight a node, others are refused as not run at once; a write that may have been carried out is repeated after 80 ms, 160 ms, ... 1 s.

--- a/src/edge/CallerFront.cpp
+++ b/src/edge/CallerFront.cpp
@@ -15,6 +15,10 @@
 
 constexpr auto defaultDeadline = 3000ms; // of a caller that names none
 constexpr auto answerSpare = 150ms; // an answer's way to the caller
+// Direct writes of this node: a store's part takes 150 a second, so 30 nodes leave the leader room also when
+// a write takes half a second.
+constexpr int mostWritesInFlight = 2;
+constexpr auto longestWritePause = 1000ms; // a third of a caller's usual deadline
 constexpr auto writeRetry = 40ms; // a few transactions
 constexpr auto stateTimeout = 500ms;
 constexpr auto leaderCheck = 200ms; // under the interval of greetings, which notice a silent leader
@@ -61,6 +65,7 @@
     std::string team;
     StoredJob job;
     bool mayBeWritten = false; // an attempt got no answer
+    int writes = 0; // direct ones so far
     bool isLeaderLost = false; // or has answered: nothing is expected of it any more
 };
 
@@ -254,11 +259,22 @@
 {
     if (refusedAtGate(call))
         return;
+    if (m_writesInFlight >= mostWritesInFlight) {
+        if (call->mayBeWritten)
+            repeatWrite(call, "other writes of this node wait for it");
+        else
+            refuse(call, ErrorKind::StoreUnavailable, "other writes of this node wait for it");
+        return;
+    }
+    ++m_writesInFlight;
+    ++call->writes;
     StoreTransaction transaction;
     transaction.conditions.push_back({ jobTable, cellPartition, call->id, {}, 0, false });
     transaction.puts.push_back({ jobTable, cellPartition, call->id, encode(call->job), 0, false });
-    m_services.store.transact(transaction, m_gate.timeout(),
-        heard([this, call](const StoreResult& result) { jobWritten(call, result); }));
+    m_services.store.transact(transaction, m_gate.timeout(), heard([this, call](const StoreResult& result) {
+        --m_writesInFlight;
+        jobWritten(call, result);
+    }));
 }
 
 void CallerFront::jobWritten(const CallPointer& call, const StoreResult& result)
@@ -278,19 +294,26 @@
             call, ErrorKind::RequestIdReused, "job " + call->id + " was handed in with another body or team");
         return;
     }
-    const auto now = clockNow();
     if (result.outcome == StoreOutcome::Unknown)
         call->mayBeWritten = true;
+    repeatWrite(call, result.detail);
+}
+
+// With growing pauses: what fills the store's queue must not be the repeats.
+void CallerFront::repeatWrite(const CallPointer& call, const std::string& detail)
+{
+    const auto now = clockNow();
+    const auto pause = std::min<Duration>(writeRetry * (1 << std::min(call->writes, 5)), longestWritePause);
     const auto last
         = call->mayBeWritten ? call->deadline : std::min(call->deadline, call->arrived + refuseAfter);
-    if (now + writeRetry < last) {
-        callLater(m_services.context, writeRetry, [this, call] { writeJob(call); });
+    if (now + pause < last) {
+        callLater(m_services.context, pause, [this, call] { writeJob(call); });
         return;
     }
     if (call->mayBeWritten)
-        unknown(call, "the store did not answer: " + result.detail);
+        unknown(call, "the store did not answer: " + detail);
     else
-        refuse(call, ErrorKind::StoreUnavailable, result.detail);
+        refuse(call, ErrorKind::StoreUnavailable, detail);
 }
 
 void CallerFront::acknowledge(const CallPointer& call)
--- a/src/edge/CallerFront.h
+++ b/src/edge/CallerFront.h
@@ -35,6 +35,7 @@
     void watchLeader(const CallPointer& call, const std::string& address);
     void handedToLeader(const CallPointer& call, AcceptOutcome outcome);
     void writeJob(const CallPointer& call);
+    void repeatWrite(const CallPointer& call, const std::string& detail);
     void jobWritten(const CallPointer& call, const platform::StoreResult& result);
     void acknowledge(const CallPointer& call);
     void accepted(const CallPointer& call);
@@ -63,6 +64,7 @@
     std::size_t m_maxRowBytes;
     Counter& m_accepted;
     DurationHistogram& m_acceptTime;
+    int m_writesInFlight = 0;
 };
 
 } // namespace quay::edge
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -1,5 +1,6 @@
 #include "FleetPlatform.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -127,6 +128,20 @@
     putRow({ "op", "", "config" }, base64(configuration));
 }
 
+void FleetPlatform::silenceTransactions(bool silence)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSilent = silence;
+}
+
+std::size_t FleetPlatform::silencedWrites(const std::string& table) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto mention = "\"table\":\"" + table + "\"";
+    return static_cast<std::size_t>(std::count_if(m_unanswered.begin(), m_unanswered.end(),
+        [&](const auto& it) { return it.first.find(mention) != std::string::npos; }));
+}
+
 void FleetPlatform::refuseStoreCalls(bool refuse)
 {
     const std::lock_guard lock(m_mutex);
@@ -166,6 +181,8 @@
         respond(approve(request));
     else if (m_isRefusing)
         respond(answer(503, {}));
+    else if (path == "/rows-tx" && m_isSilent)
+        m_unanswered.emplace_back(request.body, std::move(respond));
     else if (path == "/rows-tx")
         respond(transact(request));
     else if (path == "/rows-get")
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -35,6 +35,11 @@
     void configure(const std::string& configuration);
     /** Answers all store calls with 503, or as usual again. */
     void refuseStoreCalls(bool refuse);
+    /** Leaves transactions without an answer and does not carry them out, or serves them again; reads are
+     * served. */
+    void silenceTransactions(bool silence);
+    /** Transactions that came while they were silenced and write the table. */
+    std::size_t silencedWrites(const std::string& table) const;
     /** How long a task works from now on. */
     void setTaskTime(Duration time);
     /** Drops the history of changes: who asks for them must read anew. */
@@ -73,6 +78,8 @@
     std::int64_t m_firstChange = 1;
     std::int64_t m_version = 0;
     bool m_isRefusing = false;
+    bool m_isSilent = false; // to transactions
+    std::vector<std::pair<std::string, Respond>> m_unanswered; // body; kept open
     Duration m_taskTime = 50ms;
     std::size_t m_startedRuns = 0;
     std::set<std::string> m_doneTasks; // whose end was acknowledged
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -290,3 +290,36 @@
              "quay_requests_refused_total{reason=\"malformed_request\"} 1" })
         CHECK_MESSAGE(page.find(line) != std::string::npos, "no line: " << line);
 }
+
+TEST_CASE("repeats of writes without an answer never outgrow the requests")
+{
+    constexpr int requests = 24;
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(10, platform.storeAddress());
+    waitFor("the node is ready", [&] { return call(node.readiness(), "GET", "/ready").status == 200; });
+    platform.silenceTransactions(true);
+    // Jobs wait for the leader's commit until the leader is unusable; from then on the node writes them
+    // itself.
+    waitFor("the node writes for itself", [&] {
+        (void)call(node.callers(), "POST", "/q/" + jobId(100), twoSteps);
+        return platform.silencedWrites("jobs") > 1;
+    });
+    const auto before = platform.silencedWrites("jobs");
+    std::vector<std::thread> callers;
+    std::vector<unsigned> answers(requests);
+    callers.reserve(requests);
+    for (int i = 0; i < requests; ++i)
+        callers.emplace_back(
+            [&, i] { answers[i] = call(node.callers(), "POST", "/q/" + jobId(200 + i), twoSteps).status; });
+    for (auto& it : callers)
+        it.join();
+    CHECK(platform.silencedWrites("jobs") - before <= requests);
+    for (const auto status : answers)
+        CHECK(status >= 500); // refused as not run, or its outcome is unknown
+    platform.silenceTransactions(false);
+    waitFor("jobs are taken again",
+        [&] { return call(node.callers(), "POST", "/q/" + jobId(1), twoSteps).status == 200; });
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(platform.violations().empty());
+}
