Contract tests of nodes take loopback addresses of their process

One run under the address sanitizer failed in 'a weak node hands the leadership ...' with 'bind: Address already in use'.

--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -54,10 +54,20 @@
     return answer;
 }
 
+// Of this process alone: the port of the metrics is the same on all nodes, also on those of another run of
+// the tests.
+std::string loopback(int number)
+{
+    constexpr int values = 250; // of one part of an address, without its ends
+    const int process = getpid();
+    return "127." + std::to_string(1 + process / values % values) + "." + std::to_string(1 + process % values)
+        + "." + std::to_string(number);
+}
+
 class Node {
 public:
     Node(int number, const std::string& store, double processorShare = 0)
-        : m_address("127.0.1." + std::to_string(number))
+        : m_address(loopback(number))
         , m_port(20000 + (getpid() * 8) % 20000)
     {
         platform::NodeSettings settings;
