--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -21,7 +21,6 @@
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains
 // A start may be repeated, and its task waits for it: the first one is given up sooner.
 constexpr auto startTimeoutFirst = 90ms; // a new connection across failure domains, and some orders before it
-constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -242,7 +241,7 @@
 {
     const auto sentAt = clockNow();
     m_services.executors.hold(target(action.address, action.executor), action.acknowledged,
-        action.leaseUntilClockMs, action.wait, action.wait + holdSpare,
+        action.leaseUntilClockMs, action.wait, action.wait + longPollSpare,
         [self = shared_from_this(), life = action.life, sentAt, executor = action.executor](
             HoldAnswer answer) {
             if (self->m_isStopped)
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -16,6 +16,10 @@
 
 namespace quay::edge {
 
+/** How long a long poll may take beyond the wait that it asks for: thirty round trips across failure domains.
+ */
+constexpr Duration longPollSpare = 300ms;
+
 /** What a node's parts share. */
 struct EdgeServices {
     boost::asio::io_context& context;
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -20,7 +20,6 @@
 constexpr std::size_t manyChanges = 200; // in one answer; the next ones are there already
 constexpr auto jobsPause = 700ms; // a lost message about a job costs at most this
 constexpr std::size_t restorePortion = 40; // jobs; some milliseconds of a tenth of a processor
-constexpr auto holdSpare = 300ms; // beyond the time that the executor may wait
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -185,7 +184,7 @@
 void CellLeader::followExecutors()
 {
     m_services.store.changes(std::string(executorTable), m_executorsSeen, executorsWait,
-        executorsWait + holdSpare, [self = shared_from_this()](StoreResult result) {
+        executorsWait + longPollSpare, [self = shared_from_this()](StoreResult result) {
             if (self->m_isStopped)
                 return;
             if (result.outcome == StoreOutcome::HistoryGone) {
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -25,6 +25,17 @@
     return run;
 }
 
+// The executor that has the task at work; empty: none.
+std::string holderOf(const FleetWorld& world, const TaskRef& task)
+{
+    std::string holder;
+    for (const auto& [id, executor] : world.executors) {
+        if (executor.running.count(task))
+            holder = id;
+    }
+    return holder;
+}
+
 void checkNoViolation(const FleetWorld& world)
 {
     for (const auto& it : world.violations)
@@ -110,11 +121,7 @@
         world.submit(lastingJob(jobA, 1));
         world.run(1s);
         const TaskRef task { jobA, 0, 0, 0 };
-        std::string holder;
-        for (const auto& [id, executor] : world.executors) {
-            if (executor.running.count(task))
-                holder = id;
-        }
+        const auto holder = holderOf(world, task);
         REQUIRE_FALSE(holder.empty());
         world.crash(holder);
         if (row.isUnlisted)
@@ -147,11 +154,7 @@
         world.submit(request);
         world.run(1s);
         const TaskRef task { jobA, 0, 0, 0 };
-        std::string holder;
-        for (const auto& [id, executor] : world.executors) {
-            if (executor.running.count(task))
-                holder = id;
-        }
+        const auto holder = holderOf(world, task);
         REQUIRE_FALSE(holder.empty());
         world.leave(holder, 2s);
         world.run(row.goesOnWithin);
@@ -379,11 +382,7 @@
     world.run(500ms);
     const auto lastCommit = world.lastCommit();
     const TaskRef task { jobA, 0, 0, 0 };
-    std::string holder;
-    for (const auto& [id, executor] : world.executors) {
-        if (executor.running.count(task))
-            holder = id;
-    }
+    const auto holder = holderOf(world, task);
     REQUIRE_FALSE(holder.empty());
     world.run(lastCommit + 2s - world.now);
     world.crash(holder);
