Fleet: a waiting long-running step comes first after 1.5 s, however full the service is

Cause: a pass looks at 200 steps in the order of priority, so behind a longer urgent backlog a long-running step was never looked at; where it was, its approval waited for a caller with room and for free capacity, and each part of an executor that became free went to smaller tasks.

Now a long-running step that has waited 1.5 s (at once after a takeover, since its earlier wait is unknown) sorts before all others, each caller takes one approval of such a step on top of its backlog, and up to an eighth of a service's executors are kept free for it within a pass. Ruled out: a reserve of callers alone (the test still failed while smaller tasks took the room).

Also: rounds look at all executors at most every 8 ms (heartbeats) and 20 ms (leases) and keep the executors with ends to acknowledge in a set; records are encoded without a tree of JSON values; expired jobs are reported and removed in two steps, so that their request can be deleted before their record.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -81,7 +81,7 @@
 struct CommitAction {
     std::uint64_t number = 0;
     std::vector<std::pair<std::string, std::string>> records; // job id and encoded record
-    std::vector<std::string> removedJobs; // ids of finished jobs whose rows are deleted
+    std::vector<std::string> removedJobs; // ids of finished jobs whose records are deleted
 };
 
 /** A scheduling decision for the log. `job` may be empty. */
@@ -108,6 +108,8 @@
     std::vector<ThrottleAction> throttles;
     std::vector<HeartbeatAction> heartbeats;
     std::vector<ApprovalAction> approvals;
+    // Finished jobs past their retention. Once their request and cancellation are deleted, call remove().
+    std::vector<std::string> expiredJobs;
     std::vector<DecisionEvent> events;
     SchedulerTimes times;
 };
@@ -159,6 +161,12 @@
     /** Cancels a job; the cancellation must be durable already. Returns false if the job is not known. */
     bool cancel(const std::string& job, Instant now);
 
+    /**
+     * Deletes the record of an expired job with the next commit. The request must be deleted before:
+     * a request without a record would be taken for a new job.
+     */
+    void remove(const std::string& job);
+
     /** An executor registered or changed its registration. */
     void executorRegistered(const ExecutorEntry& entry, Instant now);
     /** The registration of an executor was removed. */
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -95,6 +95,7 @@
             for (auto& step : occurrence.steps) {
                 if (step->waiting == 0)
                     m_impl->readySteps.erase(step.get());
+                step->waitingSince = now - overdueAfter; // the wait under earlier leaders is unknown
             }
         }
         m_impl->advanceJob(job, now);
@@ -111,6 +112,15 @@
     return true;
 }
 
+void FleetScheduler::remove(const std::string& id)
+{
+    const auto it = m_impl->jobs.find(id);
+    if (it == m_impl->jobs.end() || !it->second->isExpired)
+        return;
+    it->second->isBeingRemoved = true;
+    m_impl->markDirty(*it->second);
+}
+
 void FleetScheduler::executorRegistered(const ExecutorEntry& entry, Instant now)
 {
     auto* incarnation = m_impl->incarnationOf(entry.id);
@@ -225,7 +235,7 @@
     auto& it = *m_impl;
     it.openDueOccurrences(now, unixMs);
     it.expireLeases(now);
-    it.removeFinishedJobs(now);
+    it.expireFinishedJobs(now, actions);
     it.place(now, actions);
     it.buildCommit(actions);
     it.sendOrders(now, actions);
--- a/src/fleet/JobRecord.cpp
+++ b/src/fleet/JobRecord.cpp
@@ -1,5 +1,7 @@
 #include "quay/fleet/JobRecord.h"
 
+#include "core/JsonText.h"
+
 #include <boost/json.hpp>
 
 namespace quay::fleet {
@@ -9,22 +11,21 @@
 namespace {
 
 constexpr std::size_t taskFieldCount = 9;
+constexpr std::size_t bytesPerTask = 80; // a little above the usual size
 
-// Encodes ascending indexes as ranges [first, last, first, last, ...], so a complete step of 40 tasks takes
+// Appends ascending indexes as ranges [first, last, first, last, ...], so a complete step of 40 tasks takes
 // two numbers.
-json::array encodeRanges(const std::vector<int>& indexes)
+void appendRanges(std::string& json, const std::vector<int>& indexes)
 {
-    json::array ranges;
-    for (std::size_t i = 0; i < indexes.size(); ++i) {
-        if (i == 0 || indexes[i] != indexes[i - 1] + 1) {
-            if (i > 0)
-                ranges.push_back(indexes[i - 1]);
-            ranges.push_back(indexes[i]);
-        }
+    json += '[';
+    for (std::size_t i = 0; i < indexes.size();) {
+        std::size_t last = i;
+        while (last + 1 < indexes.size() && indexes[last + 1] == indexes[last] + 1)
+            ++last;
+        json += (i > 0 ? "," : "") + std::to_string(indexes[i]) + ',' + std::to_string(indexes[last]);
+        i = last + 1;
     }
-    if (!indexes.empty())
-        ranges.push_back(indexes.back());
-    return ranges;
+    json += ']';
 }
 
 std::vector<int> decodeRanges(const json::array& ranges)
@@ -57,16 +58,26 @@
 
 std::string encode(const JobRecord& record)
 {
-    json::array tasks;
+    std::string json = "{\"phase\":" + std::to_string(static_cast<int>(record.phase)) + ",\"tasks\":[";
+    json.reserve(json.size() + record.tasks.size() * bytesPerTask);
     for (const auto& it : record.tasks) {
-        tasks.push_back(json::array { it.occurrence, it.step, it.index, it.run, it.failures,
-            it.isAssigned ? 1 : 0, it.executor, it.executorStartedUnixMs, it.checkpoint });
+        json += &it == record.tasks.data() ? "[" : ",[";
+        for (const int number :
+            { it.occurrence, it.step, it.index, it.run, it.failures, it.isAssigned ? 1 : 0 })
+            json.append(std::to_string(number)).append(1, ',');
+        appendJsonText(json, it.executor);
+        json.append(1, ',').append(std::to_string(it.executorStartedUnixMs)).append(1, ',');
+        appendJsonText(json, it.checkpoint);
+        json += ']';
+    }
+    json += "],\"done\":[";
+    for (const auto& it : record.done) {
+        json += (&it == record.done.data() ? "[" : ",[") + std::to_string(it.occurrence) + ','
+            + std::to_string(it.step) + ',';
+        appendRanges(json, it.indexes);
+        json += ']';
     }
-    json::array done;
-    for (const auto& it : record.done)
-        done.push_back(json::array { it.occurrence, it.step, encodeRanges(it.indexes) });
-    return json::serialize(
-        json::object { { "phase", static_cast<int>(record.phase) }, { "tasks", tasks }, { "done", done } });
+    return json + "]}";
 }
 
 std::optional<JobRecord> decodeJobRecord(const std::string& bytes, Reason& reason)
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -94,7 +94,7 @@
         advanceJob(*key.job, now);
         return;
     }
-    markTaskWaiting(step, key.index);
+    markTaskWaiting(step, key.index, now);
     if (outcome == RunOutcome::Failed)
         countFailure(incarnation, step, key, now);
     if (step.request().isGang) {
@@ -131,6 +131,7 @@
         const auto key = keyOf(it.task, it.run);
         auto run = key ? incarnation.runs.find(*key) : incarnation.runs.end();
         if (run == incarnation.runs.end()) {
+            executorsWithUnknownRuns.insert(incarnation.number);
             if (incarnation.unknownRuns.insert({ it.task, it.run }).second)
                 addEvent("stray_run", it.task.job,
                     "task=" + text(it.task) + " run=" + std::to_string(it.run)
@@ -188,6 +189,7 @@
         if (incarnation.processedEnds == incarnation.acknowledgedEnds)
             incarnation.unacknowledgedSince = now;
         incarnation.processedEnds = end.number;
+        unacknowledgedExecutors.insert(incarnation.number);
         applyEnd(incarnation, end, now);
     }
     applyRunning(incarnation, report, sentAt, now);
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -39,6 +39,13 @@
     return approvalsInFlightMs - longApprovalsInFlightMs < approvalCallerCount * shortCallBacklogMs;
 }
 
+// Overdue steps don't wait for a free caller behind the calls of other steps: each caller takes one of them
+// on top of its backlog.
+bool FleetScheduler::Impl::hasCallerCapacityForOverdueStep() const
+{
+    return overdueApprovalsInFlight < approvalCallerCount;
+}
+
 // Approvals for more tasks than the executors have capacity for would be wasted: their tickets expire unused.
 bool FleetScheduler::Impl::hasExecutorCapacityForApproval(const StepState& step) const
 {
@@ -57,8 +64,11 @@
 void FleetScheduler::Impl::requestApproval(StepState& step, Instant now, SchedulerActions& actions)
 {
     const auto& policy = *step.queue->approval;
+    const bool overdue = isOverdue(step, now);
     if (step.isApprovalInFlight || now < step.nextApprovalCall
-        || !hasCallerCapacityForApproval(policy.decisionMs) || !hasExecutorCapacityForApproval(step))
+        || !(overdue
+                ? hasCallerCapacityForOverdueStep()
+                : hasCallerCapacityForApproval(policy.decisionMs) && hasExecutorCapacityForApproval(step)))
         return; // retried when a call in flight is answered or capacity becomes free
     const auto demand = demandOf(step.request());
     const auto tasksByIncarnation = step.request().maxPerExecutor > 0
@@ -67,7 +77,8 @@
     const auto isEligible = [&](IncarnationId number) {
         const auto here = tasksByIncarnation.find(number);
         return (here == tasksByIncarnation.end() || here->second < step.request().maxPerExecutor)
-            && isCandidate(step, incarnations[number], demand, now);
+            && (overdue ? isUsable(step, incarnations[number], now)
+                        : isCandidate(step, incarnations[number], demand, now));
     };
     // An approval is final and only its ticket expires, so approved executors come first to have their
     // tickets renewed. Then come undecided ones, those with the most free CPU first.
@@ -81,8 +92,8 @@
         chosen.resize(maxApprovalBatchSize);
     auto& pool = pools.at(step.queue->service);
     if (chosen.size() < static_cast<std::size_t>(step.waiting)) {
-        for (auto it = pool.byFreeCpu.rbegin(); it != pool.byFreeCpu.rend() && it->first >= demand.cpuMilli
-             && chosen.size() < maxApprovalBatchSize;
+        for (auto it = pool.byFreeCpu.rbegin(); it != pool.byFreeCpu.rend()
+             && (overdue || it->first >= demand.cpuMilli) && chosen.size() < maxApprovalBatchSize;
              ++it) {
             if (!step.tickets.count(it->second) && !step.decidedExecutors.count(it->second)
                 && isEligible(it->second))
@@ -92,9 +103,9 @@
     if (chosen.empty())
         return; // the next placement pass is due when capacity becomes free, or after the idle interval
     const double expectedMs = policy.decisionMs + policy.perWorkerMs * static_cast<double>(chosen.size());
-    if (!hasCallerCapacityForApproval(expectedMs))
+    if (!overdue && !hasCallerCapacityForApproval(expectedMs))
         return;
-    if (!step.decidedExecutors.empty() && expectedMs > longCallMs
+    if (!overdue && !step.decidedExecutors.empty() && expectedMs > longCallMs
         && now - step.lastApprovalCall < maxApprovalPostponement) {
         int freePlaces = 0;
         for (IncarnationId number : chosen) {
@@ -119,7 +130,8 @@
     step.isApprovalInFlight = true;
     const std::int64_t callCpu = demand.cpuMilli * step.waiting;
     pool.awaitingApprovalCpu += callCpu;
-    approvalsInFlight[action.step] = { expectedMs, &pool, callCpu };
+    overdueApprovalsInFlight += overdue ? 1 : 0;
+    approvalsInFlight[action.step] = { expectedMs, &pool, callCpu, overdue };
     actions.approvals.push_back(std::move(action));
 }
 
@@ -134,6 +146,7 @@
         if (call->second.expectedMs > longCallMs)
             it.longApprovalsInFlightMs -= call->second.expectedMs;
         call->second.pool->awaitingApprovalCpu -= call->second.cpuMilli;
+        it.overdueApprovalsInFlight -= call->second.isOverdue ? 1 : 0;
         it.approvalsInFlight.erase(call);
     }
     const auto ref = parseTaskRef(stepName + ".0");
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -15,6 +15,9 @@
 // Limits a large cell to 500 heartbeats per second, as long as the wait stays within a quarter of the lease.
 constexpr Duration heartbeatWaitPerExecutor = 2ms;
 constexpr Duration maxHeartbeatWait = 1500ms;
+// Intervals of the passes over all executors. They bound the cost of a scheduling round in a large cell.
+constexpr auto heartbeatCheckInterval = 8ms;
+constexpr auto leaseCheckInterval = 20ms;
 // How long an unanswered start may still be carried out; delays of 12 s were observed.
 constexpr auto maxStartDelay = 20s;
 // One ping interval. An executor that is cut off loses its registration only after three of them.
@@ -248,6 +251,9 @@
 
 void FleetScheduler::Impl::expireLeases(Instant now)
 {
+    if (now < nextLeaseCheck)
+        return;
+    nextLeaseCheck = now + leaseCheckInterval;
     for (auto& incarnation : incarnations) {
         if (incarnation.isClosed)
             continue;
@@ -267,7 +273,8 @@
 
 void FleetScheduler::Impl::sendOrders(Instant now, SchedulerActions& actions)
 {
-    const auto open = openOrders; // a copy, because requeue() and requestStop() change the set
+    const std::vector<std::pair<IncarnationId, RunKey>> open(
+        openOrders.begin(), openOrders.end()); // a copy, because requeue() and requestStop() change the set
     for (const auto& [number, key] : open) {
         auto& incarnation = incarnations[number];
         auto it = incarnation.runs.find(key);
@@ -305,17 +312,20 @@
             run.unansweredAttempts });
         ++totals.starts;
     }
-    for (const auto& incarnation : incarnations) {
+    for (IncarnationId number : std::exchange(executorsWithUnknownRuns, {})) {
+        auto& incarnation = incarnations[number];
         for (const auto& [task, run] : incarnation.unknownRuns)
             actions.stops.push_back(
                 { incarnation.number, incarnation.entry.address, incarnation.entry.id, task, run });
-    }
-    for (auto& incarnation : incarnations)
         incarnation.unknownRuns.clear();
+    }
 }
 
 void FleetScheduler::Impl::sendHeartbeats(Instant now, SchedulerActions& actions)
 {
+    if (now < nextHeartbeatCheck)
+        return;
+    nextHeartbeatCheck = now + heartbeatCheckInterval;
     const auto wait = std::clamp<Duration>(
         heartbeatWaitPerExecutor * currentIncarnations.size(), minHeartbeatWait, maxHeartbeatWait);
     for (auto& incarnation : incarnations) {
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -12,8 +12,8 @@
 // A transaction of the store holds 100 entries and 1 MB, which commits share with newly accepted jobs.
 constexpr std::size_t maxRecordsPerCommit = 60;
 constexpr std::size_t maxBytesPerCommit = 400'000; // before base64, which adds a third
-constexpr auto removalInterval = 5s;
-constexpr std::size_t maxRemovedJobsPerCommit = 4; // each has three rows
+constexpr auto expiryInterval = 5s;
+constexpr std::size_t maxJobsPerExpiry = 4;
 
 // Returns for each step the sum of the estimates on the longest path from it to the end of the job.
 std::vector<int> criticalPaths(const JobRequest& request)
@@ -103,7 +103,7 @@
             const auto& after = step->request().dependsOn;
             step->isReady = std::all_of(after.begin(), after.end(),
                 [&](int earlier) { return it->second.steps[earlier]->isComplete(); });
-            step->readySince = now;
+            step->readySince = step->waitingSince = now;
         }
         if (step->isReady && step->waiting > 0) {
             readySteps.insert(step.get());
@@ -126,11 +126,13 @@
         readySteps.erase(&step);
 }
 
-void FleetScheduler::Impl::markTaskWaiting(StepState& step, int index)
+void FleetScheduler::Impl::markTaskWaiting(StepState& step, int index, Instant now)
 {
     auto& task = step.tasks[index];
     if (task.phase != TaskPhase::Active)
         return;
+    if (step.waiting == 0)
+        step.waitingSince = now;
     --step.active;
     ++step.waiting;
     task.phase = TaskPhase::Waiting;
@@ -278,18 +280,18 @@
     ++step.active;
 }
 
-void FleetScheduler::Impl::removeFinishedJobs(Instant now)
+void FleetScheduler::Impl::expireFinishedJobs(Instant now, SchedulerActions& actions)
 {
-    if (now < nextRemoval)
+    if (now < nextExpiry)
         return;
-    nextRemoval = now + removalInterval;
-    std::size_t count = 0;
+    nextExpiry = now + expiryInterval;
     for (auto& [id, job] : jobs) {
-        if (count < maxRemovedJobsPerCommit && isFinal(job->durablePhase) && !job->isBeingRemoved
+        if (actions.expiredJobs.size() >= maxJobsPerExpiry)
+            break;
+        if (isFinal(job->durablePhase) && !job->isExpired
             && now - job->finishedAt > bounds.finishedJobRetention * 2) {
-            job->isBeingRemoved = true;
-            markDirty(*job);
-            ++count;
+            job->isExpired = true;
+            actions.expiredJobs.push_back(id);
         }
     }
 }
@@ -300,9 +302,9 @@
         return;
     CommitInFlight batch;
     CommitAction action;
-    for (const auto& incarnation : incarnations) {
-        if (!incarnation.isClosed && incarnation.processedEnds > incarnation.acknowledgedEnds)
-            batch.acknowledgements.emplace_back(incarnation.number, incarnation.processedEnds);
+    for (IncarnationId number : unacknowledgedExecutors) {
+        if (!incarnations[number].isClosed)
+            batch.acknowledgements.emplace_back(number, incarnations[number].processedEnds);
     }
     std::size_t bytes = 0;
     std::size_t taken = 0;
@@ -335,7 +337,9 @@
         }
     }
     dirtyJobs.erase(dirtyJobs.begin(), dirtyJobs.begin() + static_cast<std::ptrdiff_t>(taken));
-    if (!dirtyJobs.empty())
+    if (dirtyJobs.empty())
+        unacknowledgedExecutors.clear();
+    else
         batch.acknowledgements.clear(); // an end may belong to a job that this commit doesn't contain
     if (action.records.empty() && action.removedJobs.empty()) {
         // Ends that change no record need no commit.
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -25,9 +25,12 @@
 // Share of a team's upper limit that only priority 0 and long-running steps may use. Larger, because tasks of
 // other priorities run ten times as long.
 constexpr double urgentQuotaReserve = 0.12;
+// Share of a service's executors that overdue steps may reserve.
+constexpr std::size_t reservableDivisor = 8;
 
 struct PrioritizedStep {
     StepState* step;
+    bool isOverdue;
     int priority;
     bool isExpired; // its age exceeds three times its objective: completion has no value any more
     bool isLate; // it will miss its objective: completion has little value
@@ -87,22 +90,66 @@
         const auto objective = step->job->deadline - step->job->acceptedAt;
         const bool isLongRunning = step->request().isLongRunning;
         const auto end = now + std::chrono::milliseconds(step->criticalPathMs);
-        prioritizedSteps.push_back(
-            { step, queue->priority, !isLongRunning && now > step->job->acceptedAt + 3 * objective,
-                !isLongRunning && end > step->job->deadline, step->job->deadline });
+        prioritizedSteps.push_back({ step, isOverdue(*step, now), queue->priority,
+            !isLongRunning && now > step->job->acceptedAt + 3 * objective,
+            !isLongRunning && end > step->job->deadline, step->job->deadline });
     }
     std::sort(prioritizedSteps.begin(), prioritizedSteps.end(),
         [](const PrioritizedStep& a, const PrioritizedStep& b) {
-            return std::tie(
-                       a.isExpired, a.priority, a.isLate, a.deadline, a.step->job->request.id, a.step->number)
-                < std::tie(
-                    b.isExpired, b.priority, b.isLate, b.deadline, b.step->job->request.id, b.step->number);
+            return std::tie(b.isOverdue, a.isExpired, a.priority, a.isLate, a.deadline,
+                       a.step->job->request.id, a.step->number)
+                < std::tie(a.isOverdue, b.isExpired, b.priority, b.isLate, b.deadline,
+                    b.step->job->request.id, b.step->number);
         });
     std::size_t checkedSteps = 0;
     for (const auto& it : prioritizedSteps) {
         if (++checkedSteps > stepsPerPass)
             break;
         placeStep(*it.step, now, actions);
+        if (it.isOverdue && it.step->waiting > 0)
+            reserveExecutors(*it.step, now);
+    }
+    for (IncarnationId number : reservedExecutors)
+        incarnations[number].reservedFor = nullptr;
+    reservedExecutors.clear();
+}
+
+bool FleetScheduler::Impl::isOverdue(const StepState& step, Instant now) const
+{
+    return step.request().isLongRunning && step.waiting > 0 && now - step.waitingSince >= overdueAfter;
+}
+
+// In a full service, shorter tasks of other steps would take each part of an executor that becomes free, so a
+// large task of an overdue step would never find room. Until the end of the pass only this step may be placed
+// on the executors that are closest to having room for its waiting tasks.
+void FleetScheduler::Impl::reserveExecutors(StepState& step, Instant now)
+{
+    const auto& request = step.request();
+    if (!fitsQuota(step))
+        return;
+    const auto pool = pools.find(step.queue->service);
+    if (pool == pools.end())
+        return;
+    const auto demand = executorDemand(request);
+    const auto tasksByIncarnation
+        = request.maxPerExecutor > 0 ? tasksPerIncarnation(step) : std::unordered_map<IncarnationId, int>();
+    const auto& byFreeCpu = pool->second.byFreeCpu;
+    const auto maxReserved = std::max<std::size_t>(1, byFreeCpu.size() / reservableDivisor);
+    std::int64_t places = 0;
+    for (auto it = byFreeCpu.rbegin();
+         it != byFreeCpu.rend() && places < step.waiting && reservedExecutors.size() < maxReserved; ++it) {
+        auto& incarnation = incarnations[it->second];
+        const auto ticket = step.tickets.find(incarnation.number);
+        const auto here = tasksByIncarnation.find(incarnation.number);
+        const int running = here == tasksByIncarnation.end() ? 0 : here->second;
+        if ((step.queue->approval && ticket == step.tickets.end()) || !isUsable(step, incarnation, now)
+            || !demand.fitsIn(incarnation.entry.capacity)
+            || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor))
+            continue;
+        incarnation.reservedFor = &step;
+        reservedExecutors.push_back(incarnation.number);
+        const auto fitting = incarnation.entry.capacity.cpuMilli / std::max<std::int64_t>(1, demand.cpuMilli);
+        places += request.maxPerExecutor > 0 ? request.maxPerExecutor - running : fitting;
     }
 }
 
@@ -127,23 +174,31 @@
         && fits(after.accelerators, limit.accelerators);
 }
 
-// Returns whether a task of the step may be placed on the executor now, apart from maxPerExecutor.
-bool FleetScheduler::Impl::isCandidate(
-    const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const
+// Returns whether tasks of the step may be placed on the executor, apart from its capacity and
+// maxPerExecutor.
+bool FleetScheduler::Impl::isUsable(const StepState& step, const Incarnation& incarnation, Instant now) const
 {
-    const auto& request = step.request();
     if (!incarnation.isRegistered || incarnation.isUnresponsive || incarnation.entry.isDraining
         || incarnation.entry.service != step.queue->service || now < incarnation.backoffUntil
         || now - incarnation.lastAnswer > maxHeartbeatAge || incarnation.predecessor >= 0)
         return false;
-    if (!(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
+    if (incarnation.reservedFor && incarnation.reservedFor != &step)
         return false;
-    if (request.usesSpareCpu
-        && incarnation.used.cpuMilli + request.perTask.cpuMilli / 4 > incarnation.entry.capacity.cpuMilli)
-        return false; // less than a quarter of the task's CPU demand is idle
+    const auto& label = step.request().requiredLabel;
     const auto& labels = incarnation.entry.labels;
-    return request.requiredLabel.empty()
-        || std::find(labels.begin(), labels.end(), request.requiredLabel) != labels.end();
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+// Returns whether a task of the step may be placed on the executor now, apart from maxPerExecutor.
+bool FleetScheduler::Impl::isCandidate(
+    const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const
+{
+    const auto& request = step.request();
+    if (!isUsable(step, incarnation, now) || !(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
+        return false;
+    // At least a quarter of the CPU demand of a task on spare CPU must be idle.
+    return !request.usesSpareCpu
+        || incarnation.used.cpuMilli + request.perTask.cpuMilli / 4 <= incarnation.entry.capacity.cpuMilli;
 }
 
 // Executors of the service with capacity for a task of the step. The search starts with the least free CPU
@@ -323,10 +378,11 @@
     if (!fitsQuota(step))
         return;
     const auto found = pools.find(step.queue->service);
-    if (found == pools.end() || found->second.largestFreeCpu() < demandOf(request).cpuMilli)
+    const bool overdue = isOverdue(step, now);
+    if (found == pools.end() || (!overdue && found->second.largestFreeCpu() < demandOf(request).cpuMilli))
         return;
     const auto& pool = found->second;
-    if (step.queue->priority > 0 // the reserve is for priority 0 only
+    if (step.queue->priority > 0 && !overdue // the reserve is for priority 0 only
         && static_cast<double>(pool.freeCpu()) < urgentCapacityReserve * static_cast<double>(pool.totalCpu))
         return;
     const bool needsApproval = step.queue->approval.has_value();
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -18,6 +18,10 @@
 // published bound is 2 %.
 constexpr double maxClockRateRatio = 1.0205;
 
+// A long-running step that has waited this long comes before all others: a user has done without it since,
+// and an approval, a commit and the ends of running tasks have to fit into the rest of six seconds.
+constexpr auto overdueAfter = 1500ms;
+
 enum class TaskPhase {
     Waiting,
     Active,
@@ -57,6 +61,7 @@
     const TeamPolicy* team = nullptr; // current policy; null: no team, or it was removed
     bool isReady = false; // the steps it depends on are complete, and its occurrence is due
     Instant readySince;
+    Instant waitingSince; // since when it has had waiting tasks; meaningful only while it is ready
     int criticalPathMs = 0; // sum of estimates on the longest path from this step to the end of the job
 
     const StepRequest& request() const;
@@ -80,7 +85,8 @@
     Instant deadline; // of the objective
     bool hasStarted = false; // an executor is known to have started one of its tasks
     bool isDirty = false; // its record has changed since the last commit was built
-    bool isBeingRemoved = false; // the next commit with this job deletes its rows
+    bool isExpired = false; // past its retention
+    bool isBeingRemoved = false; // the next commit with this job deletes its record
 };
 
 enum class RunPhase {
@@ -167,6 +173,7 @@
     std::map<RunKey, Instant> unansweredStarts;
     // The pool that contains this executor, with the values under which it was added; null: none.
     ServicePool* pool = nullptr;
+    const StepState* reservedFor = nullptr; // during one placement pass: only this step may be placed here
     std::int64_t pooledFreeCpu = 0;
     std::int64_t pooledTotalCpu = 0;
     // An earlier incarnation of the executor, whose runs are known to have ended once this one answers.
@@ -178,6 +185,7 @@
     double expectedMs = 0;
     ServicePool* pool = nullptr;
     std::int64_t cpuMilli = 0;
+    bool isOverdue = false; // of an overdue step, see Impl::isOverdue()
 };
 
 struct CommitInFlight {
@@ -222,10 +230,10 @@
     void finishJob(JobState& job, JobPhase phase, Instant now);
     void stopRuns(JobState& job, Instant now);
     void markTaskDone(StepState& step, int index);
-    void markTaskWaiting(StepState& step, int index);
+    void markTaskWaiting(StepState& step, int index, Instant now);
     void markDirty(JobState& job);
     JobRecord recordOf(const JobState& job) const;
-    void removeFinishedJobs(Instant now);
+    void expireFinishedJobs(Instant now, SchedulerActions& actions);
     void buildCommit(SchedulerActions& actions);
 
     // Executors (SchedulerExecutors.cpp)
@@ -261,8 +269,12 @@
     void placeStep(StepState& step, Instant now, SchedulerActions& actions);
     bool placeGang(StepState& step, const std::vector<IncarnationId>& candidates, Instant now);
     void requestApproval(StepState& step, Instant now, SchedulerActions& actions);
+    bool isOverdue(const StepState& step, Instant now) const;
+    void reserveExecutors(StepState& step, Instant now);
+    bool hasCallerCapacityForOverdueStep() const;
     bool hasCallerCapacityForApproval(double expectedMs) const;
     bool hasExecutorCapacityForApproval(const StepState& step) const;
+    bool isUsable(const StepState& step, const Incarnation& incarnation, Instant now) const;
     bool isCandidate(
         const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const;
     std::vector<IncarnationId> candidates(const StepState& step, Instant now) const;
@@ -291,6 +303,10 @@
     std::set<std::pair<IncarnationId, RunKey>> openOrders; // runs with an unconfirmed start or stop
     std::optional<internal::CommitInFlight> commit;
     std::uint64_t nextCommit = 1;
+    Instant nextLeaseCheck;
+    Instant nextHeartbeatCheck;
+    std::set<IncarnationId> unacknowledgedExecutors; // with processedEnds > acknowledgedEnds
+    std::set<IncarnationId> executorsWithUnknownRuns;
     std::set<IncarnationId> throttlesDue; // executors with a run whose CPU share has to change
     bool isPlacementDue = true;
     Instant nextPlacement;
@@ -298,7 +314,9 @@
     std::unordered_map<std::string, internal::ApprovalInFlight> approvalsInFlight; // by stepText()
     double approvalsInFlightMs = 0; // sum of the expected durations
     double longApprovalsInFlightMs = 0; // sum over the long calls
-    Instant nextRemoval;
+    int overdueApprovalsInFlight = 0; // calls for overdue steps
+    std::vector<IncarnationId> reservedExecutors; // with reservedFor set
+    Instant nextExpiry;
     std::vector<DecisionEvent> events;
     SchedulerTimes times;
     SchedulerCounts totals;
