Edge: relay nodes for orders in large cells, intake partitions for the nodes' own writes

(1) A node writes jobs and cancellations into one of 16 intake partitions (last digit of the id); the leader's partition is written by the leader and candidates only. Candidates spread by the number of nodes, which the leadership row tells. Reading a job's state takes its two rows, not the rest of the partition. Jobs past their retention lose their intake row before their record. One round of the scheduler serves all answers within 3 ms, and a long round is followed by a pause.

--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -14,6 +14,11 @@
 namespace {
 
 constexpr auto tickInterval = 10ms;
+constexpr Duration minSchedulerInterval = 3ms; // answers that arrive within it share a round
+constexpr Duration maxSchedulerInterval = 30ms;
+// A long round, with many steps that find no room, is followed by three times its duration without one, so
+// that the answers which could make room are handled.
+constexpr int roundPauseFactor = 3;
 constexpr auto maxTimeWithoutCommit = 2000ms; // several transactions at sixty times their usual latency
 // Limit while the store refuses commits. The store may still be reachable from other nodes, one of which
 // should then become the leader.
@@ -66,6 +71,7 @@
 
 void CellLeader::begin(const FleetConfiguration& configuration)
 {
+    m_services.orders.beginSession(m_fencingToken);
     configure(configuration);
     loadTables();
     tick();
@@ -131,7 +137,8 @@
     m_tickTimer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
         if (ec || self->m_isStopped)
             return;
-        self->runScheduler();
+        if (clockNow() - self->m_lastSchedulerRun >= self->m_schedulerInterval)
+            self->runScheduler();
         self->commitHeartbeatIfIdle();
         self->tick();
     });
@@ -142,10 +149,15 @@
     if (m_isSchedulerRunPosted || !m_isLoaded)
         return;
     m_isSchedulerRunPosted = true;
-    boost::asio::post(m_services.context, [self = shared_from_this()] {
+    const auto run = [self = shared_from_this()] {
         self->m_isSchedulerRunPosted = false;
         self->runScheduler();
-    });
+    };
+    const auto sinceLastRun = clockNow() - m_lastSchedulerRun;
+    if (sinceLastRun >= m_schedulerInterval)
+        boost::asio::post(m_services.context, run);
+    else
+        callLater(m_services.context, m_schedulerInterval - sinceLastRun, run);
 }
 
 void CellLeader::runScheduler()
@@ -153,8 +165,11 @@
     if (m_isStopped || m_isRelinquishing || !m_isLoaded)
         return;
     SchedulerActions actions;
-    m_scheduler.setApprovalCallers(m_services.approvals.liveNodes(clockNow()));
-    m_scheduler.pump(clockNow(), unixNowMs(), actions);
+    m_lastSchedulerRun = clockNow();
+    m_scheduler.setApprovalCallers(m_services.approvals.liveNodes(m_lastSchedulerRun));
+    m_scheduler.pump(m_lastSchedulerRun, unixNowMs(), actions);
+    m_schedulerInterval = std::clamp<Duration>(
+        roundPauseFactor * (clockNow() - m_lastSchedulerRun), minSchedulerInterval, maxSchedulerInterval);
     execute(actions);
 }
 
@@ -180,6 +195,8 @@
         sendExecutorHeartbeat(it);
     for (const auto& it : actions.approvals)
         sendApproval(it);
+    for (const auto& it : actions.expiredJobs)
+        deleteIntakeRows(it);
 }
 
 OrderTarget CellLeader::target(const std::string& address, const std::string& executor) const
@@ -202,7 +219,7 @@
     m_services.log.write("start_sent", action.task.job,
         { { "task", text(action.task) }, { "run", std::to_string(action.run) },
             { "executor", action.executor } });
-    m_services.executors.start(target(action.address, action.executor), order,
+    m_services.orders.start(target(action.address, action.executor), order,
         std::min<Duration>(initialStartTimeout * (1 + action.unansweredAttempts), orderTimeout),
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
             sentAt, executor = action.executor](OrderResponse answer) {
@@ -220,7 +237,7 @@
     m_services.log.write("stop_sent", action.task.job,
         { { "task", text(action.task) }, { "run", std::to_string(action.run) },
             { "executor", action.executor } });
-    m_services.executors.stop(target(action.address, action.executor), action.task, action.run, orderTimeout,
+    m_services.orders.stop(target(action.address, action.executor), action.task, action.run, orderTimeout,
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
             executor = action.executor](OrderResponse answer) {
             if (self->m_isStopped)
@@ -233,7 +250,7 @@
 
 void CellLeader::sendThrottle(const ThrottleAction& action)
 {
-    m_services.executors.throttle(target(action.address, action.executor), action.task, action.run,
+    m_services.orders.throttle(target(action.address, action.executor), action.task, action.run,
         action.percent, orderTimeout,
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
             percent = action.percent, executor = action.executor](OrderResponse answer) {
@@ -247,7 +264,7 @@
 void CellLeader::sendExecutorHeartbeat(const HeartbeatAction& action)
 {
     const auto sentAt = clockNow();
-    m_services.executors.heartbeat(target(action.address, action.executor), action.acknowledgedEnd,
+    m_services.orders.heartbeat(target(action.address, action.executor), action.acknowledgedEnd,
         action.leaseUntilClockMs, action.wait, action.wait + longPollMargin,
         [self = shared_from_this(), incarnation = action.incarnation, sentAt, executor = action.executor](
             HeartbeatResponse answer) {
@@ -285,6 +302,7 @@
 {
     m_isStopped = true;
     m_tickTimer.cancel();
+    m_services.orders.endSession();
     abandonAccepts();
 }
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "ExecutorClient.h"
 #include "StoreClient.h"
 #include "edge/ApprovalBroker.h"
 #include "edge/JobRows.h"
 #include "edge/NodeLog.h"
+#include "edge/OrderDispatcher.h"
 #include "quay/fleet/FleetScheduler.h"
 #include "quay/telemetry/Metrics.h"
 
@@ -23,7 +23,7 @@
 struct EdgeServices {
     boost::asio::io_context& context;
     platform::StoreClient& store;
-    platform::ExecutorClient& executors;
+    OrderDispatcher& orders;
     ApprovalBroker& approvals;
     NodeLog& log;
     Metrics& metrics;
@@ -74,8 +74,12 @@
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
     std::int64_t fencingToken() const { return m_fencingToken; }
 
-    /** Sets the largest processor share of all candidates; written with the next commit. */
-    void setLargestShare(double share) { m_leadership.largestShare = share; }
+    /** Sets what the row tells of the other nodes; written with the next commit. */
+    void setNodes(double largestShare, std::size_t nodeCount)
+    {
+        m_leadership.largestShare = largestShare;
+        m_leadership.nodeCount = nodeCount;
+    }
     /** Stops scheduling, commits a leadership row without a leader, then calls `done`. */
     void relinquish(std::function<void()> done);
     /** Stops scheduling and committing. Answers the pending accept() calls with NotWritten or Unknown. */
@@ -87,12 +91,14 @@
     void readTable(const std::string& table, const std::string& partition, const std::string& from,
         std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done,
         std::int64_t firstVersion = 0);
+    void readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done);
     void loadTables();
     void tablesLoaded();
     void restoreNextBatch();
     void restoreJob(const platform::StoreRow& row);
     void applyJobRow(const platform::StoreRow& row);
     void applyExecutorRow(const platform::StoreRow& row);
+    void executorDeregistered(const std::string& id);
     void watchExecutors();
     void rereadExecutors();
     void watchJobs();
@@ -124,6 +130,7 @@
     void addAcceptsToCommit();
     void answerExistingJob(const platform::StoreRow& row);
     void abandonAccepts();
+    void deleteIntakeRows(const std::string& id);
     void commitHeartbeatIfIdle();
     void sendCommit();
     void commitAnswered(const platform::StoreResult& result, Instant sentAt);
@@ -139,6 +146,8 @@
     bool m_isLoaded = false;
     bool m_isStopped = false;
     bool m_isSchedulerRunPosted = false;
+    Instant m_lastSchedulerRun {};
+    Duration m_schedulerInterval {}; // least time between two rounds
 
     // Rows that were read and not yet passed to the scheduler.
     std::shared_ptr<Rows> m_loadedRecords = std::make_shared<Rows>();
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t maxAcceptBytes = 300'000;
 constexpr std::size_t maxWaitingAccepts = 500; // jobs; a few seconds of the largest expected burst
 constexpr auto commitRetryDelay = 60ms;
+constexpr auto removalRetryDelay = 2000ms; // nobody waits for it
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
@@ -47,7 +48,7 @@
 void CellLeader::addAcceptsToCommit()
 {
     const auto used = 2 + m_commitInFlight->records.size()
-        + 3 * m_commitInFlight->removedJobs.size(); // 2: condition and put of the leadership row
+        + 2 * m_commitInFlight->removedJobs.size(); // 2: condition and put of the leadership row
     std::size_t bytes = 0;
     while (!m_waitingAccepts.empty() && !m_isRelinquishing
         && used + 2 * (m_acceptsInFlight.size() + 1) <= maxTransactionEntries && bytes < maxAcceptBytes) {
@@ -129,6 +130,28 @@
     beginCommit({}); // commit number 0: no records of the scheduler
 }
 
+// Deletes the rows of an expired job in its intake partition. Its record and its row in the leader's
+// partition are deleted afterwards, in one commit: without them a row that is left would be run again. If
+// this leader is lost in between, a record without a job is left, which is never used.
+void CellLeader::deleteIntakeRows(const std::string& id)
+{
+    StoreTransaction transaction;
+    const auto partition = intakePartitionOf(id);
+    transaction.deletes.push_back({ jobTable, partition, id, {}, 0, false });
+    transaction.deletes.push_back({ jobTable, partition, id + cancellationSuffix, {}, 0, false });
+    m_services.store.transact(
+        transaction, maxCommitTimeout, [self = shared_from_this(), id](const StoreResult& result) {
+            if (self->m_isStopped)
+                return;
+            if (result.outcome == StoreOutcome::Ok) {
+                self->m_scheduler.remove(id);
+                return;
+            }
+            self->m_services.log.write("job_removal_delayed", id, { { "reason", result.detail } });
+            self->runLater(removalRetryDelay, [self, id] { self->deleteIntakeRows(id); });
+        });
+}
+
 // All attempts with one sequence number are conditional on the same version of the leadership row, so the
 // store executes at most one of them, even if a delayed one arrives later.
 void CellLeader::sendCommit()
@@ -143,7 +166,6 @@
     for (const auto& id : m_commitInFlight->removedJobs) {
         transaction.deletes.push_back({ recordTable, cellPartition, id, {}, 0, false });
         transaction.deletes.push_back({ jobTable, cellPartition, id, {}, 0, false });
-        transaction.deletes.push_back({ jobTable, cellPartition, id + cancellationSuffix, {}, 0, false });
     }
     for (const auto& it : m_acceptsInFlight) {
         transaction.conditions.push_back({ jobTable, cellPartition, it.job.id, {}, 0, false });
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <limits>
 
 // Reads the store's tables and watches them for changes.
 namespace quay::edge {
@@ -32,7 +33,7 @@
 void CellLeader::readTable(const std::string& table, const std::string& partition, const std::string& from,
     std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done, std::int64_t firstVersion)
 {
-    m_services.store.scanPartition(table, partition, from, readTimeout,
+    m_services.store.scanPartition(table, partition, from, 0, readTimeout,
         [self = shared_from_this(), table, partition, from, rows, done = std::move(done), firstVersion](
             StoreResult result) mutable {
             if (self->m_isStopped)
@@ -58,15 +59,33 @@
         });
 }
 
+// Reads the job rows of the leader's partition and of all intake partitions. `done` gets the lowest version
+// from which the change feed must be read.
+void CellLeader::readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done)
+{
+    struct Progress {
+        std::size_t partitionsLeft = 1 + intakePartitionSuffixes.size();
+        std::int64_t version = std::numeric_limits<std::int64_t>::max();
+    };
+    const auto partitionRead
+        = [progress = std::make_shared<Progress>(), done = std::move(done)](std::int64_t version) {
+              progress->version = std::min(progress->version, version);
+              if (--progress->partitionsLeft == 0)
+                  done(progress->version);
+          };
+    readTable(jobTable, cellPartition, {}, rows, partitionRead);
+    for (const char suffix : intakePartitionSuffixes)
+        readTable(jobTable, intakePartition(suffix), {}, rows, partitionRead);
+}
+
 void CellLeader::loadTables()
 {
     m_tablesLoading = 3;
-    m_jobsVersionRead = 0;
     const auto tableLoaded = [this] {
         if (--m_tablesLoading == 0)
             tablesLoaded();
     };
-    readTable(jobTable, cellPartition, {}, m_loadedJobs, [this, tableLoaded](std::int64_t version) {
+    readJobs(m_loadedJobs, [this, tableLoaded](std::int64_t version) {
         m_jobsVersionRead = version;
         tableLoaded();
     });
@@ -95,8 +114,7 @@
 }
 
 // Restores jobs in batches, so that heartbeats are sent in between; otherwise a slow machine would lose the
-// leadership before all jobs are restored. A job's key sorts directly before the key of its cancellation, so
-// the job is known when its cancellation is applied.
+// leadership before all jobs are restored.
 void CellLeader::restoreNextBatch()
 {
     if (m_isStopped)
@@ -170,7 +188,7 @@
     const auto now = clockNow();
     if (row.isDeleted) {
         if (m_registeredExecutors.erase(row.key))
-            m_scheduler.executorDeregistered(row.key, now);
+            executorDeregistered(row.key);
         return;
     }
     Reason reason;
@@ -179,13 +197,20 @@
         m_services.log.write(
             "executor_unreadable", {}, { { "executor", row.key }, { "reason", reason.detail } });
         if (m_registeredExecutors.erase(row.key))
-            m_scheduler.executorDeregistered(row.key, now);
+            executorDeregistered(row.key);
         return;
     }
     m_registeredExecutors.insert(row.key);
+    m_services.orders.executorSeen(entry->id, entry->zone);
     m_scheduler.executorRegistered(*entry, now);
 }
 
+void CellLeader::executorDeregistered(const std::string& id)
+{
+    m_services.orders.executorGone(id);
+    m_scheduler.executorDeregistered(id, clockNow());
+}
+
 void CellLeader::watchExecutors()
 {
     m_services.store.pollChanges(std::string(executorTable), m_executorsVersionRead, executorsPollWait,
@@ -220,7 +245,7 @@
             }
             for (const auto& id : missing) {
                 self->m_registeredExecutors.erase(id);
-                self->m_scheduler.executorDeregistered(id, clockNow());
+                self->executorDeregistered(id);
             }
             self->m_executorsVersionRead = version;
             self->runSchedulerSoon();
@@ -252,7 +277,7 @@
 void CellLeader::rereadJobs()
 {
     auto rows = std::make_shared<Rows>();
-    readTable(jobTable, cellPartition, {}, rows, [self = shared_from_this(), rows](std::int64_t version) {
+    readJobs(rows, [self = shared_from_this(), rows](std::int64_t version) {
         for (const auto& row : *rows)
             self->applyJobRow(row);
         self->m_jobsVersionRead = version;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -1,6 +1,7 @@
 #include "edge/EdgeNode.h"
 
 #include "edge/JobApi.h"
+#include "edge/OrderRelay.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -46,7 +47,9 @@
                   const std::vector<std::string>& workers, Duration timeout, ApprovalBroker::Done done) {
                   m_peers.approve(address, step, workers, timeout, std::move(done));
               })
-        , m_services { m_context, m_store, m_executors, m_approvals, m_log, m_metrics }
+        , m_orders(m_context, m_executors, m_log, m_metrics)
+        , m_relay(m_context, m_executors)
+        , m_services { m_context, m_store, m_orders, m_approvals, m_log, m_metrics }
         , m_configurationWatcher(m_context, m_store, m_log,
               [this](const fleet::FleetConfiguration& configuration) {
                   registerTeamMetrics(configuration);
@@ -201,7 +204,7 @@
     {
         std::random_device random;
         const auto incarnation = (static_cast<std::uint64_t>(random()) << 20U) ^ random();
-        return { settings.node, peerAddress(settings), incarnation, settings.processorShare };
+        return { settings.node, peerAddress(settings), settings.zone, incarnation, settings.processorShare };
     }
 
     static fleet::SchedulerBounds boundsOf(const NodeSettings& settings)
@@ -252,6 +255,10 @@
             serveApproval(request, std::move(respond));
             return;
         }
+        if (path == relayPath) {
+            m_relay.serve(request, std::move(respond));
+            return;
+        }
         if (path == acceptPath && leader) {
             serveAccept(request, *leader, std::move(respond));
             return;
@@ -276,7 +283,10 @@
                 if (leader->isLoaded())
                     status.pending = leader->pending();
                 m_approvals.nodeSeen(probe->node, probe->address, std::chrono::steady_clock::now());
+                m_orders.nodeSeen(probe->node, { probe->address, probe->zone, probe->processorShare },
+                    std::chrono::steady_clock::now());
                 m_election.probeReceived(probe->node, probe->processorShare);
+                status.nodeCount = m_election.probingNodes();
             }
             response.body = encode(status);
         } else if (path == jobPath && leader) {
@@ -366,6 +376,8 @@
     ApprovalClient m_approvalClient;
     PeerClient m_peers;
     ApprovalBroker m_approvals;
+    OrderDispatcher m_orders;
+    OrderRelay m_relay;
     EdgeServices m_services;
     ConfigurationWatcher m_configurationWatcher;
     Election m_election;
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -10,19 +10,33 @@
 
 namespace {
 
-constexpr auto leaderProbeInterval = 300ms;
+// Each node probes the leader at least this often, and a leader of many nodes gets 200 probes a second. One
+// of the nodes then notices its failure within milliseconds.
+constexpr Duration minLeaderProbeInterval = 300ms;
+constexpr Duration maxLeaderProbeInterval = 900ms; // approvals and relays count a node as lost after more
+constexpr Duration probeIntervalPerNode = 5ms;
 constexpr auto leaderProbeTimeout = 600ms;
 constexpr auto rowReadTimeout = 800ms;
 constexpr auto rowReadInterval = 180ms;
 constexpr auto leaderCommitTimeout = 700ms; // two heartbeat intervals of an idle leader
 constexpr auto storelessLeaderCommitTimeout = 250ms; // for a leader that reports that its commits fail
-constexpr auto maxJitterMs = 120; // spreads the candidates over the time of a few transactions
+// Spread of the candidates over time, so that few of them write the row before they read the new leader's:
+// less than a transaction a node, and the time of a few transactions at least.
+constexpr auto jitterPerNode = 3ms;
+constexpr Duration minJitterRange = 120ms;
 constexpr auto acquireTimeout = 1200ms;
 constexpr auto smallNodeDelay = 800ms; // a larger node can detect the failure and write the row within it
 constexpr auto handoverInterval = 15000ms; // between handovers of one node; many times the cost of one
 
 Instant clockNow() { return std::chrono::steady_clock::now(); }
 
+Duration acquireJitter(const std::string& node, std::size_t nodeCount)
+{
+    const auto range = std::max<Duration>(minJitterRange, jitterPerNode * static_cast<int>(nodeCount));
+    return Duration(
+        static_cast<Duration::rep>(std::hash<std::string>()(node) % static_cast<std::size_t>(range.count())));
+}
+
 } // namespace
 
 Election::Election(EdgeServices services, PeerClient& peers, ConfigurationWatcher& configurationWatcher,
@@ -68,7 +82,8 @@
 {
     const bool isEligible = !m_hasResigned && m_configurationWatcher.current()
         && m_configurationWatcher.isStoreReachable(clockNow());
-    return { m_identity.node, m_identity.peerAddress, isEligible ? m_identity.processorShare : 0 };
+    return { m_identity.node, m_identity.peerAddress, m_identity.zone,
+        isEligible ? m_identity.processorShare : 0 };
 }
 
 void Election::probeAnswered(const LeaderStatus& status)
@@ -86,7 +101,8 @@
         }
         if (status.configurationVersion > m_configurationWatcher.version())
             m_configurationWatcher.refresh();
-        scheduleCheck(leaderProbeInterval);
+        scheduleCheck(std::clamp<Duration>(probeIntervalPerNode * static_cast<int>(status.nodeCount),
+            minLeaderProbeInterval, maxLeaderProbeInterval));
         return;
     }
     m_hasLeaderLostStore = status.isAnswered && status.isLeader;
@@ -169,7 +185,7 @@
         }
         return;
     }
-    const auto jitter = std::chrono::milliseconds(std::hash<std::string>()(m_identity.node) % maxJitterMs);
+    const auto jitter = acquireJitter(m_identity.node, leadership->nodeCount);
     const auto commitTimeout = m_hasLeaderLostStore ? storelessLeaderCommitTimeout : leaderCommitTimeout;
     if (mayLead && now - m_suspectedAt >= commitTimeout + jitter + extraDelay)
         acquireLeadership(row.version);
@@ -180,7 +196,7 @@
 void Election::acquireLeadership(std::int64_t version)
 {
     const LeadershipRecord leadership { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
-        std::max(m_identity.processorShare, m_knownLeader.largestShare) };
+        std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.nodeCount };
     StoreTransaction transaction;
     transaction.conditions.push_back({ leadershipTable, cellPartition, leadershipKey, {}, version, false });
     transaction.puts.push_back(
@@ -228,7 +244,7 @@
     m_suspectVersion = -1;
     m_isLeaderReachable = false;
     m_knownLeader = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
-        std::max(m_identity.processorShare, m_knownLeader.largestShare) };
+        std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.nodeCount };
     m_vacantSince = {};
     m_candidates = {};
     m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_knownLeader, version,
@@ -255,7 +271,8 @@
     m_candidates.recordProbe(node, share, now);
     if (!m_leader || m_hasResigned || !m_leader->isLoaded() || !m_leader->canCommit(now))
         return;
-    m_leader->setLargestShare(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)));
+    m_leader->setNodes(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
+        m_candidates.recentCount(now));
     if (now < m_nextHandoverAt || !m_candidates.hasClearlyLarger(m_identity.processorShare, now))
         return;
     m_nextHandoverAt = now + handoverInterval;
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -26,6 +26,7 @@
     struct Identity {
         std::string node;
         std::string peerAddress;
+        std::string zone;
         std::uint64_t incarnation = 0; // of this process
         double processorShare = 0; // share of a processor that this node may use; 0: unknown
     };
@@ -47,6 +48,9 @@
     const std::map<std::string, std::int64_t>& pending() const { return m_pending; }
     Instant pendingAt() const { return m_pendingAt; }
 
+    /** Number of nodes that probed this one recently. */
+    std::size_t probingNodes() const { return m_candidates.recentCount(std::chrono::steady_clock::now()); }
+
     void configurationChanged(const fleet::FleetConfiguration& configuration);
 
 private:
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -75,6 +75,9 @@
         "this node has relinquished the leadership; any node may take it", "nothing to do" },
     CataloguedEvent {
         2406, "scheduler_loaded", "the leader has restored all durable state; counts", "nothing to do" },
+    CataloguedEvent { 2407, "relay_abandoned",
+        "the leader sends no more orders through this relay node for a while; calls without a result",
+        "look for the relay's node in the logs" },
     CataloguedEvent { 2501, "job_known", "the scheduler has received the job", "nothing to do" },
     CataloguedEvent { 2502, "job_completed", "all tasks of a job have completed", "nothing to do" },
     CataloguedEvent {
@@ -87,6 +90,9 @@
         "a job's record can't be decoded; the job starts again from its request", "inspect the row" },
     CataloguedEvent {
         2508, "record_ignored", "a record names a task that its job does not have", "inspect the row" },
+    CataloguedEvent { 2509, "job_removal_delayed",
+        "the rows of a job past its retention could not be deleted; the deletion is retried",
+        "see store_lost" },
     CataloguedEvent { 2601, "approval_answered",
         "the approval service has answered: workers asked, workers approved, duration",
         "status 0: the node that made the call was lost; 429: it made too many calls" },
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -15,12 +15,11 @@
 
 constexpr auto defaultDeadline = 3000ms; // for requests without a Deadline-Ms header
 constexpr auto answerMargin = 150ms; // time for the response to reach the caller
-// Limit of direct writes of this node. A store partition executes 150 transactions a second. If a write takes
-// half a second, 30 nodes send at most 120 direct writes a second, which leaves capacity for the leader.
-constexpr int maxWritesInFlight = 2;
+constexpr int maxWritesInFlight = 2; // direct writes of this node
 constexpr auto maxWriteRetryDelay = 1000ms; // a third of the default deadline
 constexpr auto writeRetryDelay = 40ms; // before doubling; the time of a few transactions
 constexpr auto stateTimeout = 500ms;
+constexpr std::size_t rowsOfOneJob = 2; // its own and its cancellation, the next key
 constexpr auto leaderCheckInterval = 200ms; // below the interval of the probes that detect a failed leader
 // If nothing can have been written, the request is refused after this time, so that the caller can still try
 // another node before its deadline.
@@ -67,7 +66,7 @@
     std::string team;
     StoredJob job;
     bool mayBeWritten = false; // the outcome of an attempt is unknown
-    int directWrites = 0; // attempts so far
+    int writeAttempts = 0; // of this node, so far
     bool isLeaderOutcomeKnown = false; // the leader has answered or was lost; later answers are ignored
 };
 
@@ -238,7 +237,8 @@
 }
 
 // The leader makes many jobs durable in one transaction. If it has not accepted the job, this node writes the
-// row itself. Both write under the condition that the row does not exist, so the job is stored at most once.
+// row itself, in the job's intake partition. The leader's row and this one are equal, and the scheduler adds
+// a job once whichever of them it reads.
 void JobApi::leaderAnswered(const CallPointer& call, AcceptOutcome outcome)
 {
     switch (outcome) {
@@ -259,7 +259,24 @@
     }
 }
 
+// The leader may have stored the job already, for this call or an earlier one, so its row is read first.
 void JobApi::writeJob(const CallPointer& call)
+{
+    if (refuseIfStoreDown(call))
+        return;
+    ++call->writeAttempts;
+    m_services.store.readRow(jobTable, cellPartition, call->id, m_storeBreaker.timeout(),
+        withOutcomeRecorded([this, call](const StoreResult& result) {
+            if (result.outcome != StoreOutcome::Ok)
+                retryWrite(call, result.detail);
+            else if (!result.rows.empty())
+                compareWithStoredJob(call, result.rows.front());
+            else
+                writeIntakeRow(call);
+        }));
+}
+
+void JobApi::writeIntakeRow(const CallPointer& call)
 {
     if (refuseIfStoreDown(call))
         return;
@@ -271,10 +288,10 @@
         return;
     }
     ++m_writesInFlight;
-    ++call->directWrites;
     StoreTransaction transaction;
-    transaction.conditions.push_back({ jobTable, cellPartition, call->id, {}, 0, false });
-    transaction.puts.push_back({ jobTable, cellPartition, call->id, encode(call->job), 0, false });
+    const auto partition = intakePartitionOf(call->id);
+    transaction.conditions.push_back({ jobTable, partition, call->id, {}, 0, false });
+    transaction.puts.push_back({ jobTable, partition, call->id, encode(call->job), 0, false });
     m_services.store.transact(
         transaction, m_storeBreaker.timeout(), withOutcomeRecorded([this, call](const StoreResult& result) {
             --m_writesInFlight;
@@ -289,14 +306,7 @@
         return;
     }
     if (result.outcome == StoreOutcome::ConditionFailed && !result.rows.empty()) {
-        Reason reason;
-        const auto stored = decodeStoredJob(result.rows.front().value, reason);
-        if (stored && stored->body == call->job.body && stored->team == call->job.team) {
-            jobDurable(call);
-            return;
-        }
-        refuse(
-            call, ErrorKind::RequestIdReused, "job " + call->id + " was submitted with another body or team");
+        compareWithStoredJob(call, result.rows.front());
         return;
     }
     if (result.outcome == StoreOutcome::Unknown)
@@ -304,12 +314,23 @@
     retryWrite(call, result.detail);
 }
 
+void JobApi::compareWithStoredJob(const CallPointer& call, const StoreRow& row)
+{
+    Reason reason;
+    const auto stored = decodeStoredJob(row.value, reason);
+    if (stored && stored->body == call->job.body && stored->team == call->job.team)
+        jobDurable(call);
+    else
+        refuse(
+            call, ErrorKind::RequestIdReused, "job " + call->id + " was submitted with another body or team");
+}
+
 // Retries with exponential backoff, so that retries don't fill the store's queue.
 void JobApi::retryWrite(const CallPointer& call, const std::string& detail)
 {
     const auto now = clockNow();
     const auto pause
-        = std::min<Duration>(writeRetryDelay * (1 << std::min(call->directWrites, 5)), maxWriteRetryDelay);
+        = std::min<Duration>(writeRetryDelay * (1 << std::min(call->writeAttempts, 5)), maxWriteRetryDelay);
     const auto last = call->mayBeWritten ? call->deadline
                                          : std::min(call->deadline, call->arrivedAt + maxUnwrittenRetryTime);
     if (now + pause < last) {
@@ -322,6 +343,15 @@
         refuse(call, ErrorKind::StoreUnavailable, detail);
 }
 
+// Repeats a failed read while the deadline leaves time for another one.
+void JobApi::retryRead(const CallPointer& call, const std::string& detail, std::function<void()> read)
+{
+    if (clockNow() + writeRetryDelay + stateTimeout < call->deadline)
+        callLater(m_services.context, writeRetryDelay, std::move(read));
+    else
+        refuse(call, ErrorKind::StoreUnavailable, detail);
+}
+
 void JobApi::acknowledge(const CallPointer& call)
 {
     m_accepted.add();
@@ -361,23 +391,31 @@
     });
 }
 
-// Used without a leader, or if the leader gives no phase for the job. The job's row tells whether the job
-// exists, a cancellation row that it is cancelled, and otherwise the scheduler's record gives its phase.
+// Used without a leader, or if the leader gives no phase for the job. A job's row in either partition tells
+// that the job exists, a cancellation row that it is cancelled, and otherwise the scheduler's record gives
+// its phase.
 void JobApi::getJobStateFromStore(const CallPointer& call)
 {
     if (refuseIfStoreDown(call))
         return;
-    m_services.store.scanPartition(jobTable, cellPartition, call->id, m_storeBreaker.timeout(),
+    m_services.store.readRow(jobTable, cellPartition, call->id, m_storeBreaker.timeout(),
         withOutcomeRecorded([this, call](const StoreResult& result) {
+            if (result.outcome == StoreOutcome::Ok)
+                getJobStateFromIntake(call, !result.rows.empty());
+            else
+                retryRead(call, result.detail, [this, call] { getJobStateFromStore(call); });
+        }));
+}
+
+void JobApi::getJobStateFromIntake(const CallPointer& call, bool isKnown)
+{
+    m_services.store.scanPartition(jobTable, intakePartitionOf(call->id), call->id, rowsOfOneJob,
+        m_storeBreaker.timeout(),
+        withOutcomeRecorded([this, call, isKnown](const StoreResult& result) mutable {
             if (result.outcome != StoreOutcome::Ok) {
-                if (clockNow() + writeRetryDelay + stateTimeout < call->deadline)
-                    callLater(
-                        m_services.context, writeRetryDelay, [this, call] { getJobStateFromStore(call); });
-                else
-                    refuse(call, ErrorKind::StoreUnavailable, result.detail);
+                retryRead(call, result.detail, [this, call] { getJobStateFromStore(call); });
                 return;
             }
-            bool isKnown = false;
             bool isCancelled = false;
             for (const auto& row : result.rows) {
                 isKnown = isKnown || row.key == call->id;
@@ -421,20 +459,24 @@
         writeCancel(call);
         return;
     }
+    cancelIfStored(call, cellPartition);
+}
+
+// Cancels the job if it has a row in the partition; looks for it in the intake partition next.
+void JobApi::cancelIfStored(const CallPointer& call, const std::string& partition)
+{
     if (refuseIfStoreDown(call))
         return;
-    m_services.store.readRow(jobTable, cellPartition, call->id, m_storeBreaker.timeout(),
-        withOutcomeRecorded([this, call](const StoreResult& result) {
-            if (result.outcome != StoreOutcome::Ok) {
-                if (clockNow() + writeRetryDelay + stateTimeout < call->deadline)
-                    callLater(m_services.context, writeRetryDelay, [this, call] { cancel(call); });
-                else
-                    refuse(call, ErrorKind::StoreUnavailable, result.detail);
-            } else if (result.rows.empty()) {
-                answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
-            } else {
+    m_services.store.readRow(jobTable, partition, call->id, m_storeBreaker.timeout(),
+        withOutcomeRecorded([this, call, partition](const StoreResult& result) {
+            if (result.outcome != StoreOutcome::Ok)
+                retryRead(call, result.detail, [this, call, partition] { cancelIfStored(call, partition); });
+            else if (!result.rows.empty())
                 writeCancel(call);
-            }
+            else if (partition == cellPartition)
+                cancelIfStored(call, intakePartitionOf(call->id));
+            else
+                answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
         }));
 }
 
@@ -444,7 +486,7 @@
         return;
     StoreTransaction transaction;
     transaction.puts.push_back(
-        { jobTable, cellPartition, call->id + cancellationSuffix, "cancelled", 0, false });
+        { jobTable, intakePartitionOf(call->id), call->id + cancellationSuffix, "cancelled", 0, false });
     m_services.store.transact(
         transaction, m_storeBreaker.timeout(), withOutcomeRecorded([this, call](const StoreResult& result) {
             if (result.outcome == StoreOutcome::Ok) {
--- a/src/edge/JobApi.h
+++ b/src/edge/JobApi.h
@@ -37,14 +37,19 @@
     void awaitLeaderAnswer(const CallPointer& call, const std::string& address);
     void leaderAnswered(const CallPointer& call, AcceptOutcome outcome);
     void writeJob(const CallPointer& call);
+    void writeIntakeRow(const CallPointer& call);
+    void compareWithStoredJob(const CallPointer& call, const platform::StoreRow& row);
+    void retryRead(const CallPointer& call, const std::string& detail, std::function<void()> read);
     void retryWrite(const CallPointer& call, const std::string& detail);
     void jobWritten(const CallPointer& call, const platform::StoreResult& result);
     void acknowledge(const CallPointer& call);
     void jobDurable(const CallPointer& call);
     void getJobState(const CallPointer& call);
     void getJobStateFromStore(const CallPointer& call);
+    void getJobStateFromIntake(const CallPointer& call, bool isKnown);
     void getJobStateFromRecord(const CallPointer& call);
     void cancel(const CallPointer& call);
+    void cancelIfStored(const CallPointer& call, const std::string& partition);
     void writeCancel(const CallPointer& call);
     void countPending(const CallPointer& call);
     /** Wraps `done` so that the circuit breaker records each outcome first. */
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -3,11 +3,19 @@
 #include "Wire.h"
 
 #include <boost/json.hpp>
+#include <cctype>
 
 namespace quay::edge {
 
 namespace json = boost::json;
 
+std::string intakePartition(char suffix) { return std::string("intake-") + suffix; }
+
+std::string intakePartitionOf(const std::string& jobId)
+{
+    return intakePartition(static_cast<char>(std::tolower(static_cast<unsigned char>(jobId.back()))));
+}
+
 std::string encode(const StoredJob& job)
 {
     return json::serialize(json::object {
@@ -42,7 +50,7 @@
 {
     return json::serialize(json::object { { "node", leadership.node }, { "address", leadership.address },
         { "incarnation", leadership.incarnation }, { "sequence", leadership.sequence },
-        { "strongest", leadership.largestShare } });
+        { "strongest", leadership.largestShare }, { "nodes", leadership.nodeCount } });
 }
 
 std::optional<LeadershipRecord> decodeLeadershipRecord(const std::string& bytes, Reason& reason)
@@ -56,6 +64,8 @@
             object.at("sequence").to_number<std::uint64_t>() };
         if (const auto* it = object.if_contains("strongest")) // missing in rows of earlier releases
             leadership.largestShare = it->to_number<double>();
+        if (const auto* it = object.if_contains("nodes"))
+            leadership.nodeCount = it->to_number<std::size_t>();
         return leadership;
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("leadership row: ") + error.what());
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 // Rows that the nodes keep in the store: accepted jobs, cancellations, the scheduler's records, and the
 // leadership.
@@ -13,8 +14,13 @@
 constexpr const char* jobTable = "jobs";
 constexpr const char* recordTable = "records";
 constexpr const char* leadershipTable = "lead";
-// Holds all rows of a cell, so that one transaction can cover any of them.
+// The leader's partition: the leadership row, the records, and the jobs of the leader's commits. Apart from
+// candidates for the leadership no other node writes to it, so that no load of theirs can delay a commit.
 constexpr const char* cellPartition = "cell-0";
+// Partitions for jobs that a node writes itself, and for cancellations. A job may have a row here, in the
+// leader's partition, or equal rows in both. With two writes in flight a node, the queue of each partition
+// stays below a second (150 transactions) up to a thousand nodes.
+constexpr std::string_view intakePartitionSuffixes = "0123456789abcdef";
 constexpr const char* leadershipKey = "lead";
 constexpr const char* cancellationSuffix = "!";
 
@@ -28,6 +34,11 @@
     bool operator==(const StoredJob&) const = default;
 };
 
+/** The intake partition whose name ends with `suffix`, one of intakePartitionSuffixes. */
+std::string intakePartition(char suffix);
+/** The intake partition of a job and its cancellation: that of the last digit of its id. */
+std::string intakePartitionOf(const std::string& jobId);
+
 std::string encode(const StoredJob& job);
 std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason);
 
@@ -52,6 +63,7 @@
     std::uint64_t incarnation = 0; // of the leader's process
     std::uint64_t sequence = 0; // of the last commit
     double largestShare = 0; // largest processor share of the eligible nodes
+    std::size_t nodeCount = 0; // nodes that probed the leader recently
 
     bool operator==(const LeadershipRecord&) const = default;
 };
--- a/src/edge/LeaderCandidates.cpp
+++ b/src/edge/LeaderCandidates.cpp
@@ -28,6 +28,12 @@
     std::erase_if(m_nodes, [&](const auto& it) { return now - it.second.lastProbeAt > probeExpiry; });
 }
 
+std::size_t LeaderCandidates::recentCount(Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(),
+        [&](const auto& it) { return now - it.second.lastProbeAt <= probeExpiry; }));
+}
+
 double LeaderCandidates::largestRecentShare(Instant now) const
 {
     double result = 0;
--- a/src/edge/LeaderCandidates.h
+++ b/src/edge/LeaderCandidates.h
@@ -24,6 +24,8 @@
 public:
     /** Records a probe by `node`. A share of 0 means that the node is not eligible. */
     void recordProbe(const std::string& node, double share, Instant now);
+    /** Number of nodes that probed recently, eligible or not. */
+    std::size_t recentCount(Instant now) const;
     /** Largest share of the nodes that probed recently; 0 if there are none. */
     double largestRecentShare(Instant now) const;
     /** True if a node that has been eligible for some seconds has a clearly larger share than `ownShare`. */
--- a/src/edge/NodeLog.cpp
+++ b/src/edge/NodeLog.cpp
@@ -1,14 +1,12 @@
 #include "edge/NodeLog.h"
 
+#include "core/JsonText.h"
 #include "edge/EventCatalogue.h"
 
-#include <boost/json.hpp>
 #include <cstdio>
 
 namespace quay::edge {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr std::size_t ringCapacity = 4096; // lines; about 1 MB at most
@@ -71,9 +69,9 @@
     std::string line = "{\"unix_ms\":" + unixMsText() + ",\"node\":\"" + m_node + "\",\"event\":\"";
     line.append(event).append("\",\"id\":\"").append(eventNumber(event)).append("\"");
     if (!request.empty())
-        line.append(",\"request\":").append(json::serialize(json::value(request)));
+        appendJsonText(line.append(",\"request\":"), request);
     for (const auto& [name, value] : fields)
-        line.append(",\"").append(name).append("\":").append(json::serialize(json::value(value)));
+        appendJsonText(line.append(",\"").append(name).append("\":"), value);
     push(line.append("}\n"));
 }
 
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -19,8 +19,8 @@
 
 std::string encode(const LeaderProbe& probe)
 {
-    return json::serialize(json::object {
-        { "node", probe.node }, { "address", probe.address }, { "share", probe.processorShare } });
+    return json::serialize(json::object { { "node", probe.node }, { "address", probe.address },
+        { "zone", probe.zone }, { "share", probe.processorShare } });
 }
 
 std::optional<LeaderProbe> decodeLeaderProbe(const std::string& body)
@@ -28,8 +28,13 @@
     try {
         const auto value = json::parse(body);
         const auto& object = value.as_object();
-        return LeaderProbe { std::string(object.at("node").as_string()),
-            std::string(object.at("address").as_string()), object.at("share").to_number<double>() };
+        LeaderProbe probe;
+        probe.node = std::string(object.at("node").as_string());
+        probe.address = std::string(object.at("address").as_string());
+        probe.processorShare = object.at("share").to_number<double>();
+        if (const auto* zone = object.if_contains("zone")) // missing in probes of earlier releases
+            probe.zone = std::string(zone->as_string());
+        return probe;
     } catch (const std::exception&) {
         return std::nullopt; // the probed node refuses the probe, and the sender logs that
     }
@@ -38,7 +43,7 @@
 std::string encode(const LeaderStatus& status)
 {
     json::object object { { "leader", status.isLeader }, { "usable", status.canCommit },
-        { "version", status.configurationVersion } };
+        { "version", status.configurationVersion }, { "nodes", status.nodeCount } };
     if (status.pending) {
         json::object pending;
         for (const auto& [queue, count] : *status.pending)
@@ -58,6 +63,8 @@
         status.isLeader = object.at("leader").as_bool();
         status.canCommit = object.at("usable").as_bool();
         status.configurationVersion = object.at("version").to_number<std::int64_t>();
+        if (const auto* nodes = object.if_contains("nodes")) // missing in answers of earlier releases
+            status.nodeCount = nodes->to_number<std::size_t>();
         if (const auto* pending = object.if_contains("pending")) {
             status.pending.emplace();
             for (const auto& it : pending->as_object())
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -25,6 +25,7 @@
 struct LeaderProbe {
     std::string node;
     std::string address; // for peers
+    std::string zone;
     double processorShare = 0; // 0: the node is not eligible as leader, or does not know its share
 
     bool operator==(const LeaderProbe&) const = default;
@@ -39,6 +40,7 @@
     bool isLeader = false;
     bool canCommit = false; // its commits to the store succeed
     std::int64_t configurationVersion = 0;
+    std::size_t nodeCount = 0; // nodes that probe the leader
     // Jobs that have not started, by queue. Absent until the leader has read all jobs, since counts of 0
     // would be wrong.
     std::optional<std::map<std::string, std::int64_t>> pending;
@@ -64,7 +66,8 @@
 /**
  * Sends requests to other nodes. Every `done` is called exactly once.
  *
- * Usage: `peers.probe(address, { "edge-1", ownAddress, 0.25 }, 500ms, [](LeaderStatus status) { ... });`
+ * Usage: `peers.probe(address, { "edge-1", ownAddress, "zone-a", 0.25 }, 500ms, [](LeaderStatus status) { ...
+ * });`
  */
 class PeerClient {
 public:
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -128,6 +128,12 @@
     putRow({ "op", "", "config" }, encodeBase64(configuration));
 }
 
+void FleetPlatform::setBusyPartition(const std::string& partition)
+{
+    const std::lock_guard lock(m_mutex);
+    m_busyPartition = partition;
+}
+
 void FleetPlatform::dropTransactions(bool isDropping)
 {
     const std::lock_guard lock(m_mutex);
@@ -181,6 +187,9 @@
         respond(approve(request));
     else if (m_isStoreUnavailable)
         respond(answer(503, {}));
+    else if (path == "/rows-tx" && !m_busyPartition.empty()
+        && request.body.find("\"part\":\"" + m_busyPartition + "\"") != std::string::npos)
+        respond(answer(429, {}));
     else if (path == "/rows-tx" && m_isDroppingTransactions)
         m_droppedTransactions.emplace_back(request.body, std::move(respond));
     else if (path == "/rows-tx")
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -35,6 +35,8 @@
     void configure(const std::string& configuration);
     /** While true, all store calls get a response with status 503. */
     void setStoreUnavailable(bool isUnavailable);
+    /** From now on, transactions on the partition get a response with status 429; empty: on none. */
+    void setBusyPartition(const std::string& partition);
     /** While true, transactions are neither applied nor answered. Reads are served as usual. */
     void dropTransactions(bool isDropping);
     /** The number of dropped transactions so far that name the table. */
@@ -80,6 +82,7 @@
     std::int64_t m_oldestKeptVersion = 1;
     std::int64_t m_version = 0;
     bool m_isStoreUnavailable = false;
+    std::string m_busyPartition;
     bool m_isDroppingTransactions = false;
     // The bodies, each with the callback that keeps its connection open.
     std::vector<std::pair<std::string, Respond>> m_droppedTransactions;
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -1,5 +1,7 @@
 #include "edge/EdgeNode.h"
 #include "FleetPlatform.h"
+#include "edge/OrderRelay.h"
+#include "edge/PeerClient.h"
 #include "net/HttpClient.h"
 
 #include <atomic>
@@ -97,6 +99,7 @@
     }
 
     std::string apiEndpoint() const { return m_address + ":" + std::to_string(m_port); }
+    std::string peerEndpoint() const { return m_address + ":" + std::to_string(m_port + 2); }
     std::string readinessEndpoint() const { return m_address + ":" + std::to_string(m_port + 1); }
     std::string metricsPage() const { return call(m_address + ":9464", "GET", "/metrics").body; }
     bool isLeader() const { return metricsPage().find("\nquay_leads 1\n") != std::string::npos; }
@@ -309,6 +312,63 @@
         CHECK_MESSAGE(page.find(line) != std::string::npos, "no line: " << line);
 }
 
+TEST_CASE("retry storm after a takeover: jobs are accepted and cancelled while the leader's partition is "
+          "overloaded")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(11, platform.storeAddress());
+    waitFor(
+        "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
+    waitFor("the first job is completed", [&] { return isCompleted(node, jobId(1)); });
+    platform.setBusyPartition(edge::cellPartition);
+    // The leader has the jobs that it can't commit yet; once it has given up, the node writes them itself.
+    waitFor("a job is accepted without the leader's commit",
+        [&] { return call(node.apiEndpoint(), "POST", "/q/" + jobId(2), twoStepJob).status == 200; });
+    for (int i = 3; i <= 20; ++i)
+        CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(i), twoStepJob).status == 200);
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(3), R"({"steps":[{"count":1}]})").status == 409);
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), R"({"steps":[{"count":1}]})").status == 409);
+    CHECK(call(node.apiEndpoint(), "GET", "/q/" + jobId(3)).body.find("queued") != std::string::npos);
+    CHECK(call(node.apiEndpoint(), "DELETE", "/q/" + jobId(4)).status == 200);
+    CHECK(call(node.apiEndpoint(), "DELETE", "/q/" + jobId(1)).status == 200);
+    CHECK(call(node.apiEndpoint(), "DELETE", "/q/" + jobId(99)).status == 410);
+    const auto startedBefore = platform.startedRuns();
+    platform.setBusyPartition({});
+    for (int i = 2; i <= 20; ++i) {
+        if (i != 4)
+            waitFor("each accepted job is completed", [&] { return isCompleted(node, jobId(i)); });
+    }
+    CHECK(call(node.apiEndpoint(), "GET", "/q/" + jobId(4)).body.find("cancelled") != std::string::npos);
+    CHECK(platform.startedRuns() - startedBefore == 18 * 7); // none of the cancelled job
+    CHECK(platform.violations().empty());
+}
+
+TEST_CASE("malformed requests on every port of a node are refused and leave it running")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node node(12, platform.storeAddress());
+    waitFor(
+        "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
+    const std::string bodies[] = { "", "{", "[]", "null", "{\"id\":1}", "{\"step\":{},\"workers\":[1]}",
+        "{\"node\":\"x\",\"address\":7,\"share\":\"a\"}", std::string(100'000, '['), "\xff\xfe\x00\x80",
+        std::string(3000, '\xff') };
+    for (const char* path : { edge::probePath, edge::acceptPath, edge::jobPath, edge::cancelPath,
+             edge::statePath, edge::approvePath, edge::relayPath, "/", "/unknown" }) {
+        for (const auto& body : bodies)
+            call(node.peerEndpoint(), "POST", path, body);
+    }
+    for (const auto& body : bodies) {
+        CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(7), body).status == 400);
+        call(node.readinessEndpoint(), "POST", "/ready", body);
+    }
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(platform.startedRuns() == 7);
+}
+
 TEST_CASE("a burst of requests to an unresponsive store causes at most as many writes as requests")
 {
     constexpr int requests = 24;
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -171,9 +171,9 @@
     CHECK_FALSE(parseNodeSettings("nothing", reason));
 }
 
-TEST_CASE("a leader probe carries its sender's name, address and processor share")
+TEST_CASE("a leader probe carries its sender's name, address, zone and processor share")
 {
-    const edge::LeaderProbe probe { "n", "a:1", 0.25 };
+    const edge::LeaderProbe probe { "n", "a:1", "z", 0.25 };
     CHECK(edge::decodeLeaderProbe(encode(probe)) == probe);
     for (const char* bad : { "", "[]", "{}", R"({"node":"n","address":"a:1","share":"much"})" })
         CHECK_FALSE(edge::decodeLeaderProbe(bad));
