Fleet: an overdue step asks about further executors while its approved ones are full

Once they were full of tasks that last it asked about the same ones for ever.

Now approved executors with room come first, then undecided ones, then at most ten full ones for a reservation. The test asks about e-0 only without the change.

--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -74,31 +74,46 @@
     const auto tasksByIncarnation = step.request().maxPerExecutor > 0
         ? tasksPerIncarnation(step)
         : std::unordered_map<IncarnationId, int>();
-    const auto isEligible = [&](IncarnationId number) {
+    const auto isBelowLimit = [&](IncarnationId number) {
         const auto here = tasksByIncarnation.find(number);
-        return (here == tasksByIncarnation.end() || here->second < step.request().maxPerExecutor)
-            && (overdue ? isUsable(step, incarnations[number], now)
-                        : isCandidate(step, incarnations[number], demand, now));
+        return here == tasksByIncarnation.end() || here->second < step.request().maxPerExecutor;
+    };
+    const auto hasRoom = [&](IncarnationId number) {
+        return isBelowLimit(number) && isCandidate(step, incarnations[number], demand, now);
     };
     // An approval is final and only its ticket expires, so approved executors come first to have their
     // tickets renewed. Then come undecided ones, those with the most free CPU first.
     std::vector<IncarnationId> chosen;
+    std::vector<IncarnationId> full; // approved, and usable once there is room
     for (const auto& [number, ticket] : step.tickets) {
-        if (isEligible(number))
+        if (hasRoom(number))
             chosen.push_back(number);
+        else if (overdue && isBelowLimit(number) && isUsable(step, incarnations[number], now))
+            full.push_back(number);
     }
     std::sort(chosen.begin(), chosen.end());
     if (chosen.size() > maxApprovalBatchSize)
         chosen.resize(maxApprovalBatchSize);
     auto& pool = pools.at(step.queue->service);
     if (chosen.size() < static_cast<std::size_t>(step.waiting)) {
-        for (auto it = pool.byFreeCpu.rbegin(); it != pool.byFreeCpu.rend()
-             && (overdue || it->first >= demand.cpuMilli) && chosen.size() < maxApprovalBatchSize;
+        // Room may be reserved on the full ones, but only others may ever have any.
+        std::sort(full.begin(), full.end(), [&](IncarnationId a, IncarnationId b) {
+            return std::pair(incarnations[a].pooledFreeCpu, a) > std::pair(incarnations[b].pooledFreeCpu, b);
+        });
+        full.resize(std::min(full.size(), maxApprovalBatchSize / 3));
+        for (auto it = pool.byFreeCpu.rbegin();
+             it != pool.byFreeCpu.rend() && (overdue || it->first >= demand.cpuMilli)
+             && chosen.size() + full.size() < maxApprovalBatchSize;
              ++it) {
-            if (!step.tickets.count(it->second) && !step.decidedExecutors.count(it->second)
-                && isEligible(it->second))
+            const bool isUndecided
+                = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
+            if (isUndecided
+                && (hasRoom(it->second)
+                    || (overdue && isBelowLimit(it->second)
+                        && isUsable(step, incarnations[it->second], now))))
                 chosen.push_back(it->second);
         }
+        chosen.insert(chosen.end(), full.begin(), full.end());
     }
     if (chosen.empty())
         return; // the next placement pass is due when capacity becomes free, or after the idle interval
--- a/tests/cores/OverdueStepTest.cpp
+++ b/tests/cores/OverdueStepTest.cpp
@@ -123,3 +123,65 @@
         CHECK(service.simulation.violations.empty());
     }
 }
+
+TEST_CASE("an overdue step asks about executors that it has not asked about while its approved ones are full")
+{
+    Instant now { 100s };
+    FleetScheduler scheduler { {}, now, now };
+    FleetConfiguration configuration;
+    configuration.queues
+        = { { "watch", "h", "/", "service", 0, 3, 1, 300, true, ApprovalPolicy { 320, 4.6, 2000 } },
+              { "urgent", "h", "/", "service", 0, 3, 1, 300, true, {} } };
+    scheduler.configure(configuration);
+    const auto pump = [&] {
+        now += 10ms;
+        SchedulerActions actions;
+        scheduler.pump(now, 0, actions);
+        if (actions.commit)
+            scheduler.committed(actions.commit->number, now, now);
+        for (const auto& it : actions.heartbeats)
+            scheduler.heartbeatAnswered(
+                it.incarnation, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} }, now, now);
+        return actions;
+    };
+    // Thirty large executors, which one call asks about, and a smaller one.
+    for (int i = 0; i <= 30; ++i) {
+        ExecutorEntry entry;
+        entry.id = "e-" + std::to_string(i);
+        entry.startedUnixMs = 1;
+        entry.service = "service";
+        entry.address = "a:" + std::to_string(i);
+        entry.capacity = { i < 30 ? 8000 : 6000, 8000, 0 };
+        scheduler.executorRegistered(entry, now);
+    }
+    pump();
+    auto watch = jobOf(watchJob, 1, { 5000, 100, 0 });
+    watch.queue = "watch";
+    watch.steps[0].isLongRunning = true;
+    scheduler.submit(watch, now);
+    std::vector<ApprovalAction> calls;
+    while (calls.empty())
+        calls = pump().approvals;
+    REQUIRE(calls[0].workers.size() == 30);
+    // The approved executor is filled before the answer arrives.
+    auto urgent = jobOf("00000000000000bb", 30, { 8000, 100, 0 });
+    urgent.queue = "urgent";
+    scheduler.submit(urgent, now);
+    pump();
+    scheduler.approvalAnswered(calls[0].step, true, calls[0].workers, { { "e-0", "ticket" } }, 2000ms, now);
+    const auto askedLast = [&] {
+        std::string asked;
+        for (int i = 0; i < 100; ++i) { // a second
+            for (const auto& call : pump().approvals) {
+                asked.clear();
+                for (const auto& worker : call.workers)
+                    asked += worker + " ";
+                scheduler.approvalAnswered(call.step, false, call.workers, {}, {}, now); // it failed
+            }
+        }
+        return asked;
+    };
+    CHECK(askedLast() == "e-30 ");
+    askedLast();
+    CHECK(askedLast() == "e-30 e-0 "); // overdue by now
+}
