Fleet: approval calls name executors whose room no other call in flight claims

Each call in flight now claims its step's demand, spread over half of the executors that it names, and further calls pass over executors whose free processors are claimed. Ruled out: slow approvals (80 ms), commits (40 ms, at most two behind), a lack of room for urgent tasks (they need a sixth of the fleet).

Also: the event leader_load, once a second on the leader.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -121,6 +121,7 @@
     std::map<std::string, std::size_t> executors; // by state
     std::map<std::string, std::size_t> runs; // by state
     std::size_t waitingTasks = 0;
+    std::size_t uncommittedJobs = 0; // whose records wait for a commit
     std::map<std::string, Resources> teamUsage; // demand that counts against the upper limit of each team
     std::uint64_t starts = 0;
     std::uint64_t ends = 0;
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace quay::edge {
 
@@ -24,6 +25,7 @@
 // should then become the leader.
 constexpr auto maxTimeWithRefusedCommits = 450ms;
 constexpr int maxConsecutiveCommitFailures = 3;
+constexpr auto loadLogInterval = 1000ms;
 constexpr auto pendingCacheTime = 100ms; // many nodes ask within one leader probe interval
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains
 // A start is idempotent and delays its task, so its first attempt has a short timeout: enough to connect
@@ -140,10 +142,30 @@
         if (clockNow() - self->m_lastSchedulerRun >= self->m_schedulerInterval)
             self->runScheduler();
         self->commitHeartbeatIfIdle();
+        if (const auto now = clockNow(); now - self->m_load.since >= loadLogInterval)
+            self->logLoad(now);
         self->tick();
     });
 }
 
+void CellLeader::logLoad(Instant now)
+{
+    const auto load = std::exchange(m_load, { now, 0, {}, 0, 0, {} });
+    if (load.since == Instant {} || !m_isLoaded)
+        return;
+    const auto counts = m_scheduler.counts();
+    m_services.log.write("leader_load", {},
+        { { "open_jobs", std::to_string(counts.openJobs) },
+            { "waiting_tasks", std::to_string(counts.waitingTasks) },
+            { "uncommitted_jobs", std::to_string(counts.uncommittedJobs) },
+            { "waiting_accepts", std::to_string(m_waitingAccepts.size()) },
+            { "commits", std::to_string(load.commits) }, { "records", std::to_string(load.commitRecords) },
+            { "commit_ms",
+                std::to_string(load.commits ? toMilliseconds(load.commitTime / load.commits) : 0) },
+            { "rounds", std::to_string(load.rounds) },
+            { "longest_round_ms", std::to_string(toMilliseconds(load.longestRound)) } });
+}
+
 void CellLeader::runSchedulerSoon()
 {
     if (m_isSchedulerRunPosted || !m_isLoaded)
@@ -168,8 +190,11 @@
     m_lastSchedulerRun = clockNow();
     m_scheduler.setApprovalCallers(m_services.approvals.liveNodes(m_lastSchedulerRun));
     m_scheduler.pump(m_lastSchedulerRun, unixNowMs(), actions);
-    m_schedulerInterval = std::clamp<Duration>(
-        roundPauseFactor * (clockNow() - m_lastSchedulerRun), minSchedulerInterval, maxSchedulerInterval);
+    const auto roundTime = clockNow() - m_lastSchedulerRun;
+    ++m_load.rounds;
+    m_load.longestRound = std::max(m_load.longestRound, roundTime);
+    m_schedulerInterval
+        = std::clamp<Duration>(roundPauseFactor * roundTime, minSchedulerInterval, maxSchedulerInterval);
     execute(actions);
 }
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -105,6 +105,7 @@
     void rereadJobs();
     void runLater(Duration delay, std::function<void()> action);
     void tick();
+    void logLoad(Instant now);
     void runSchedulerSoon();
     void runScheduler();
     void execute(fleet::SchedulerActions& actions);
@@ -148,6 +149,16 @@
     bool m_isSchedulerRunPosted = false;
     Instant m_lastSchedulerRun {};
     Duration m_schedulerInterval {}; // least time between two rounds
+    // Since the last line of leader_load.
+    struct Load {
+        Instant since;
+        int rounds = 0;
+        Duration longestRound {};
+        int commits = 0;
+        int commitRecords = 0;
+        Duration commitTime {}; // sum
+    };
+    Load m_load;
 
     // Rows that were read and not yet passed to the scheduler.
     std::shared_ptr<Rows> m_loadedRecords = std::make_shared<Rows>();
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -230,6 +230,9 @@
     m_commits.add();
     m_commitLatency.record(now - sentAt);
     m_lastCommitLatency = now - sentAt;
+    ++m_load.commits;
+    m_load.commitTime += now - sentAt;
+    m_load.commitRecords += static_cast<int>(m_commitInFlight->records.size());
     const auto commit = std::exchange(m_commitInFlight, std::nullopt);
     m_scheduler.committed(commit->number, sentAt, now);
     for (auto& it : std::exchange(m_acceptsInFlight, {})) {
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -78,6 +78,10 @@
     CataloguedEvent { 2407, "relay_abandoned",
         "the leader sends no more orders through this relay node for a while; calls without a result",
         "look for the relay's node in the logs" },
+    CataloguedEvent { 2408, "leader_load",
+        "once a second on the leader: open jobs, tasks and records that wait, commits and rounds since the "
+        "last line",
+        "see OPERATIONS.md, a leader at its limit" },
     CataloguedEvent { 2501, "job_known", "the scheduler has received the job", "nothing to do" },
     CataloguedEvent { 2502, "job_completed", "all tasks of a job have completed", "nothing to do" },
     CataloguedEvent {
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -296,6 +296,7 @@
     }
     for (const auto* step : m_impl->readySteps)
         counts.waitingTasks += static_cast<std::size_t>(step->waiting);
+    counts.uncommittedJobs = m_impl->dirtyJobs.size();
     counts.teamUsage = m_impl->teamUsage;
     return counts;
 }
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -107,6 +107,8 @@
              ++it) {
             const bool isUndecided
                 = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
+            if (!overdue && it->first - incarnations[it->second].claimedCpu < demand.cpuMilli)
+                continue; // the room will be taken by the steps that are asking about it already
             if (isUndecided
                 && (hasRoom(it->second)
                     || (overdue && isBelowLimit(it->second)
@@ -146,7 +148,12 @@
     const std::int64_t callCpu = demand.cpuMilli * step.waiting;
     pool.awaitingApprovalCpu += callCpu;
     overdueApprovalsInFlight += overdue ? 1 : 0;
-    approvalsInFlight[action.step] = { expectedMs, &pool, callCpu, overdue };
+    // The step's tasks will be spread over the executors that are approved.
+    const auto claimEach = std::min<std::int64_t>(
+        demand.cpuMilli, callCpu / std::max<std::int64_t>(1, static_cast<std::int64_t>(chosen.size()) / 2));
+    for (IncarnationId number : chosen)
+        incarnations[number].claimedCpu += claimEach;
+    approvalsInFlight[action.step] = { expectedMs, &pool, callCpu, overdue, std::move(chosen), claimEach };
     actions.approvals.push_back(std::move(action));
 }
 
@@ -162,6 +169,8 @@
             it.longApprovalsInFlightMs -= call->second.expectedMs;
         call->second.pool->awaitingApprovalCpu -= call->second.cpuMilli;
         it.overdueApprovalsInFlight -= call->second.isOverdue ? 1 : 0;
+        for (IncarnationId number : call->second.named)
+            it.incarnations[number].claimedCpu -= call->second.claimEach;
         it.approvalsInFlight.erase(call);
     }
     const auto ref = parseTaskRef(stepName + ".0");
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -173,6 +173,7 @@
     std::map<RunKey, Instant> unansweredStarts;
     // The pool that contains this executor, with the values under which it was added; null: none.
     ServicePool* pool = nullptr;
+    std::int64_t claimedCpu = 0; // expected by the approval calls in flight that name it
     const StepState* reservedFor = nullptr; // during one placement pass: only this step may be placed here
     std::int64_t pooledFreeCpu = 0;
     std::int64_t pooledTotalCpu = 0;
@@ -186,6 +187,8 @@
     ServicePool* pool = nullptr;
     std::int64_t cpuMilli = 0;
     bool isOverdue = false; // of an overdue step, see Impl::isOverdue()
+    std::vector<IncarnationId> named;
+    std::int64_t claimEach = 0; // of each named one, in claimedCpu
 };
 
 struct CommitInFlight {
