--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -136,6 +136,8 @@
         m_impl->addEvent("executor_seen", {},
             "executor=" + entry.id + " address=" + entry.address + " zone=" + entry.zone);
     }
+    if (incarnation->isRegistered && incarnation->entry == entry)
+        return; // a large cell hears this hundreds of times a second
     if (entry.isDraining && !incarnation->entry.isDraining)
         m_impl->addEvent("executor_leaving", {},
             "executor=" + entry.id + " runs=" + std::to_string(incarnation->runs.size())
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // A transaction of the store holds 100 entries and 1 MB, which commits share with newly accepted jobs.
-constexpr std::size_t maxRecordsPerCommit = 60;
+constexpr std::size_t maxRecordsPerCommit = 80;
 constexpr std::size_t maxBytesPerCommit = 400'000; // before base64, which adds a third
 constexpr auto expiryInterval = 5s;
 constexpr std::size_t maxJobsPerExpiry = 4;
--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -57,6 +57,12 @@
     return true;
 }
 
+void setRetryAfter(HttpResponse& response, int retryAfterMs)
+{
+    const int seconds = (retryAfterMs + millisecondsPerSecond - 1) / millisecondsPerSecond;
+    response.headers["Retry-After"] = std::to_string(seconds);
+}
+
 HttpResponse errorResponse(const Reason& reason, int retryAfterMs)
 {
     const auto& entry = describe(reason.kind);
@@ -66,8 +72,7 @@
     response.status = entry.httpStatus;
     if (retryAfterMs > 0) {
         error["retry_after_ms"] = retryAfterMs;
-        const int seconds = (retryAfterMs + millisecondsPerSecond - 1) / millisecondsPerSecond;
-        response.headers["Retry-After"] = std::to_string(seconds);
+        setRetryAfter(response, retryAfterMs);
     }
     response.body = boost::json::serialize(boost::json::object { { "error", error } });
     return response;
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -53,6 +53,9 @@
 /** Splits "host:port". Returns false if the host or a valid port is missing. */
 bool splitAddress(const std::string& address, std::string& host, std::uint16_t& port);
 
+/** Sets the Retry-After header, rounded up to seconds. */
+void setRetryAfter(HttpResponse& response, int retryAfterMs);
+
 /**
  * The JSON response for a refused request: kind, disposition, message, detail, remedy. A positive
  * `retryAfterMs` is added to the body and, rounded up to seconds, as the Retry-After header.
--- a/src/service/CallerService.cpp
+++ b/src/service/CallerService.cpp
@@ -1,5 +1,7 @@
 #include "service/CallerService.h"
 
+#include "service/JobJson.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -96,12 +98,7 @@
 
 JobService::Done respondWithReply(const Respond& respond)
 {
-    return [respond](JobReply reply) {
-        HttpResponse response;
-        response.status = reply.status;
-        response.body = std::move(reply.body);
-        respond(std::move(response));
-    };
+    return [respond](JobReply reply) { respond(toHttpResponse(std::move(reply))); };
 }
 
 std::optional<bool> parseBooleanHeader(
--- a/src/service/JobJson.cpp
+++ b/src/service/JobJson.cpp
@@ -36,6 +36,16 @@
     return JobReply { response.status, response.body, retryAfterMs };
 }
 
+HttpResponse toHttpResponse(JobReply reply)
+{
+    HttpResponse response;
+    response.status = reply.status;
+    response.body = std::move(reply.body);
+    if (reply.retryAfterMs > 0)
+        setRetryAfter(response, reply.retryAfterMs);
+    return response;
+}
+
 std::string jobViewJson(const JobRecord& record)
 {
     json::array tasks;
--- a/src/service/JobJson.h
+++ b/src/service/JobJson.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/HttpMessage.h"
 #include "service/JobService.h"
 
 #include <deque>
@@ -24,6 +25,8 @@
 
 /** The reply for a refusal. A positive `retryAfterMs` is also part of its JSON body. */
 JobReply refusal(const Reason& reason, int retryAfterMs = 0);
+/** The HTTP response for a reply, with a Retry-After header if the reply says when to come back. */
+HttpResponse toHttpResponse(JobReply reply);
 
 /** The status of a job as shown to callers. */
 std::string jobViewJson(const JobRecord& record);
