--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -355,6 +355,8 @@
     waitFor(
         "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
     CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
+    // A node that does not lead yet writes all jobs itself.
+    waitFor("the first job is completed by the leader", [&] { return isCompleted(node, jobId(1)); });
     platform.holdPartition(edge::cellPartition);
     std::atomic<int> answered = 0;
     std::vector<std::thread> threads;
