quayd: task leases outlast the takeover of a killed leader (14 s instead of 10 s)

A takeover waits for the member's lease (6 s) as observed by others, the bounds of rule 2, a write, and the confirmations of all members: 8.75 s at most in the roster's simulation (3 sizes, 50 phases of the kill), and the successor needs up to 1.5 s more to read the jobs, to get a report and to renew. Which one came first depended on the phase of both renewals.

RosterTest holds the bound: 2 s + 8.75 s + 1.5 s = 12.25 s against 10 s before, 14 s now. Price: a task on a lost worker is started again after 19.3 s instead of 15.2 s. Weighed: renewals every second (lapse at 9 s, still below 10.25 s); a roster lease of 4 s (twice the store's writes for every idle member).

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -18,7 +18,9 @@
 
 /** Time bounds and limits of the job ledger. */
 struct LedgerSettings {
-    Duration taskLease = 10s; // sent to the worker, which counts it from receipt
+    // Sent to the worker, which counts it from receipt. Longer than a renewal interval and the takeover of a
+    // killed leader, so that no running task loses its lease (RosterTest).
+    Duration taskLease = 14s;
     Duration renewInterval = 2s;
     // A message sent at t arrives by t + messageDelayBound or not at all.
     Duration messageDelayBound = 3s;
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -188,8 +188,8 @@
 }
 
 // The worker counts the lease from receipt, which is at most messageDelayBound after the send, on a clock
-// that may run slow, and then needs up to taskStopBound to end the task. With the defaults (10 s lease, clock
-// 2 % slow): 3 s + 10.205 s + 2 s.
+// that may run slow, and then needs up to taskStopBound to end the task. With the defaults (14 s lease, clock
+// 2 % slow): 3 s + 14.286 s + 2 s.
 Duration leaseExpiryBound(const LedgerSettings& settings)
 {
     constexpr std::int64_t wholePermille = 1000;
--- a/tests/cores/RosterTest.cpp
+++ b/tests/cores/RosterTest.cpp
@@ -1,4 +1,5 @@
 #include "RosterSimulation.h"
+#include "quay/core/JobLedger.h"
 
 using namespace quay;
 using namespace quay::test;
@@ -194,6 +195,30 @@
     CHECK(simulation->everyResourceHasOneOwner());
 }
 
+TEST_CASE("SIGKILL of a leader: the leases of its running tasks outlast the takeover, whenever it is killed")
+{
+    constexpr auto phase = second / 20;
+    constexpr int phases = 50; // more than one renewal interval of a member
+    // Reading the job records, the first report of each worker and the first renewal to it.
+    constexpr Duration untilRenewed = 1500ms;
+    Duration longest {};
+    for (std::size_t vms : { 2, 3, 5 }) {
+        for (int i = 0; i < phases; ++i) {
+            auto simulation = settledDomain(vms);
+            simulation->runUntil(simulation->now() + i * phase);
+            simulation->crash(0);
+            const auto killedAt = simulation->now();
+            while (!simulation->everyResourceHasOneOwner() && simulation->now() < killedAt + 20 * second)
+                simulation->runUntil(simulation->now() + phase);
+            REQUIRE(simulation->everyResourceHasOneOwner());
+            longest = std::max<Duration>(longest, std::chrono::microseconds(simulation->now() - killedAt));
+        }
+    }
+    MESSAGE("longest takeover: " << toMilliseconds(longest) << " ms");
+    const LedgerSettings settings;
+    CHECK(settings.renewInterval + longest + untilRenewed <= settings.taskLease);
+}
+
 TEST_CASE("a member that was removed from the row leaves permanently")
 {
     RosterState state;
