Edge: a new leader reads all partitions that have jobs; a job without a readable record is not run again

Leaders of the old layout did not read the jobs and cancellations of the new one.

So any upgrade in steps that changes the layout would lose work. A leader now lists the partitions that exist instead of assuming them.

By reading: a record that can't be decoded (say, of a later version) made its job start again from its request. The job is now held back, and its state is answered with 503.

Tests: upgrade in steps, malformed rows in the store (both fail on the old code: the rows are not read, the jobs are run).

--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -114,6 +114,8 @@
 {
     if (!m_isLoaded || m_isStopped)
         return; // its row will be read with the rest of the table
+    if (m_heldJobs.count(job.id))
+        return;
     Reason reason;
     if (const auto request = toJobRequest(job, reason)) {
         m_scheduler.submit(*request, clockNow());
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -92,8 +92,13 @@
         std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done,
         std::int64_t firstVersion = 0);
     void readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done);
+    using PartitionsCallback
+        = std::function<void(const std::vector<std::string>& partitions, std::int64_t version)>;
+    void listJobPartitions(
+        std::vector<std::string> found, PartitionsCallback done, std::int64_t firstVersion = 0);
     void loadTables();
     void tablesLoaded();
+    void holdBack(const std::string& id, const Reason& reason);
     void restoreNextBatch();
     void restoreJob(const platform::StoreRow& row);
     void applyJobRow(const platform::StoreRow& row);
@@ -170,6 +175,7 @@
     std::int64_t m_jobsVersionRead = 0;
     std::int64_t m_executorsVersionRead = 0;
     std::set<std::string> m_registeredExecutors; // with a valid registration row
+    std::set<std::string> m_heldJobs; // whose records could not be read; they are not run
     std::set<std::string> m_earlyCancels; // cancelled jobs that the scheduler does not know yet
 
     std::optional<fleet::CommitAction> m_commitInFlight; // without records: a heartbeat or accepted jobs
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <limits>
 
 // Reads the store's tables and watches them for changes.
 namespace quay::edge {
@@ -58,23 +57,61 @@
         });
 }
 
-// Reads the job rows of the leader's partition and of all intake partitions. `done` gets the lowest version
-// from which the change feed must be read.
+// Reads the job rows of all partitions that have any, so that rows of nodes with another version of the
+// program, which may spread them differently, are found too. `done` gets the lowest version from which the
+// change feed must be read; a partition that is new after the listing is in the feed.
 void CellLeader::readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done)
 {
-    struct Progress {
-        int partitionsLeft = 1 + intakePartitionCount;
-        std::int64_t version = std::numeric_limits<std::int64_t>::max();
-    };
-    const auto partitionRead
-        = [progress = std::make_shared<Progress>(), done = std::move(done)](std::int64_t version) {
-              progress->version = std::min(progress->version, version);
-              if (--progress->partitionsLeft == 0)
-                  done(progress->version);
-          };
-    readTable(jobTable, cellPartition, {}, rows, partitionRead);
-    for (int i = 0; i < intakePartitionCount; ++i)
-        readTable(jobTable, intakePartition(i), {}, rows, partitionRead);
+    listJobPartitions({},
+        [self = shared_from_this(), rows = std::move(rows), done = std::move(done)](
+            const std::vector<std::string>& partitions, std::int64_t version) {
+            if (partitions.empty()) {
+                done(version);
+                return;
+            }
+            struct Progress {
+                std::size_t partitionsLeft = 0;
+                std::int64_t version = 0;
+            };
+            const auto partitionRead
+                = [progress = std::make_shared<Progress>(Progress { partitions.size(), version }), done](
+                      std::int64_t partitionVersion) {
+                      progress->version = std::min(progress->version, partitionVersion);
+                      if (--progress->partitionsLeft == 0)
+                          done(progress->version);
+                  };
+            for (const auto& it : partitions)
+                self->readTable(jobTable, it, {}, rows, partitionRead);
+        });
+}
+
+// `done` gets the partitions of the table of jobs, and the version of the first page of the listing.
+void CellLeader::listJobPartitions(
+    std::vector<std::string> found, PartitionsCallback done, std::int64_t firstVersion)
+{
+    const auto last = found.empty() ? std::string() : found.back();
+    m_services.store.listPartitions(jobTable, last, readTimeout,
+        [self = shared_from_this(), found = std::move(found), done = std::move(done), firstVersion](
+            const StoreResult& result) mutable {
+            if (self->m_isStopped)
+                return;
+            if (result.outcome != StoreOutcome::Ok) {
+                self->m_services.log.write(
+                    "read_failed", {}, { { "table", jobTable }, { "reason", result.detail } });
+                self->runLater(readRetryDelay,
+                    [self, found = std::move(found), done = std::move(done), firstVersion]() mutable {
+                        self->listJobPartitions(std::move(found), std::move(done), firstVersion);
+                    });
+                return;
+            }
+            if (firstVersion == 0)
+                firstVersion = result.version;
+            found.insert(found.end(), result.partitions.begin(), result.partitions.end());
+            if (result.hasMore)
+                self->listJobPartitions(std::move(found), std::move(done), firstVersion);
+            else
+                done(found, firstVersion);
+        });
 }
 
 void CellLeader::loadTables()
@@ -97,6 +134,14 @@
         });
 }
 
+// Without its record, which a later version of the program may have written, it is not known which tasks of
+// a job have run. It would run them again, so it is left to a leader that can read the record.
+void CellLeader::holdBack(const std::string& id, const Reason& reason)
+{
+    m_services.log.write("record_unreadable", id, { { "reason", reason.explain() } });
+    m_heldJobs.insert(id);
+}
+
 void CellLeader::tablesLoaded()
 {
     for (const auto& row : *m_loadedExecutors)
@@ -106,7 +151,7 @@
         if (auto record = decodeJobRecord(row.value, reason))
             m_recordsToRestore[row.key] = std::move(*record);
         else
-            m_services.log.write("record_unreadable", row.key, { { "reason", reason.explain() } });
+            holdBack(row.key, reason);
     }
     m_loadedRecords = m_loadedExecutors = nullptr;
     restoreNextBatch();
@@ -139,6 +184,8 @@
 
 void CellLeader::restoreJob(const StoreRow& row)
 {
+    if (m_heldJobs.count(row.key))
+        return;
     auto record = m_recordsToRestore.find(row.key);
     if (record == m_recordsToRestore.end()) {
         applyJobRow(row);
@@ -170,6 +217,8 @@
         cancel(row.key.substr(0, row.key.size() - 1));
         return;
     }
+    if (m_heldJobs.count(row.key))
+        return;
     Reason reason;
     const auto job = decodeStoredJob(row.value, reason);
     const auto request = job ? toJobRequest(*job, reason) : std::nullopt;
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -91,7 +91,8 @@
     CataloguedEvent {
         2506, "job_unreadable", "a job's row can't be decoded; the job is skipped", "inspect the row" },
     CataloguedEvent { 2507, "record_unreadable",
-        "a job's record can't be decoded; the job starts again from its request", "inspect the row" },
+        "a job's record can't be decoded; the job is not run, because its tasks may have run already",
+        "end the nodes of an older version; otherwise inspect the row" },
     CataloguedEvent {
         2508, "record_ignored", "a record names a task that its job does not have", "inspect the row" },
     CataloguedEvent { 2509, "job_removal_delayed",
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -10,8 +10,6 @@
 
 namespace json = boost::json;
 
-std::string intakePartition(int number) { return "intake-" + std::to_string(number); }
-
 // Job ids are hexadecimal numbers, of which callers draw the last digits at random or count them.
 std::string intakePartitionOf(const std::string& jobId)
 {
@@ -19,7 +17,7 @@
     const auto digits = jobId.substr(jobId.size() - std::min(jobId.size(), usedDigits));
     unsigned value = 0;
     std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
-    return intakePartition(static_cast<int>(value % intakePartitionCount));
+    return "intake-" + std::to_string(value % intakePartitionCount);
 }
 
 std::string encode(const StoredJob& job)
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -18,8 +18,10 @@
 // candidates for the leadership no other node writes to it, so that no load of theirs can delay a commit.
 constexpr const char* cellPartition = "cell-0";
 // Number of the partitions for jobs that a node writes itself, and for cancellations. A job may have a row
-// here, in the leader's partition, or equal rows in both. A partition executes 150 transactions a second, and
-// 2.5 while the store is slowed to a sixtieth: all together then still take 160 jobs a second.
+// here, in the leader's partition, or equal rows in both. The count is part of the stored format: a leader
+// reads all partitions there are, but other nodes look a job up, and expired jobs are deleted, in the one
+// that the count gives. A partition executes 150 transactions a second, and 2.5 while the store is slowed to
+// a sixtieth: all together then still take 160 jobs a second.
 constexpr int intakePartitionCount = 64;
 constexpr const char* leadershipKey = "lead";
 constexpr const char* cancellationSuffix = "!";
@@ -34,8 +36,6 @@
     bool operator==(const StoredJob&) const = default;
 };
 
-/** The intake partition with a number from 0 to intakePartitionCount - 1. */
-std::string intakePartition(int number);
 /** The intake partition of a job and its cancellation. */
 std::string intakePartitionOf(const std::string& jobId);
 
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -134,6 +134,13 @@
     putRow({ "op", "", "config" }, encodeBase64(configuration));
 }
 
+void FleetPlatform::writeRow(
+    const std::string& table, const std::string& partition, const std::string& key, const std::string& value)
+{
+    const std::lock_guard lock(m_mutex);
+    putRow({ table, partition, key }, encodeBase64(value));
+}
+
 void FleetPlatform::setBusyPartition(const std::string& partition)
 {
     const std::lock_guard lock(m_mutex);
@@ -213,6 +220,8 @@
         respond(transact(request));
     else if (path == "/rows-get")
         respond(readRows(request));
+    else if (path == "/rows-parts")
+        respond(listPartitions(request));
     else if (path == "/rows-feed")
         pollChanges(
             request, respond, currentTime() + std::chrono::milliseconds(std::stol(request.query("waitMs"))));
@@ -278,6 +287,17 @@
     return answer(200, { { "rows", rows }, { "hasMore", false }, { "ver", m_version } });
 }
 
+HttpResponse FleetPlatform::listPartitions(const HttpRequest& request)
+{
+    std::set<std::string> partitions;
+    for (const auto& [name, row] : m_rows) {
+        if (std::get<0>(name) == request.query("table") && std::get<1>(name) > request.query("after"))
+            partitions.insert(std::get<1>(name));
+    }
+    return answer(
+        200, { { "parts", json::array(partitions.begin(), partitions.end()) }, { "ver", m_version } });
+}
+
 void FleetPlatform::pollChanges(const HttpRequest& request, const Respond& respond, Instant waitUntil)
 {
     const auto seenVersion = std::stoll(request.query("after"));
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -33,6 +33,9 @@
 
     /** Writes the operator's configuration. */
     void configure(const std::string& configuration);
+    /** Writes a row of any table. */
+    void writeRow(const std::string& table, const std::string& partition, const std::string& key,
+        const std::string& value);
     /** While true, all store calls get a response with status 503. */
     void setStoreUnavailable(bool isUnavailable);
     /** From now on, transactions on the partition get a response with status 429; empty: on none. */
@@ -64,6 +67,7 @@
     void serveStore(const HttpRequest& request, Respond respond);
     HttpResponse transact(const HttpRequest& request);
     HttpResponse readRows(const HttpRequest& request);
+    HttpResponse listPartitions(const HttpRequest& request);
     void pollChanges(const HttpRequest& request, const Respond& respond, Instant waitUntil);
     HttpResponse approve(const HttpRequest& request) const;
     void serveExecutor(Executor& executor, const HttpRequest& request, const Respond& respond);
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -1,5 +1,6 @@
 #include "edge/EdgeNode.h"
 #include "FleetPlatform.h"
+#include "edge/JobRows.h"
 #include "edge/OrderRelay.h"
 #include "edge/PeerClient.h"
 #include "net/HttpClient.h"
@@ -384,6 +385,55 @@
     CHECK(platform.violations().empty());
 }
 
+TEST_CASE("upgrade in steps: jobs in partitions that this version does not use are run after a takeover")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    const edge::StoredJob job { jobId(1), "q", "t", twoStepJob };
+    for (const char* partition : { "intake-a", "intake-1000", "another" })
+        platform.writeRow(edge::jobTable, partition, job.id, edge::encode(job));
+    const edge::StoredJob cancelled { jobId(2), "q", "t", twoStepJob };
+    platform.writeRow(edge::jobTable, "intake-b", cancelled.id, edge::encode(cancelled));
+    platform.writeRow(edge::jobTable, "intake-b", cancelled.id + edge::cancellationSuffix, "cancelled");
+    Node node(14, platform.storeAddress());
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(call(node.apiEndpoint(), "GET", "/q/" + jobId(2)).body.find("cancelled") != std::string::npos);
+    CHECK(platform.startedRuns() == 7);
+    CHECK(platform.violations().empty());
+}
+
+TEST_CASE("malformed rows in the store: a job without a readable record is not run again, all others are")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    const std::string garbage[] = { "", "{", "[1]", "null", "{\"phase\":99}", "{\"tasks\":[[1]]}",
+        std::string("\xff\0\x80", 3), std::string(5000, '[') };
+    int number = 100;
+    for (const auto& bytes : garbage) {
+        const edge::StoredJob job { jobId(++number), "q", "t", twoStepJob };
+        platform.writeRow(edge::jobTable, edge::cellPartition, job.id, edge::encode(job));
+        platform.writeRow(edge::recordTable, edge::cellPartition, job.id, bytes);
+        platform.writeRow(edge::jobTable, edge::cellPartition, jobId(200 + number), bytes);
+        platform.writeRow("servers", {}, "i-bad" + std::to_string(number), bytes);
+    }
+    platform.writeRow(edge::jobTable, edge::cellPartition, std::string(150, 'z'), "x");
+    Node node(15, platform.storeAddress());
+    waitFor(
+        "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    for (number = 101; number < 101 + static_cast<int>(std::size(garbage)); ++number) {
+        CAPTURE(number);
+        CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(number), twoStepJob).status == 200);
+        CHECK(call(node.apiEndpoint(), "GET", "/q/" + jobId(number)).status == 503);
+    }
+    platform.configure("{\"version\":");
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(2), twoStepJob).status == 200);
+    waitFor("the next job is completed", [&] { return isCompleted(node, jobId(2)); });
+    CHECK(platform.startedRuns() == 2 * 7);
+    CHECK(platform.violations().empty());
+}
+
 TEST_CASE("malformed requests on every port of a node are refused and leave it running")
 {
     standin::FleetPlatform platform(2);
