Edge: a leader that the store refuses has a strong node replace it; tables are read in ranges at the same time

Now the leader asks an eligible node of about the largest share after three refusals, another after 0.2 s, and steps down as soon as one has taken the row. The write is conditional on the row's version, so a late request does nothing. A silent leader's row is watched from 0.2 s after the probe instead of its timeout, a leader whose process is gone is replaced after 0.45 s without a commit instead of 0.7 s, and the row is read when the wait ends, not at the next poll. Job rows and records are read in eight ranges.

Ruled out: processor time of the takeover (restoring takes 41 ms of the 300).

Tests: "the store refuses only the leader: the leader itself has another node replace it", successors by share and last probe.

--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -25,7 +25,6 @@
 // Limit while the store refuses commits. The store may still be reachable from other nodes, one of which
 // should then become the leader.
 constexpr auto maxTimeWithRefusedCommits = 450ms;
-constexpr int maxConsecutiveCommitFailures = 3;
 constexpr auto loadLogInterval = 1000ms;
 constexpr auto pendingCacheTime = 100ms; // many nodes ask within one leader probe interval
 constexpr auto orderTimeout = 300ms; // thirty round trips across failure domains
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -54,6 +54,13 @@
     void configure(const fleet::FleetConfiguration& configuration);
     using AcceptCallback = std::function<void(AcceptOutcome)>;
 
+    /** `callback` gets the version of the row when the store refuses commits, and again while it does. */
+    void onCommitsRefused(std::function<void(std::int64_t version)> callback)
+    {
+        m_onCommitsRefused = std::move(callback);
+    }
+    /** The node that was asked to has taken the leadership row: orders nothing any more. */
+    void replaced() { loseLeadership("the node that it asked to has taken over"); }
     /** Makes a job durable with the next commit. Calls `done` exactly once, possibly before it returns. */
     void accept(const StoredJob& job, AcceptCallback done);
     /** Adds a job whose row is already durable; ignored until the tables are loaded. */
@@ -88,10 +95,14 @@
 private:
     using Rows = std::vector<platform::StoreRow>;
 
-    void readTable(const std::string& table, const std::string& partition, const std::string& from,
-        std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done,
+    using VersionCallback = std::function<void(std::int64_t version)>;
+
+    void readRange(const std::string& table, const std::string& partition, const std::string& from,
+        const std::string& to, std::shared_ptr<Rows> rows, VersionCallback done,
         std::int64_t firstVersion = 0);
-    void readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t version)> done);
+    void readJobRanges(const std::string& table, const std::string& partition, std::shared_ptr<Rows> rows,
+        VersionCallback done);
+    void readJobs(std::shared_ptr<Rows> rows, VersionCallback done);
     using PartitionsCallback
         = std::function<void(const std::vector<std::string>& partitions, std::int64_t version)>;
     void listJobPartitions(
@@ -143,12 +154,15 @@
     void commitDone(std::int64_t version, Instant sentAt);
     void loseLeadership(std::string_view why);
 
+    static constexpr int maxConsecutiveCommitFailures = 3;
+
     EdgeServices m_services;
     fleet::FleetScheduler m_scheduler;
     LeadershipRecord m_leadership;
     std::int64_t m_leadershipVersion; // last known version of the leadership row
     std::int64_t m_fencingToken;
     std::function<void()> m_onLeadershipLost;
+    std::function<void(std::int64_t)> m_onCommitsRefused;
     bool m_isLoaded = false;
     bool m_isStopped = false;
     bool m_isSchedulerRunPosted = false;
@@ -171,6 +185,8 @@
     std::shared_ptr<Rows> m_loadedExecutors = std::make_shared<Rows>();
     std::map<std::string, fleet::JobRecord> m_recordsToRestore;
     std::size_t m_restoredJobs = 0; // number of rows of m_loadedJobs that were restored
+    Instant m_loadingSince;
+    Instant m_tablesReadAt;
     int m_tablesLoading = 0; // number of tables that are still being read
     std::int64_t m_jobsVersionRead = 0;
     std::int64_t m_executorsVersionRead = 0;
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -216,8 +216,9 @@
     m_services.log.write("commit_unanswered", {},
         { { "sequence", std::to_string(m_leadership.sequence) },
             { "outcome", std::string(text(result.outcome)) }, { "reason", result.detail } });
-    if (result.outcome == StoreOutcome::NotApplied)
-        ++m_consecutiveCommitFailures;
+    if (result.outcome == StoreOutcome::NotApplied
+        && ++m_consecutiveCommitFailures >= maxConsecutiveCommitFailures && m_onCommitsRefused)
+        m_onCommitsRefused(m_leadershipVersion);
     m_commitTimeout = std::min<Duration>(m_commitTimeout * 2, maxCommitTimeout);
     runLater(commitRetryDelay, [self = shared_from_this()] { self->sendCommit(); });
 }
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <limits>
 
 // Reads the store's tables and watches them for changes.
 namespace quay::edge {
@@ -23,16 +24,31 @@
 constexpr auto jobsPollInterval = 700ms; // bounds the delay of jobs whose notification to the leader was lost
 constexpr std::size_t restoreBatchSize = 40; // jobs; takes a few milliseconds on a tenth of a processor
 
+// Returns a callback for each of `count` reads; after the last one `done` gets the lowest of their versions.
+std::function<void(std::int64_t)> joinReads(std::size_t count, std::function<void(std::int64_t)> done)
+{
+    struct Progress {
+        std::size_t readsLeft = 0;
+        std::int64_t version = std::numeric_limits<std::int64_t>::max();
+    };
+    return [progress = std::make_shared<Progress>(Progress { count }), done = std::move(done)](
+               std::int64_t version) {
+        progress->version = std::min(progress->version, version);
+        if (--progress->readsLeft == 0)
+            done(progress->version);
+    };
+}
+
 } // namespace
 
-// Reads a whole partition page by page, retrying until it succeeds. `done` gets the version of the first
-// page: later changes may be missing from the pages read, so the change feed must be read from that version
-// on.
-void CellLeader::readTable(const std::string& table, const std::string& partition, const std::string& from,
-    std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done, std::int64_t firstVersion)
+// Reads the rows from `from` to before `to` page by page, retrying until it succeeds. `done` gets the version
+// of the first page: later changes may be missing from the pages read, so the change feed must be read from
+// that version on.
+void CellLeader::readRange(const std::string& table, const std::string& partition, const std::string& from,
+    const std::string& to, std::shared_ptr<Rows> rows, VersionCallback done, std::int64_t firstVersion)
 {
-    m_services.store.scanPartition(table, partition, from, 0, readTimeout,
-        [self = shared_from_this(), table, partition, from, rows, done = std::move(done), firstVersion](
+    m_services.store.scanPartition(table, partition, from, to, 0, readTimeout,
+        [self = shared_from_this(), table, partition, from, to, rows, done = std::move(done), firstVersion](
             StoreResult result) mutable {
             if (self->m_isStopped)
                 return;
@@ -40,8 +56,8 @@
                 self->m_services.log.write(
                     "read_failed", {}, { { "table", table }, { "reason", result.detail } });
                 self->runLater(readRetryDelay,
-                    [self, table, partition, from, rows, done = std::move(done), firstVersion]() mutable {
-                        self->readTable(table, partition, from, rows, std::move(done), firstVersion);
+                    [self, table, partition, from, to, rows, done = std::move(done), firstVersion]() mutable {
+                        self->readRange(table, partition, from, to, rows, std::move(done), firstVersion);
                     });
                 return;
             }
@@ -50,38 +66,41 @@
             rows->insert(rows->end(), result.rows.begin(), result.rows.end());
             if (result.hasMore && !result.rows.empty())
                 // Continues at the next possible key after the last one read.
-                self->readTable(
-                    table, partition, result.rows.back().key + '\x01', rows, std::move(done), firstVersion);
+                self->readRange(table, partition, result.rows.back().key + '\x01', to, rows, std::move(done),
+                    firstVersion);
             else
                 done(firstVersion);
         });
 }
 
+// Reads a partition whose keys are ids of jobs, in ranges at the same time: the window of a connection bounds
+// what it carries, and pages that follow each other cost a round trip each.
+void CellLeader::readJobRanges(
+    const std::string& table, const std::string& partition, std::shared_ptr<Rows> rows, VersionCallback done)
+{
+    // Ids are hexadecimal; others would only make the ranges unequal.
+    static const std::vector<std::string> bounds { {}, "2", "4", "6", "8", "a", "c", "e", {} };
+    const auto rangeRead = joinReads(bounds.size() - 1, std::move(done));
+    for (std::size_t i = 0; i + 1 < bounds.size(); ++i)
+        readRange(table, partition, bounds[i], bounds[i + 1], rows, rangeRead);
+}
+
 // Reads the job rows of all partitions that have any, so that rows of nodes with another version of the
 // program, which may spread them differently, are found too. `done` gets the lowest version from which the
 // change feed must be read; a partition that is new after the listing is in the feed.
-void CellLeader::readJobs(std::shared_ptr<Rows> rows, std::function<void(std::int64_t)> done)
+void CellLeader::readJobs(std::shared_ptr<Rows> rows, VersionCallback done)
 {
     listJobPartitions({},
         [self = shared_from_this(), rows = std::move(rows), done = std::move(done)](
             const std::vector<std::string>& partitions, std::int64_t version) {
-            if (partitions.empty()) {
-                done(version);
-                return;
+            const auto partitionRead = joinReads(partitions.size() + 1, done);
+            partitionRead(version);
+            for (const auto& it : partitions) {
+                if (it == cellPartition)
+                    self->readJobRanges(jobTable, it, rows, partitionRead);
+                else
+                    self->readRange(jobTable, it, {}, {}, rows, partitionRead);
             }
-            struct Progress {
-                std::size_t partitionsLeft = 0;
-                std::int64_t version = 0;
-            };
-            const auto partitionRead
-                = [progress = std::make_shared<Progress>(Progress { partitions.size(), version }), done](
-                      std::int64_t partitionVersion) {
-                      progress->version = std::min(progress->version, partitionVersion);
-                      if (--progress->partitionsLeft == 0)
-                          done(progress->version);
-                  };
-            for (const auto& it : partitions)
-                self->readTable(jobTable, it, {}, rows, partitionRead);
         });
 }
 
@@ -116,6 +135,7 @@
 
 void CellLeader::loadTables()
 {
+    m_loadingSince = clockNow();
     m_tablesLoading = 3;
     const auto tableLoaded = [this] {
         if (--m_tablesLoading == 0)
@@ -125,10 +145,10 @@
         m_jobsVersionRead = version;
         tableLoaded();
     });
-    readTable(
-        recordTable, cellPartition, {}, m_loadedRecords, [tableLoaded](std::int64_t) { tableLoaded(); });
-    readTable(
-        std::string(executorTable), {}, {}, m_loadedExecutors, [this, tableLoaded](std::int64_t version) {
+    readJobRanges(
+        recordTable, cellPartition, m_loadedRecords, [tableLoaded](std::int64_t) { tableLoaded(); });
+    readRange(
+        std::string(executorTable), {}, {}, {}, m_loadedExecutors, [this, tableLoaded](std::int64_t version) {
             m_executorsVersionRead = version;
             tableLoaded();
         });
@@ -144,6 +164,7 @@
 
 void CellLeader::tablesLoaded()
 {
+    m_tablesReadAt = clockNow();
     for (const auto& row : *m_loadedExecutors)
         applyExecutorRow(row);
     for (const auto& row : *m_loadedRecords) {
@@ -173,7 +194,9 @@
     m_services.log.write("scheduler_loaded", {},
         { { "fence", std::to_string(m_fencingToken) }, { "jobs", std::to_string(m_loadedJobs->size()) },
             { "records", std::to_string(m_recordsToRestore.size()) },
-            { "executors", std::to_string(m_registeredExecutors.size()) } });
+            { "executors", std::to_string(m_registeredExecutors.size()) },
+            { "read_ms", std::to_string(toMilliseconds(m_tablesReadAt - m_loadingSince)) },
+            { "restore_ms", std::to_string(toMilliseconds(clockNow() - m_tablesReadAt)) } });
     m_loadedJobs = nullptr;
     m_recordsToRestore.clear();
     m_isLoaded = true;
@@ -284,8 +307,8 @@
 void CellLeader::rereadExecutors()
 {
     auto rows = std::make_shared<Rows>();
-    readTable(
-        std::string(executorTable), {}, {}, rows, [self = shared_from_this(), rows](std::int64_t version) {
+    readRange(std::string(executorTable), {}, {}, {}, rows,
+        [self = shared_from_this(), rows](std::int64_t version) {
             auto missing = self->m_registeredExecutors;
             for (const auto& row : *rows) {
                 missing.erase(row.key);
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -286,10 +286,22 @@
                 m_approvals.nodeSeen(probe->node, probe->address, clockNow());
                 m_orders.nodeSeen(
                     probe->node, { probe->address, probe->zone, probe->processorShare }, clockNow());
-                m_election.probeReceived(probe->node, probe->processorShare);
+                m_election.probeReceived(probe->node, probe->address, probe->processorShare);
                 status.nodeCount = m_election.probingNodes();
             }
             response.body = encode(status);
+        } else if (path == takeoverPath) {
+            const auto* version
+                = !ec && body.is_object() ? body.get_object().if_contains("version") : nullptr;
+            if (version && version->is_int64()) {
+                m_election.takeOver(version->get_int64(), [respond = std::move(respond)](bool isTaken) {
+                    HttpResponse answer;
+                    answer.body = isTaken ? takenBody : "{}";
+                    respond(std::move(answer));
+                });
+                return;
+            }
+            response.status = 400;
         } else if (path == jobPath && leader) {
             Reason reason;
             if (const auto job = decodeStoredJob(request.body, reason))
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -18,15 +18,23 @@
 constexpr Duration maxLeaderProbeInterval = 900ms; // approvals and relays count a node as lost after more
 constexpr Duration probeIntervalPerNode = 5ms;
 constexpr auto leaderProbeTimeout = 600ms;
+// A leader that has not answered a probe for this long is probably gone. The commit timeout starts then;
+// until the probe times out, its callers still rely on it.
+constexpr auto suspectAfter = 200ms;
 constexpr auto rowReadTimeout = 800ms;
-constexpr auto rowReadInterval = 180ms;
+constexpr Duration rowReadInterval = 180ms;
+constexpr Duration minRowReadInterval = 20ms;
 constexpr auto leaderCommitTimeout = 700ms; // two heartbeat intervals of an idle leader
+// For a leader whose machine answers, but not its process: one heartbeat interval, in case only this node is
+// refused.
+constexpr auto goneLeaderCommitTimeout = 450ms;
 constexpr auto storelessLeaderCommitTimeout = 250ms; // for a leader that reports that its commits fail
 // Spread of the candidates over time, so that few of them write the row before they read the new leader's:
 // less than a transaction a node, and the time of a few transactions at least.
 constexpr auto jitterPerNode = 3ms;
 constexpr Duration minJitterRange = 120ms;
 constexpr auto acquireTimeout = 1200ms;
+constexpr auto successorRequestInterval = 200ms; // several times what a write of the row takes
 constexpr auto smallNodeDelay = 800ms; // a larger node can detect the failure and write the row within it
 constexpr auto handoverInterval = 15000ms; // between handovers of one node; many times the cost of one
 
@@ -47,6 +55,8 @@
     , m_identity(std::move(identity))
     , m_bounds(bounds)
     , m_timer(services.context)
+    , m_requestedTakeovers(services.metrics.counter(
+          "quay_requested_takeovers_total", "Requests of a leader, which the store refused, to replace it"))
 {
 }
 
@@ -73,8 +83,18 @@
 
 void Election::probe()
 {
-    m_peers.probe(m_knownLeader.address, ownProbe(), leaderProbeTimeout,
-        [this](LeaderStatus status) { probeAnswered(status); });
+    const auto sentAt = clockNow();
+    m_peers.probe(
+        m_knownLeader.address, ownProbe(), leaderProbeTimeout, [this, sentAt](const LeaderStatus& status) {
+            const bool isConnectionRefused = !status.isAnswered && clockNow() - sentAt < suspectAfter;
+            m_isLeaderGone = isConnectionRefused || (status.isAnswered && !status.isLeader);
+            probeAnswered(status);
+        });
+    m_timer.expires_after(suspectAfter);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (!ec && !m_leader)
+            readLeadershipRow();
+    });
 }
 
 // A node that is not eligible reports a processor share of 0, so that no leader hands over to it.
@@ -95,6 +115,7 @@
             m_services.log.write("leader_found", {},
                 { { "leader", m_knownLeader.node }, { "address", m_knownLeader.address } });
         m_isLeaderReachable = true;
+        m_suspectVersion = -1;
         if (status.pending) {
             m_pending = *status.pending;
             m_pendingAt = clockNow();
@@ -129,9 +150,8 @@
         return;
     }
     const auto now = clockNow();
-    const bool mayLead = !m_hasResigned && m_configurationWatcher.current();
     if (result.rows.empty()) {
-        if (mayLead)
+        if (mayLead())
             acquireLeadership(0);
         else
             scheduleCheck(rowReadInterval);
@@ -156,7 +176,7 @@
         m_vacantSince = now;
     if (isVacant || isOwnPreviousProcess) {
         m_isLeaderReachable = false;
-        if (mayLead && now - m_vacantSince >= extraDelay)
+        if (mayLead() && now - m_vacantSince >= extraDelay)
             acquireLeadership(row.version);
         else
             scheduleCheck(rowReadInterval);
@@ -177,24 +197,29 @@
             m_peers.probe(
                 m_knownLeader.address, ownProbe(), leaderProbeTimeout, [this](const LeaderStatus& status) {
                     m_hasLeaderLostStore = status.isAnswered && status.isLeader && !status.canCommit;
-                    if (m_leader || !status.isAnswered || !status.isLeader || !status.canCommit)
-                        return;
-                    m_suspectVersion = -1;
-                    probeAnswered(status);
+                    if (!m_leader && status.isAnswered && status.isLeader && status.canCommit)
+                        probeAnswered(status);
                 });
         }
         return;
     }
     const auto jitter = acquireJitter(m_identity.node, leadership->nodeCount);
-    const auto commitTimeout = m_hasLeaderLostStore ? storelessLeaderCommitTimeout : leaderCommitTimeout;
-    if (mayLead && now - m_suspectedAt >= commitTimeout + jitter + extraDelay)
+    const auto commitTimeout = m_hasLeaderLostStore ? storelessLeaderCommitTimeout
+        : m_isLeaderGone                            ? goneLeaderCommitTimeout
+                                                    : leaderCommitTimeout;
+    const auto dueIn = m_suspectedAt + commitTimeout + jitter + extraDelay - now;
+    if (mayLead() && dueIn <= Duration::zero())
         acquireLeadership(row.version);
     else
-        scheduleCheck(rowReadInterval);
+        scheduleCheck(
+            std::clamp<Duration>(std::chrono::ceil<Duration>(dueIn), minRowReadInterval, rowReadInterval));
 }
 
 void Election::acquireLeadership(std::int64_t version)
 {
+    if (m_isAcquiring)
+        return; // its answer decides what follows
+    m_isAcquiring = true;
     const LeadershipRecord leadership { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
         std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.nodeCount };
     StoreTransaction transaction;
@@ -207,7 +232,46 @@
         [this, version](StoreResult result) { acquireAnswered(result, version); });
 }
 
+void Election::takeOver(std::int64_t version, std::function<void(bool)> done)
+{
+    if (m_leader || m_isAcquiring || !mayLead() || !m_configurationWatcher.isStoreReachable(clockNow())) {
+        done(false);
+        return;
+    }
+    m_onTakenOver = std::move(done);
+    m_requestedTakeovers.add();
+    m_services.log.write("takeover_requested", {},
+        { { "leader", m_knownLeader.node }, { "condition", std::to_string(version) } });
+    acquireLeadership(version);
+}
+
+// One node at a time: the next one is asked if this one has not taken the row shortly after.
+void Election::askSuccessor(std::int64_t version)
+{
+    const auto now = clockNow();
+    const auto successors = m_candidates.successors(now);
+    if (now < m_nextSuccessorRequestAt || successors.empty())
+        return;
+    m_nextSuccessorRequestAt = now + successorRequestInterval;
+    const auto& address = successors[m_successorsAsked++ % successors.size()];
+    m_services.log.write("successor_asked", {},
+        { { "address", address }, { "condition", std::to_string(version) },
+            { "eligible", std::to_string(successors.size()) } });
+    m_peers.requestTakeover(address, version, [this, leader = std::weak_ptr(m_leader)](bool isTaken) {
+        if (const auto replaced = leader.lock(); replaced && replaced == m_leader && isTaken)
+            m_leader->replaced();
+    });
+}
+
 void Election::acquireAnswered(const StoreResult& result, std::int64_t expectedVersion)
+{
+    m_isAcquiring = false;
+    applyAcquireResult(result, expectedVersion);
+    if (const auto onTakenOver = std::exchange(m_onTakenOver, nullptr))
+        onTakenOver(m_leader != nullptr);
+}
+
+void Election::applyAcquireResult(const StoreResult& result, std::int64_t expectedVersion)
 {
     if (result.outcome == StoreOutcome::Ok) {
         m_services.log.write("leadership_taken", {},
@@ -253,6 +317,7 @@
             m_knownLeader = {};
             scheduleCheck(Duration::zero());
         });
+    m_leader->onCommitsRefused([this](std::int64_t rowVersion) { askSuccessor(rowVersion); });
     m_leader->begin(*m_configurationWatcher.current());
 }
 
@@ -265,10 +330,10 @@
         done();
 }
 
-void Election::probeReceived(const std::string& node, double share)
+void Election::probeReceived(const std::string& node, const std::string& address, double share)
 {
     const auto now = clockNow();
-    m_candidates.recordProbe(node, share, now);
+    m_candidates.recordProbe(node, address, share, now);
     if (!m_leader || m_hasResigned || !m_leader->isLoaded() || !m_leader->canCommit(now))
         return;
     m_leader->setNodes(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -39,7 +39,13 @@
     /** Relinquishes the leadership, if held, and never takes it again; then calls `done`. */
     void resign(std::function<void()> done);
     /** Records a probe by another node. A leader hands over to a node with a clearly larger share. */
-    void probeReceived(const std::string& node, double share);
+    void probeReceived(const std::string& node, const std::string& address, double share);
+    /**
+     * The leader, which the store refuses, asks this node to replace it. Has no effect if the version of the
+     * leadership row is not `version` any more, or if this node may not lead. `done` is told whether this
+     * node leads now.
+     */
+    void takeOver(std::int64_t version, std::function<void(bool isTaken)> done);
 
     /** Null unless this node is the leader. */
     CellLeader* leader() const { return m_leader.get(); }
@@ -64,7 +70,10 @@
     void leadershipRowRead(const platform::StoreResult& result);
     void acquireLeadership(std::int64_t version);
     void acquireAnswered(const platform::StoreResult& result, std::int64_t expectedVersion);
+    void applyAcquireResult(const platform::StoreResult& result, std::int64_t expectedVersion);
     void startLeading(std::int64_t version, Instant lastPredecessorCommit);
+    void askSuccessor(std::int64_t version);
+    bool mayLead() const { return !m_hasResigned && m_configurationWatcher.current(); }
     void relinquish(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
@@ -73,10 +82,12 @@
     Identity m_identity;
     fleet::SchedulerBounds m_bounds;
     boost::asio::steady_timer m_timer;
+    Counter& m_requestedTakeovers;
     std::shared_ptr<CellLeader> m_leader;
     LeadershipRecord m_knownLeader; // as last read from the store or written by this node
     bool m_isLeaderReachable = false;
     bool m_hasLeaderLostStore = false; // the leader reported that its commits fail
+    bool m_isLeaderGone = false; // its machine answers, but not the process that leads
     bool m_hasResigned = false;
     std::int64_t m_suspectVersion = -1; // row version when the leader was suspected; -1: not suspected
     Instant m_suspectedAt;
@@ -88,6 +99,10 @@
     Instant m_vacantSince;
     LeaderCandidates m_candidates; // maintained while this node is the leader
     Instant m_nextHandoverAt {};
+    Instant m_nextSuccessorRequestAt {};
+    std::size_t m_successorsAsked = 0;
+    bool m_isAcquiring = false; // a write of the row is not answered yet
+    std::function<void(bool isTaken)> m_onTakenOver; // for the leader that asked for this write
     std::map<std::string, std::int64_t> m_pending;
     Instant m_pendingAt;
 };
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -408,7 +408,7 @@
 
 void JobApi::getJobStateFromIntake(const CallPointer& call, bool isKnown)
 {
-    m_services.store.scanPartition(jobTable, intakePartitionOf(call->id), call->id, rowsOfOneJob,
+    m_services.store.scanPartition(jobTable, intakePartitionOf(call->id), call->id, {}, rowsOfOneJob,
         m_storeBreaker.timeout(),
         withOutcomeRecorded([this, call, isKnown](const StoreResult& result) mutable {
             if (result.outcome != StoreOutcome::Ok) {
--- a/src/edge/LeaderCandidates.cpp
+++ b/src/edge/LeaderCandidates.cpp
@@ -18,9 +18,11 @@
     return ownShare < smallShareRatio * largestShare;
 }
 
-void LeaderCandidates::recordProbe(const std::string& node, double share, Instant now)
+void LeaderCandidates::recordProbe(
+    const std::string& node, const std::string& address, double share, Instant now)
 {
     auto& known = m_nodes[node];
+    known.address = address;
     if (known.share != share || now - known.lastProbeAt > probeExpiry)
         known.eligibleSince = now;
     known.share = share;
@@ -52,4 +54,20 @@
     });
 }
 
+std::vector<std::string> LeaderCandidates::successors(Instant now) const
+{
+    const auto largest = largestRecentShare(now);
+    std::vector<std::pair<Instant, std::string>> eligible;
+    for (const auto& [name, node] : m_nodes) {
+        if (now - node.lastProbeAt <= probeExpiry && node.share > 0 && !isClearlySmaller(node.share, largest))
+            eligible.emplace_back(node.lastProbeAt, node.address);
+    }
+    std::sort(eligible.rbegin(), eligible.rend());
+    std::vector<std::string> addresses;
+    addresses.reserve(eligible.size());
+    for (auto& it : eligible)
+        addresses.push_back(std::move(it.second));
+    return addresses;
+}
+
 } // namespace quay::edge
--- a/src/edge/LeaderCandidates.h
+++ b/src/edge/LeaderCandidates.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace quay::edge {
 
@@ -23,16 +24,19 @@
 class LeaderCandidates {
 public:
     /** Records a probe by `node`. A share of 0 means that the node is not eligible. */
-    void recordProbe(const std::string& node, double share, Instant now);
+    void recordProbe(const std::string& node, const std::string& address, double share, Instant now);
     /** Number of nodes that probed recently, eligible or not. */
     std::size_t recentCount(Instant now) const;
     /** Largest share of the nodes that probed recently; 0 if there are none. */
     double largestRecentShare(Instant now) const;
     /** True if a node that has been eligible for some seconds has a clearly larger share than `ownShare`. */
     bool hasClearlyLarger(double ownShare, Instant now) const;
+    /** Addresses of the eligible nodes with about the largest share, those first that probed last. */
+    std::vector<std::string> successors(Instant now) const;
 
 private:
     struct Node {
+        std::string address; // for peers
         double share = 0;
         Instant eligibleSince;
         Instant lastProbeAt;
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t maxResponseBytes = 256 * 1024;
 constexpr auto notifyTimeout = 1000ms; // no retry: the leader also reads the store's changes
 
+constexpr auto takeoverTimeout = 1500ms; // a write of the row by the other node
+
 } // namespace
 
 std::string encode(const LeaderProbe& probe)
@@ -153,6 +155,15 @@
     });
 }
 
+void PeerClient::requestTakeover(
+    const std::string& address, std::int64_t version, std::function<void(bool)> done)
+{
+    m_probes.send(address, jsonPost(takeoverPath, json::serialize(json::object { { "version", version } })),
+        takeoverTimeout, [done = std::move(done)](const HttpResult& result) {
+            done(result.response && result.response->body == takenBody);
+        });
+}
+
 void PeerClient::accept(const std::string& address, const StoredJob& job, Duration timeout,
     std::function<void(AcceptOutcome)> done)
 {
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -15,6 +15,8 @@
 namespace quay::edge {
 
 constexpr const char* probePath = "/peer/greet";
+constexpr const char* takeoverPath = "/peer/takeover";
+constexpr const char* takenBody = "{\"taken\":true}";
 constexpr const char* acceptPath = "/peer/accept";
 constexpr const char* jobPath = "/peer/job";
 constexpr const char* cancelPath = "/peer/cancel";
@@ -75,6 +77,9 @@
 
     void probe(const std::string& address, const LeaderProbe& probe, Duration timeout,
         std::function<void(LeaderStatus)> done);
+    /** Asks a node to take the leadership row, if its version is still `version`. */
+    void requestTakeover(
+        const std::string& address, std::int64_t version, std::function<void(bool isTaken)> done);
     /** Asks the leader to make a job durable. */
     void accept(const std::string& address, const StoredJob& job, Duration timeout,
         std::function<void(AcceptOutcome)> done);
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -85,6 +85,14 @@
     m_store = std::make_unique<HttpServer>(m_context, "127.0.0.1:0", HttpLimits {},
         [this](const HttpRequest& request, Respond respond) { serveStore(request, std::move(respond)); });
     m_store->start();
+    m_otherStore = std::make_unique<HttpServer>(
+        m_context, "127.0.0.1:0", HttpLimits {}, [this](const HttpRequest& request, Respond respond) {
+            if (m_isRefusingOtherAddress && request.path() != "/advise")
+                respond(answer(503, {}));
+            else
+                serveStore(request, std::move(respond));
+        });
+    m_otherStore->start();
     for (int i = 0; i < executors; ++i) {
         auto executor = std::make_unique<Executor>();
         executor->id = "i-" + std::to_string(i);
@@ -281,7 +289,8 @@
     json::array rows;
     for (const auto& [name, row] : m_rows) {
         if (std::get<0>(name) == request.query("table") && std::get<1>(name) == request.query("part")
-            && std::get<2>(name) >= request.query("from"))
+            && std::get<2>(name) >= request.query("from")
+            && (request.query("to").empty() || std::get<2>(name) < request.query("to")))
             rows.push_back(encodeRow(name, row));
     }
     return answer(200, { { "rows", rows }, { "hasMore", false }, { "ver", m_version } });
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -3,6 +3,7 @@
 #include "net/HttpServer.h"
 #include "quay/core/Time.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <map>
@@ -31,6 +32,11 @@
 
     std::string storeAddress() const { return m_store->address(); }
 
+    /** The address for nodes that the store may refuse while it serves the others. */
+    std::string otherStoreAddress() const { return m_otherStore->address(); }
+    /** While true, store calls to otherStoreAddress() get a response with status 503. */
+    void refuseOtherAddress(bool isRefusing) { m_isRefusingOtherAddress = isRefusing; }
+
     /** Writes the operator's configuration. */
     void configure(const std::string& configuration);
     /** Writes a row of any table. */
@@ -99,6 +105,8 @@
     std::set<std::string> m_acknowledgedTasks; // tasks whose end as done was acknowledged
     std::vector<std::string> m_violations;
     std::unique_ptr<HttpServer> m_store;
+    std::unique_ptr<HttpServer> m_otherStore;
+    std::atomic<bool> m_isRefusingOtherAddress = false;
     std::vector<std::unique_ptr<Executor>> m_executors;
     std::thread m_thread;
 };
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -434,6 +434,30 @@
     CHECK(platform.violations().empty());
 }
 
+TEST_CASE("the store refuses only the leader: the leader itself has another node replace it")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    Node refused(16, platform.otherStoreAddress(), 0.5);
+    waitFor("the first node leads", [&] { return refused.isLeader(); });
+    Node other(17, platform.storeAddress(), 0.5);
+    // A job of the other node accepted by the leader's commit shows that its probes have reached the leader.
+    waitFor("a job through the other node is completed", [&] {
+        return call(other.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200
+            && isCompleted(other, jobId(1));
+    });
+    platform.refuseOtherAddress(true);
+    waitFor("the other node leads", [&] { return other.isLeader(); });
+    CHECK(other.metricsPage().find("\nquay_requested_takeovers_total 1\n") != std::string::npos);
+    waitFor("the next job is completed", [&] {
+        return call(other.apiEndpoint(), "POST", "/q/" + jobId(2), twoStepJob).status == 200
+            && isCompleted(other, jobId(2));
+    });
+    waitFor("the refused node follows", [&] { return !refused.isLeader(); });
+    CHECK(platform.startedRuns() == 2 * 7);
+    CHECK(platform.violations().empty());
+}
+
 TEST_CASE("malformed requests on every port of a node are refused and leave it running")
 {
     standin::FleetPlatform platform(2);
@@ -445,7 +469,7 @@
         "{\"node\":\"x\",\"address\":7,\"share\":\"a\"}", std::string(100'000, '['),
         std::string("\xff\xfe\0\x80", 4), std::string(3000, '\xff') };
     for (const char* path : { edge::probePath, edge::acceptPath, edge::jobPath, edge::cancelPath,
-             edge::statePath, edge::approvePath, edge::relayPath, "/", "/unknown" }) {
+             edge::statePath, edge::approvePath, edge::relayPath, edge::takeoverPath, "/", "/unknown" }) {
         for (const auto& body : bodies)
             call(node.peerEndpoint(), "POST", path, body);
     }
--- a/tests/contract/LeaderCandidatesTest.cpp
+++ b/tests/contract/LeaderCandidatesTest.cpp
@@ -21,6 +21,21 @@
     }
 }
 
+TEST_CASE(
+    "leader refused by the store: it asks eligible nodes of about the largest share, the last heard of first")
+{
+    LeaderCandidates candidates;
+    const Instant now { 100s };
+    CHECK(candidates.successors(now).empty());
+    candidates.recordProbe("old", "old:1", 0.5, now - 1600ms);
+    candidates.recordProbe("small", "small:1", 0.12, now);
+    candidates.recordProbe("first", "first:1", 0.5, now - 400ms);
+    candidates.recordProbe("refused too", "refused:1", 0, now - 10ms);
+    candidates.recordProbe("last", "last:1", 0.45, now - 20ms);
+    CHECK(candidates.successors(now) == std::vector<std::string> { "last:1", "first:1" });
+    CHECK(candidates.successors(now + 1490ms) == std::vector<std::string> { "small:1" });
+}
+
 TEST_CASE("a candidate with a clearly larger share counts only after it has been eligible for some seconds")
 {
     struct Row {
@@ -43,7 +58,7 @@
         LeaderCandidates candidates;
         Instant now { 100s };
         for (Duration at {}; at <= row.probedFor; at += 300ms)
-            candidates.recordProbe("other",
+            candidates.recordProbe("other", "a:1",
                 row.ineligibleAt && at > *row.ineligibleAt - 300ms && at <= *row.ineligibleAt ? 0 : 0.5,
                 now + at);
         now += row.probedFor + row.withoutProbesFor;
