Fleet: urgent jobs first in commits; records with a table of executors; candidates spread by their own number

(1) Records of the highest priority come first when a commit can't hold all; a job that four commits have passed over comes before them. (2) A record names each executor once: 961 -> some 400 bytes for 20 tasks; records of release 0.1 are still read. (3) Spread by the number of eligible nodes with about the largest share; an idle leader commits every 0.2 s, a silent one is replaced after 0.45 s, one whose process is gone after 0.25 s. (4) Beyond 150 ms a commit takes no jobs: their nodes write them.

The leadership row now names the format of the stored rows: a node that does not know it does not lead. (A leader of release 0.1 would take a record that it can't read for none and run the job again.)

Ruled out: processors of the fleet (77 to 85 % in use in the burst).

Tests: burst beyond what a commit holds (fails first: 0 of 60 urgent jobs in the first commit), upgrade in steps with a later format, records of release 0.1.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -121,6 +121,10 @@
     std::map<std::string, std::size_t> executors; // by state
     std::map<std::string, std::size_t> runs; // by state
     std::size_t waitingTasks = 0;
+    std::size_t waitingUrgentTasks = 0; // of queues with the highest priority
+    std::size_t approvalsInFlight = 0;
+    std::int64_t totalCpuMilli = 0; // of the registered executors, and what their runs occupy
+    std::int64_t usedCpuMilli = 0;
     std::size_t uncommittedJobs = 0; // whose records wait for a commit
     std::map<std::string, Resources> teamUsage; // demand that counts against the upper limit of each team
     std::uint64_t starts = 0;
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -82,10 +82,10 @@
     std::int64_t fencingToken() const { return m_fencingToken; }
 
     /** Sets what the row tells of the other nodes; written with the next commit. */
-    void setNodes(double largestShare, std::size_t nodeCount)
+    void setCandidates(double largestShare, std::size_t candidateCount)
     {
         m_leadership.largestShare = largestShare;
-        m_leadership.nodeCount = nodeCount;
+        m_leadership.candidateCount = candidateCount;
     }
     /** Stops scheduling, commits a leadership row without a leader, then calls `done`. */
     void relinquish(std::function<void()> done);
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr auto heartbeatInterval = 350ms; // half of leaderCommitTimeout in Election.cpp
+constexpr auto heartbeatInterval = 200ms; // less than half of leaderCommitTimeout in Election.cpp
 constexpr auto initialCommitTimeout = 500ms;
 constexpr auto maxCommitTimeout = 1600ms;
 constexpr int commitTimeoutFactor = 4; // multiplies the last commit's latency
@@ -25,6 +25,9 @@
 // Jobs that wait for a commit: what two or three commits take beside the scheduler's records. With more, a
 // slow store would keep callers waiting; their nodes write the jobs themselves.
 constexpr std::size_t maxWaitingAccepts = 40;
+// Five times the usual: jobs would take entries of the few commits from the records that starts wait for,
+// while their nodes can write them in partitions of their own.
+constexpr Duration slowCommitLatency = 150ms;
 constexpr auto commitRetryDelay = 60ms;
 constexpr auto removalRetryDelay = 2000ms; // nobody waits for it
 
@@ -62,7 +65,7 @@
 void CellLeader::accept(const StoredJob& job, AcceptCallback done)
 {
     if (!m_isLoaded || m_isStopped || m_isRelinquishing || !canCommit(clockNow())
-        || m_waitingAccepts.size() >= maxWaitingAccepts) {
+        || m_waitingAccepts.size() >= maxWaitingAccepts || m_lastCommitLatency >= slowCommitLatency) {
         done(AcceptOutcome::NotWritten);
         return;
     }
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -85,6 +85,8 @@
         registerSchedulerMetrics();
         m_metrics.observableCounter("quay_log_bytes_total", "Bytes of log lines",
             [this] { return static_cast<double>(m_log.bytesWritten()); });
+        m_metrics.gauge("quay_may_lead", "0 if this node can't read the rows that the leader stores",
+            [this] { return m_election.isFormatKnown() ? 1.0 : 0.0; });
         m_metrics.gauge("quay_leads", "1 while this node schedules the cell",
             [this] { return m_election.leader() ? 1.0 : 0.0; });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -24,23 +24,22 @@
 constexpr auto rowReadTimeout = 800ms;
 constexpr Duration rowReadInterval = 180ms;
 constexpr Duration minRowReadInterval = 20ms;
-constexpr auto leaderCommitTimeout = 700ms; // two heartbeat intervals of an idle leader
-// For a leader whose machine answers, but not its process: one heartbeat interval, in case only this node is
-// refused.
-constexpr auto goneLeaderCommitTimeout = 450ms;
-constexpr auto storelessLeaderCommitTimeout = 250ms; // for a leader that reports that its commits fail
+constexpr auto leaderCommitTimeout = 450ms; // two heartbeat intervals of an idle leader
+// For a leader that reports that its commits fail, or at whose address nothing or no leader listens.
+constexpr auto failedLeaderCommitTimeout = 250ms;
 // Spread of the candidates over time, so that few of them write the row before they read the new leader's:
-// less than a transaction a node, and the time of a few transactions at least.
-constexpr auto jitterPerNode = 3ms;
+// less than a transaction each, and the time of a few transactions at least. Smaller nodes come later anyway.
+constexpr auto jitterPerCandidate = 3ms;
 constexpr Duration minJitterRange = 120ms;
 constexpr auto acquireTimeout = 1200ms;
 constexpr auto successorRequestInterval = 200ms; // several times what a write of the row takes
 constexpr auto smallNodeDelay = 800ms; // a larger node can detect the failure and write the row within it
 constexpr auto handoverInterval = 15000ms; // between handovers of one node; many times the cost of one
 
-Duration acquireJitter(const std::string& node, std::size_t nodeCount)
+Duration acquireJitter(const std::string& node, std::size_t candidateCount)
 {
-    const auto range = std::max<Duration>(minJitterRange, jitterPerNode * static_cast<int>(nodeCount));
+    const auto range
+        = std::max<Duration>(minJitterRange, jitterPerCandidate * static_cast<int>(candidateCount));
     return Duration(
         static_cast<Duration::rep>(std::hash<std::string>()(node) % static_cast<std::size_t>(range.count())));
 }
@@ -100,8 +99,7 @@
 // A node that is not eligible reports a processor share of 0, so that no leader hands over to it.
 LeaderProbe Election::ownProbe() const
 {
-    const bool isEligible = !m_hasResigned && m_configurationWatcher.current()
-        && m_configurationWatcher.isStoreReachable(clockNow());
+    const bool isEligible = mayLead() && m_configurationWatcher.isStoreReachable(clockNow());
     return { m_identity.node, m_identity.peerAddress, m_identity.zone,
         isEligible ? m_identity.processorShare : 0 };
 }
@@ -163,6 +161,11 @@
     m_lastReadVersion = row.version;
     Reason reason;
     const auto leadership = decodeLeadershipRecord(row.value, reason);
+    const bool wasFormatKnown
+        = std::exchange(m_isFormatKnown, !leadership || leadership->format <= storedFormat);
+    if (wasFormatKnown && !m_isFormatKnown)
+        m_services.log.write("format_unknown", {},
+            { { "format", std::to_string(leadership->format) }, { "known", std::to_string(storedFormat) } });
     const bool isVacant = !leadership || leadership->node.empty();
     const bool isOwnPreviousProcess = leadership && leadership->node == m_identity.node
         && leadership->incarnation != m_identity.incarnation;
@@ -203,10 +206,9 @@
         }
         return;
     }
-    const auto jitter = acquireJitter(m_identity.node, leadership->nodeCount);
-    const auto commitTimeout = m_hasLeaderLostStore ? storelessLeaderCommitTimeout
-        : m_isLeaderGone                            ? goneLeaderCommitTimeout
-                                                    : leaderCommitTimeout;
+    const auto jitter = acquireJitter(m_identity.node, leadership->candidateCount);
+    const auto commitTimeout
+        = m_hasLeaderLostStore || m_isLeaderGone ? failedLeaderCommitTimeout : leaderCommitTimeout;
     const auto dueIn = m_suspectedAt + commitTimeout + jitter + extraDelay - now;
     if (mayLead() && dueIn <= Duration::zero())
         acquireLeadership(row.version);
@@ -221,7 +223,8 @@
         return; // its answer decides what follows
     m_isAcquiring = true;
     const LeadershipRecord leadership { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
-        std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.nodeCount };
+        storedFormat, std::max(m_identity.processorShare, m_knownLeader.largestShare),
+        m_knownLeader.candidateCount };
     StoreTransaction transaction;
     transaction.conditions.push_back({ leadershipTable, cellPartition, leadershipKey, {}, version, false });
     transaction.puts.push_back(
@@ -307,8 +310,8 @@
     }
     m_suspectVersion = -1;
     m_isLeaderReachable = false;
-    m_knownLeader = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0,
-        std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.nodeCount };
+    m_knownLeader = { m_identity.node, m_identity.peerAddress, m_identity.incarnation, 0, storedFormat,
+        std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.candidateCount };
     m_vacantSince = {};
     m_candidates = {};
     m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_knownLeader, version,
@@ -336,8 +339,8 @@
     m_candidates.recordProbe(node, address, share, now);
     if (!m_leader || m_hasResigned || !m_leader->isLoaded() || !m_leader->canCommit(now))
         return;
-    m_leader->setNodes(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
-        m_candidates.recentCount(now));
+    m_leader->setCandidates(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
+        m_candidates.successors(now).size());
     if (now < m_nextHandoverAt || !m_candidates.hasClearlyLarger(m_identity.processorShare, now))
         return;
     m_nextHandoverAt = now + handoverInterval;
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -58,6 +58,9 @@
     /** Number of nodes that probed this one recently. */
     std::size_t probingNodes() const { return m_candidates.recentCount(clockNow()); }
 
+    /** False once the leadership row names a format of stored rows that this version does not know. */
+    bool isFormatKnown() const { return m_isFormatKnown; }
+
     void configurationChanged(const fleet::FleetConfiguration& configuration);
 
 private:
@@ -73,7 +76,7 @@
     void applyAcquireResult(const platform::StoreResult& result, std::int64_t expectedVersion);
     void startLeading(std::int64_t version, Instant lastPredecessorCommit);
     void askSuccessor(std::int64_t version);
-    bool mayLead() const { return !m_hasResigned && m_configurationWatcher.current(); }
+    bool mayLead() const { return !m_hasResigned && m_isFormatKnown && m_configurationWatcher.current(); }
     void relinquish(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
@@ -89,6 +92,7 @@
     bool m_hasLeaderLostStore = false; // the leader reported that its commits fail
     bool m_isLeaderGone = false; // its machine answers, but not the process that leads
     bool m_hasResigned = false;
+    bool m_isFormatKnown = true; // the leader stores rows in a format that this version can read
     std::int64_t m_suspectVersion = -1; // row version when the leader was suspected; -1: not suspected
     Instant m_suspectedAt;
     std::int64_t m_lastReadVersion = -1; // of the leadership row when last read
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -54,7 +54,8 @@
 {
     return json::serialize(json::object { { "node", leadership.node }, { "address", leadership.address },
         { "incarnation", leadership.incarnation }, { "sequence", leadership.sequence },
-        { "strongest", leadership.largestShare }, { "nodes", leadership.nodeCount } });
+        { "strongest", leadership.largestShare }, { "candidates", leadership.candidateCount },
+        { "format", leadership.format } });
 }
 
 std::optional<LeadershipRecord> decodeLeadershipRecord(const std::string& bytes, Reason& reason)
@@ -66,10 +67,12 @@
             std::string(object.at("address").as_string()),
             object.at("incarnation").to_number<std::uint64_t>(),
             object.at("sequence").to_number<std::uint64_t>() };
+        const auto* format = object.if_contains("format");
+        leadership.format = format ? format->to_number<int>() : 0;
         if (const auto* it = object.if_contains("strongest")) // missing in rows of earlier releases
             leadership.largestShare = it->to_number<double>();
-        if (const auto* it = object.if_contains("nodes"))
-            leadership.nodeCount = it->to_number<std::size_t>();
+        if (const auto* it = object.if_contains("candidates"))
+            leadership.candidateCount = it->to_number<std::size_t>();
         return leadership;
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("leadership row: ") + error.what());
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -24,6 +24,9 @@
 // a sixtieth: all together then still take 160 jobs a second.
 constexpr int intakePartitionCount = 64;
 constexpr const char* leadershipKey = "lead";
+// Raised with each change after which an earlier version of the program could not lead any more: it does not
+// take the leadership row from a leader that stores a later format.
+constexpr int storedFormat = 1;
 constexpr const char* cancellationSuffix = "!";
 
 /** An accepted job as stored: the unchanged body, the id and queue from its path, the team of its key. */
@@ -62,8 +65,9 @@
     std::string address; // for peers
     std::uint64_t incarnation = 0; // of the leader's process
     std::uint64_t sequence = 0; // of the last commit
+    int format = storedFormat; // of all rows of the cell; 0: a release before it was stored
     double largestShare = 0; // largest processor share of the eligible nodes
-    std::size_t nodeCount = 0; // nodes that probed the leader recently
+    std::size_t candidateCount = 0; // eligible nodes with about that share
 
     bool operator==(const LeadershipRecord&) const = default;
 };
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -296,8 +296,16 @@
         for (const auto& [key, run] : incarnation.runs)
             ++counts.runs[run.isStopRequested ? "stopping" : phaseNames[static_cast<std::size_t>(run.phase)]];
     }
-    for (const auto* step : m_impl->readySteps)
+    for (const auto* step : m_impl->readySteps) {
         counts.waitingTasks += static_cast<std::size_t>(step->waiting);
+        if (step->queue && step->queue->priority == 0)
+            counts.waitingUrgentTasks += static_cast<std::size_t>(step->waiting);
+    }
+    counts.approvalsInFlight = m_impl->approvalsInFlight.size();
+    for (const auto& [service, pool] : m_impl->pools) {
+        counts.totalCpuMilli += pool.totalCpu;
+        counts.usedCpuMilli += pool.usedCpu;
+    }
     counts.uncommittedJobs = m_impl->dirtyJobs.size();
     counts.teamUsage = m_impl->teamUsage;
     return counts;
--- a/src/fleet/JobRecord.cpp
+++ b/src/fleet/JobRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "core/JsonText.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace quay::fleet {
@@ -10,8 +11,9 @@
 
 namespace {
 
-constexpr std::size_t taskFieldCount = 9;
-constexpr std::size_t bytesPerTask = 80; // a little above the usual size
+// Release 0.1 stored the executor's id and start in each task instead of an index into "executors".
+constexpr std::size_t selfContainedTaskFields = 9;
+constexpr std::size_t bytesPerTask = 40; // a little above the usual size
 
 // Appends ascending indexes as ranges [first, last, first, last, ...], so a complete step of 40 tasks takes
 // two numbers.
@@ -39,7 +41,7 @@
     return indexes;
 }
 
-TaskRecord decodeTask(const json::array& fields)
+TaskRecord decodeTask(const json::array& fields, const json::array& executors)
 {
     TaskRecord task;
     task.occurrence = fields.at(0).to_number<int>();
@@ -48,9 +50,17 @@
     task.run = fields.at(3).to_number<int>();
     task.failures = fields.at(4).to_number<int>();
     task.isAssigned = fields.at(5).to_number<int>() != 0;
-    task.executor = std::string(fields.at(6).as_string());
-    task.executorStartedUnixMs = fields.at(7).to_number<std::int64_t>();
-    task.checkpoint = std::string(fields.at(taskFieldCount - 1).as_string());
+    if (fields.size() == selfContainedTaskFields) {
+        task.executor = std::string(fields.at(6).as_string());
+        task.executorStartedUnixMs = fields.at(7).to_number<std::int64_t>();
+        task.checkpoint = std::string(fields.at(8).as_string());
+        return task;
+    }
+    const auto& executor = executors.at(fields.at(6).to_number<std::size_t>()).as_array();
+    task.executor = std::string(executor.at(0).as_string());
+    task.executorStartedUnixMs = executor.at(1).to_number<std::int64_t>();
+    if (fields.size() > 7)
+        task.checkpoint = std::string(fields.at(7).as_string());
     return task;
 }
 
@@ -58,18 +68,34 @@
 
 std::string encode(const JobRecord& record)
 {
-    std::string json = "{\"phase\":" + std::to_string(static_cast<int>(record.phase)) + ",\"tasks\":[";
-    json.reserve(json.size() + record.tasks.size() * bytesPerTask);
+    std::vector<std::pair<std::string_view, std::int64_t>> executors;
+    std::string tasks;
+    tasks.reserve(record.tasks.size() * bytesPerTask);
     for (const auto& it : record.tasks) {
-        json += &it == record.tasks.data() ? "[" : ",[";
+        const std::pair<std::string_view, std::int64_t> executor { it.executor, it.executorStartedUnixMs };
+        const auto found = std::find(executors.begin(), executors.end(), executor);
+        const auto index = found - executors.begin();
+        if (found == executors.end())
+            executors.push_back(executor);
+        tasks += &it == record.tasks.data() ? "[" : ",[";
         for (const int number :
             { it.occurrence, it.step, it.index, it.run, it.failures, it.isAssigned ? 1 : 0 })
-            json.append(std::to_string(number)).append(1, ',');
-        appendJsonText(json, it.executor);
-        json.append(1, ',').append(std::to_string(it.executorStartedUnixMs)).append(1, ',');
-        appendJsonText(json, it.checkpoint);
-        json += ']';
+            tasks.append(std::to_string(number)).append(1, ',');
+        tasks += std::to_string(index);
+        if (!it.checkpoint.empty()) {
+            tasks += ',';
+            appendJsonText(tasks, it.checkpoint);
+        }
+        tasks += ']';
+    }
+    std::string json = "{\"phase\":" + std::to_string(static_cast<int>(record.phase)) + ",\"executors\":[";
+    json.reserve(json.size() + executors.size() * bytesPerTask + tasks.size());
+    for (const auto& it : executors) {
+        json += &it == executors.data() ? "[" : ",[";
+        appendJsonText(json, it.first);
+        json.append(1, ',').append(std::to_string(it.second)).append(1, ']');
     }
+    json.append("],\"tasks\":[").append(tasks);
     json += "],\"done\":[";
     for (const auto& it : record.done) {
         json += (&it == record.done.data() ? "[" : ",[") + std::to_string(it.occurrence) + ','
@@ -90,8 +116,10 @@
         if (phase < 0 || phase > static_cast<int>(JobPhase::Cancelled))
             return fail(reason, ErrorKind::MalformedRequest, "job record: unknown phase");
         record.phase = static_cast<JobPhase>(phase);
+        const auto* executors = object.if_contains("executors");
         for (const auto& it : object.at("tasks").as_array())
-            record.tasks.push_back(decodeTask(it.as_array()));
+            record.tasks.push_back(
+                decodeTask(it.as_array(), executors ? executors->as_array() : json::array()));
         for (const auto& it : object.at("done").as_array()) {
             const auto& fields = it.as_array();
             record.done.push_back(DoneRecord { fields.at(0).to_number<int>(), fields.at(1).to_number<int>(),
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -1,6 +1,7 @@
 #include "fleet/SchedulerState.h"
 
 #include <algorithm>
+#include <limits>
 
 // Tracks the steps and occurrences of jobs, and builds commits from their records.
 namespace quay::fleet {
@@ -11,6 +12,7 @@
 
 // A transaction of the store holds 100 entries and 1 MB, which commits share with newly accepted jobs.
 constexpr std::size_t maxRecordsPerCommit = 80;
+constexpr std::uint64_t maxCommitsPassedOver = 4;
 constexpr std::size_t maxBytesPerCommit = 400'000; // before base64, which adds a third
 constexpr auto expiryInterval = 5s;
 constexpr std::size_t maxJobsPerExpiry = 4;
@@ -199,9 +201,31 @@
     if (job.isDirty)
         return;
     job.isDirty = true;
+    job.dirtySince = nextCommit;
     dirtyJobs.push_back(&job);
 }
 
+// If there are more changes than a commit holds, those of the highest priority come first: a person waits for
+// each of them. A job that some commits have passed over comes before all.
+void FleetScheduler::Impl::orderDirtyJobs()
+{
+    if (dirtyJobs.size() <= maxRecordsPerCommit)
+        return;
+    const auto rank = [this](const JobState* job) {
+        if (nextCommit - job->dirtySince >= maxCommitsPassedOver)
+            return std::numeric_limits<int>::min();
+        const auto* queue = configuration.queueNamed(job->request.queue);
+        return queue ? queue->priority : std::numeric_limits<int>::max();
+    };
+    std::vector<std::pair<int, JobState*>> ranked;
+    ranked.reserve(dirtyJobs.size());
+    for (auto* it : dirtyJobs)
+        ranked.emplace_back(rank(it), it);
+    std::stable_sort(
+        ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::transform(ranked.begin(), ranked.end(), dirtyJobs.begin(), [](const auto& it) { return it.second; });
+}
+
 JobRecord FleetScheduler::Impl::recordOf(const JobState& job) const
 {
     JobRecord record;
@@ -306,6 +330,7 @@
         if (!incarnations[number].isClosed)
             batch.acknowledgements.emplace_back(number, incarnations[number].processedEnds);
     }
+    orderDirtyJobs();
     std::size_t bytes = 0;
     std::size_t taken = 0;
     while (taken < dirtyJobs.size() && taken < maxRecordsPerCommit && bytes < maxBytesPerCommit) {
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -85,6 +85,7 @@
     Instant deadline; // of the objective
     bool hasStarted = false; // an executor is known to have started one of its tasks
     bool isDirty = false; // its record has changed since the last commit was built
+    std::uint64_t dirtySince = 0; // number of the first commit that could have contained the change
     bool isExpired = false; // past its retention
     bool isBeingRemoved = false; // the next commit with this job deletes its record
 };
@@ -237,6 +238,7 @@
     void markDirty(JobState& job);
     JobRecord recordOf(const JobState& job) const;
     void expireFinishedJobs(Instant now, SchedulerActions& actions);
+    void orderDirtyJobs();
     void buildCommit(SchedulerActions& actions);
 
     // Executors (SchedulerExecutors.cpp)
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -458,6 +458,31 @@
     CHECK(platform.violations().empty());
 }
 
+TEST_CASE("upgrade in steps: a node does not lead where rows are stored in a later format than it knows")
+{
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    const edge::StoredJob job { jobId(1), "q", "t", twoStepJob };
+    platform.writeRow(edge::jobTable, edge::cellPartition, job.id, edge::encode(job));
+    edge::LeadershipRecord later { "n99", "127.0.0.1:1", 7, 0, edge::storedFormat + 1 };
+    for (const bool isVacant : { false, true }) {
+        CAPTURE(isVacant);
+        later.node = isVacant ? "" : "n99";
+        platform.writeRow(
+            edge::leadershipTable, edge::cellPartition, edge::leadershipKey, edge::encode(later));
+        Node node(18, platform.storeAddress());
+        waitFor("the node has seen the format",
+            [&] { return node.metricsPage().find("\nquay_may_lead 0\n") != std::string::npos; });
+        CHECK_FALSE(node.isLeader());
+    }
+    CHECK(platform.startedRuns() == 0);
+    later.format = edge::storedFormat;
+    platform.writeRow(edge::leadershipTable, edge::cellPartition, edge::leadershipKey, edge::encode(later));
+    Node node(18, platform.storeAddress());
+    waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
+    CHECK(platform.startedRuns() == 7);
+}
+
 TEST_CASE("malformed requests on every port of a node are refused and leave it running")
 {
     standin::FleetPlatform platform(2);
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -199,9 +199,17 @@
     record.tasks = { { 0, 1, 2, 3, 1, true, "i-1", 1000, "c" }, { 0, 0, 4, 1, 0, false, "", 0, "" } };
     record.done = { { 0, 0, { 0, 1, 2, 5, 7, 8 } } };
     CHECK(decodeJobRecord(encode(record), reason) == record);
+    // As release 0.1 stored it, which nodes of a later release have to read.
+    const auto earlier = decodeJobRecord(
+        R"({"phase":1,"tasks":[[0,1,2,3,1,1,"i-1",1000,"c"],[0,0,4,1,0,0,"",0,""]],"done":[[0,0,[0,2,5,5,7,8]]]})",
+        reason);
+    CHECK(earlier == record);
+    CHECK_FALSE(decodeJobRecord(R"({"phase":1,"tasks":[[0,1,2,3,1,1,0]],"done":[]})", reason));
+    CHECK_FALSE(decodeJobRecord(
+        R"({"phase":1,"executors":[["i-1",1000]],"tasks":[[0,1,2,3,1,1,1]],"done":[]})", reason));
     const edge::StoredJob job { validJobId, "q", "t", R"({"spec":"\u0000é"})" };
     CHECK(edge::decodeStoredJob(encode(job), reason) == job);
-    const edge::LeadershipRecord lead { "n", "a:1", 1ULL << 50U, 9, 0.5 };
+    const edge::LeadershipRecord lead { "n", "a:1", 1ULL << 50U, 9, 3, 0.5, 4 };
     CHECK(edge::decodeLeadershipRecord(encode(lead), reason) == lead);
     for (const char* bad : { "", "{}", "[]", R"({"phase":9,"tasks":[],"done":[]})" }) {
         CHECK_FALSE(decodeJobRecord(bad, reason));
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -1,6 +1,7 @@
 #include "FleetSimulation.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace quay;
 using namespace quay::fleet;
@@ -42,6 +43,19 @@
         FAIL_CHECK(it);
 }
 
+// Adds jobs that start at once to a scheduler whose queues are "urgent" (priority 0) and "batch" (priority
+// 2).
+void submitJobs(FleetScheduler& scheduler, const char* queue, int firstNumber, int count, Instant now)
+{
+    for (int i = 0; i < count; ++i) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", firstNumber + i);
+        auto request = jobOf(id, 1, { 10, 1, 0 });
+        request.queue = queue;
+        scheduler.submit(request, now);
+    }
+}
+
 // A scheduler with one executor that answered a heartbeat, and one job whose start is durable but not sent.
 struct SingleStart {
     SingleStart()
@@ -435,3 +449,37 @@
         CHECK((heartbeats[0].leaseUntilClockMs > 0) == row.isRenewed);
     }
 }
+
+TEST_CASE("burst beyond what a commit holds: urgent jobs are in the first commit, and batch jobs wait for "
+          "few of them")
+{
+    SingleStart fleet;
+    FleetConfiguration configuration;
+    configuration.queues = { { "urgent", "h", "/u", "service", 0, 3, 1, 300, true, {} },
+        { "batch", "h", "/b", "service", 2, 3, 1, 300, true, {} } };
+    fleet.scheduler.configure(configuration);
+    constexpr int batchJobs = 150;
+    constexpr int urgentJobsEach = 60; // between two commits
+    submitJobs(fleet.scheduler, "batch", 0x1000, batchJobs, fleet.now);
+    std::set<std::string> batchWaiting;
+    for (int i = 0; i < batchJobs; ++i) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", 0x1000 + i);
+        batchWaiting.insert(id);
+    }
+    int commits = 0;
+    for (int number = 0x2000; !batchWaiting.empty() && commits < 20; number += urgentJobsEach) {
+        submitJobs(fleet.scheduler, "urgent", number, urgentJobsEach, fleet.now);
+        fleet.now += 40ms;
+        const auto actions = fleet.pump();
+        REQUIRE(actions.commit);
+        ++commits;
+        int urgent = 0;
+        for (const auto& [id, record] : actions.commit->records)
+            batchWaiting.erase(id) == 0 ? ++urgent : 0;
+        if (commits == 1)
+            CHECK(urgent >= urgentJobsEach);
+        fleet.scheduler.committed(actions.commit->number, fleet.now, fleet.now);
+    }
+    CHECK(batchWaiting.empty());
+}
