Fuzz targets for the nodes on the platform; rows and jobs with unbounded numbers can't take a leader down

Found by the new targets and by reading what they call: - The rows of accepted jobs were not validated when a leader read them: one row with 2,147,483,647 tasks (of another release, or written by hand) would have made each leader in turn allocate them. They are validated now, and skipped with job_unreadable. - A caller could submit a job with 2,000,000,000 occurrences at an interval of 0: the leader opened all of them in one round, and each successor again. Its record listed each done occurrence, so that some 3,000 of them outgrew a row of the store, and every commit that contained it would have been refused. Now at most 10,000 occurrences a job, only as many open at a time as their tasks fit a record, complete ones are recorded as ranges, and times are bounded so that due times don't overflow.

Targets: stored rows, messages of the platform, messages between nodes, and a scheduler that restores a job and hears of an executor, whatever both say. FuzzSeedsTest feeds them seeded mutations.

--- a/include/quay/fleet/JobRecord.h
+++ b/include/quay/fleet/JobRecord.h
@@ -39,6 +39,8 @@
     JobPhase phase = JobPhase::Queued;
     std::vector<TaskRecord> tasks;
     std::vector<DoneRecord> done;
+    // Occurrences of a scheduled job that are complete, ascending; `tasks` and `done` don't contain them.
+    std::vector<int> doneOccurrences;
 
     bool operator==(const JobRecord&) const = default;
 };
--- a/include/quay/fleet/JobRequest.h
+++ b/include/quay/fleet/JobRequest.h
@@ -54,6 +54,8 @@
 constexpr int maxStepsPerJob = 64;
 // A record takes about 70 bytes per task, and a row of the store holds 64 KB.
 constexpr int maxTasksPerJob = 900;
+constexpr int maxOccurrencesPerJob = 10'000; // each takes about a kilobyte of a leader's memory
+constexpr std::int64_t maxUnixMs = 4'102'444'800'000; // the year 2100
 constexpr std::size_t jobIdDigits = 16;
 
 /** True for 16 hexadecimal digits. */
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -47,6 +47,8 @@
     request->id = job.id;
     request->queue = job.queue;
     request->team = job.team;
+    if (!validate(*request, reason)) // a row may have been written by something else than a node
+        return std::nullopt;
     return request;
 }
 
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -58,9 +58,11 @@
     auto& job = m_impl->addJob(request, now);
     job.phase = job.durablePhase = record.phase;
     // A recorded run may not have started yet; this is known only from its executor's report.
-    job.hasStarted = !record.done.empty()
+    job.hasStarted = !record.done.empty() || !record.doneOccurrences.empty()
         || std::any_of(record.tasks.begin(), record.tasks.end(),
             [](const TaskRecord& task) { return task.failures > 0; });
+    if (request.occurrences > 0)
+        job.doneOccurrences.insert(record.doneOccurrences.begin(), record.doneOccurrences.end());
     if (request.occurrences > 0 && !isFinal(record.phase)) {
         for (const auto& task : record.tasks) {
             if (!job.occurrences.count(task.occurrence))
--- a/src/fleet/JobRecord.cpp
+++ b/src/fleet/JobRecord.cpp
@@ -30,12 +30,12 @@
     json += ']';
 }
 
-std::vector<int> decodeRanges(const json::array& ranges)
+std::vector<int> decodeRanges(const json::array& ranges, int endValue)
 {
     std::vector<int> indexes;
     for (std::size_t i = 0; i + 1 < ranges.size(); i += 2) {
         const int last = ranges[i + 1].to_number<int>();
-        for (int index = ranges[i].to_number<int>(); index <= last && last < maxTasksPerJob; ++index)
+        for (int index = ranges[i].to_number<int>(); index <= last && last < endValue; ++index)
             indexes.push_back(index);
     }
     return indexes;
@@ -103,7 +103,12 @@
         appendRanges(json, it.indexes);
         json += ']';
     }
-    return json + "]}";
+    json += ']';
+    if (!record.doneOccurrences.empty()) {
+        json += ",\"occurrences\":";
+        appendRanges(json, record.doneOccurrences);
+    }
+    return json + '}';
 }
 
 std::optional<JobRecord> decodeJobRecord(const std::string& bytes, Reason& reason)
@@ -123,8 +128,10 @@
         for (const auto& it : object.at("done").as_array()) {
             const auto& fields = it.as_array();
             record.done.push_back(DoneRecord { fields.at(0).to_number<int>(), fields.at(1).to_number<int>(),
-                decodeRanges(fields.at(2).as_array()) });
+                decodeRanges(fields.at(2).as_array(), maxTasksPerJob) });
         }
+        if (const auto* occurrences = object.if_contains("occurrences"))
+            record.doneOccurrences = decodeRanges(occurrences->as_array(), maxOccurrencesPerJob);
         return record;
     } catch (const std::exception& error) {
         return fail(reason, ErrorKind::MalformedRequest, std::string("job record: ") + error.what());
--- a/src/fleet/JobRequest.cpp
+++ b/src/fleet/JobRequest.cpp
@@ -53,8 +53,14 @@
     }
     if (tasks > maxTasksPerJob)
         return fail(reason, "a job may have at most " + std::to_string(maxTasksPerJob) + " tasks");
-    if (request.occurrences < 0 || (request.occurrences > 0 && request.intervalMs < 0))
-        return fail(reason, "the number or the interval of occurrences is below zero");
+    if (request.occurrences < 0 || request.intervalMs < 0 || request.firstDueUnixMs < 0)
+        return fail(reason, "the number, the interval or the first time of occurrences is below zero");
+    if (request.occurrences > maxOccurrencesPerJob)
+        return fail(reason,
+            "a job may have at most " + std::to_string(maxOccurrencesPerJob)
+                + " occurrences; submit several");
+    if (request.firstDueUnixMs > maxUnixMs || request.intervalMs > maxUnixMs)
+        return fail(reason, "the first time or the interval of occurrences is beyond the year 2100");
     return true;
 }
 
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -17,6 +17,15 @@
 constexpr auto expiryInterval = 5s;
 constexpr std::size_t maxJobsPerExpiry = 4;
 
+// Bounds the tasks of open occurrences, which a record has to hold: those that are due beyond it wait.
+std::size_t maxOpenOccurrences(const JobRequest& request)
+{
+    int tasks = 0;
+    for (const auto& step : request.steps)
+        tasks += step.taskCount;
+    return static_cast<std::size_t>(std::max(1, maxTasksPerJob / std::max(1, tasks)));
+}
+
 // Returns for each step the sum of the estimates on the longest path from it to the end of the job.
 std::vector<int> criticalPaths(const JobRequest& request)
 {
@@ -56,6 +65,7 @@
 
 void FleetScheduler::Impl::openOccurrence(JobState& job, int number, Instant now)
 {
+    ++job.openOccurrences;
     auto& occurrence = job.occurrences[number];
     const auto lengths = criticalPaths(job.request);
     for (std::size_t i = 0; i < job.request.steps.size(); ++i) {
@@ -76,7 +86,9 @@
 {
     for (auto* job : scheduledJobs) {
         const auto& request = job->request;
+        const auto limit = maxOpenOccurrences(request);
         while (!isFinal(job->phase) && job->nextOccurrence < request.occurrences
+            && job->openOccurrences < limit
             && unixMs >= request.firstDueUnixMs + request.intervalMs * job->nextOccurrence) {
             const int number = job->nextOccurrence++;
             if (job->doneOccurrences.count(number) == 0 && job->occurrences.count(number) == 0) {
@@ -157,8 +169,10 @@
         updateReadySteps(job, it->first, now);
         occurrence.isDone = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
             [](const auto& step) { return step->isComplete(); });
-        if (occurrence.isDone)
+        if (occurrence.isDone) {
             job.doneOccurrences.insert(it->first);
+            --job.openOccurrences;
+        }
     }
     const auto wanted = static_cast<std::size_t>(std::max(1, job.request.occurrences));
     if (job.doneOccurrences.size() >= wanted)
@@ -232,7 +246,10 @@
     record.phase = job.phase;
     if (isFinal(job.phase) && job.phase == JobPhase::Completed)
         return record; // the tasks of a completed job are not needed any more
+    record.doneOccurrences.assign(job.doneOccurrences.begin(), job.doneOccurrences.end());
     for (const auto& [number, occurrence] : job.occurrences) {
+        if (occurrence.isDone && job.request.occurrences > 0)
+            continue;
         for (const auto& step : occurrence.steps) {
             DoneRecord done { number, step->number, {} };
             for (std::size_t i = 0; i < step->tasks.size(); ++i) {
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -79,7 +79,8 @@
     JobPhase durablePhase = JobPhase::Queued; // the phase that callers see
     std::map<int, Occurrence> occurrences; // those that are due; a job without a schedule has one
     int nextOccurrence = 0;
-    std::set<int> doneOccurrences; // of a scheduled job
+    std::set<int> doneOccurrences;
+    std::size_t openOccurrences = 0; // of `occurrences`, those that are not done
     Instant acceptedAt;
     Instant finishedAt;
     Instant deadline; // of the objective
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -414,6 +414,9 @@
         platform.writeRow(edge::jobTable, edge::cellPartition, job.id, edge::encode(job));
         platform.writeRow(edge::recordTable, edge::cellPartition, job.id, bytes);
         platform.writeRow(edge::jobTable, edge::cellPartition, jobId(200 + number), bytes);
+        platform.writeRow(edge::jobTable, edge::cellPartition, jobId(300 + number),
+            encode(edge::StoredJob {
+                jobId(300 + number), "q", "t", R"({"steps":[{"count":2147483647}],"times":2147483647})" }));
         platform.writeRow("servers", {}, "i-bad" + std::to_string(number), bytes);
     }
     platform.writeRow(edge::jobTable, edge::cellPartition, std::string(150, 'z'), "x");
--- a/tests/contract/FuzzSeedsTest.cpp
+++ b/tests/contract/FuzzSeedsTest.cpp
@@ -1,8 +1,12 @@
 #include "cores/SeededRandom.h"
+#include "edge/JobRows.h"
+#include "edge/PeerClient.h"
+#include "edge/RelayCodec.h"
 #include "fuzz/Fuzz.h"
 #include "peer.pb.h"
 #include "quay/core/ConfigCompiler.h"
 #include "quay/core/Job.h"
+#include "quay/fleet/JobRecord.h"
 #include "quay/telemetry/Trace.h"
 #include "tableservice/ServerListCodec.h"
 #include "tableservice/TableCodec.h"
@@ -84,6 +88,63 @@
     return { ask.SerializeAsString(), job.SerializeAsString(), answer.SerializeAsString() };
 }
 
+const std::string twoSteps
+    = R"({"spec":"s","steps":[{"count":3,"cpu":1000,"memMb":64,"gang":true},{"count":2,"cpu":500,"after":[0],"longRunning":true}]})";
+
+fleet::JobRecord halfDoneRecord()
+{
+    fleet::JobRecord record;
+    record.phase = fleet::JobPhase::Running;
+    record.tasks = { { 0, 1, 0, 3, 1, true, "i-1", 1000, "c" }, { 0, 1, 1, 1, 0, false, "", 0, "" } };
+    record.done = { { 0, 0, { 0, 1, 2 } } };
+    return record;
+}
+
+std::vector<std::string> storedRows()
+{
+    return { encode(halfDoneRecord()), encode(edge::StoredJob { "00000000000000aa", "q", "t", twoSteps }),
+        encode(edge::LeadershipRecord { "n", "a:1", 7, 9, edge::storedFormat, 0.5, 4 }) };
+}
+
+std::vector<std::string> platformMessages()
+{
+    return {
+        twoSteps,
+        R"({"version":7,"routes":[{"name":"q","host":"h","prefix":"/q/","service":"s","attempts":3,"sloMs":300,"advice":{"decisionMs":1,"perItemMs":0.1,"validMs":2000}}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["key"],"weight":1,"maxCount":{"cpu":1}}]})",
+        R"({"service":"s","address":"a:1","zone":"z","state":"ready","born":1000,"capacity":{"cpu":32000,"memMb":65536},"labels":["a","r1"]})",
+        R"({"clockMs":5,"born":1000,"running":[["00000000000000aa.0.1.0",3,"c",50,7]],"finished":[[1,"00000000000000aa.0.1.1",1,"done",""]]})",
+        R"({"node":"n","ip":"10.0.0.1","zone":"z","listen":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2"},"portRange":[7420,7435],"limits":{"cpuShare":0.25},"bounds":{"maxHoldMs":6000,"stopMs":900,"graceS":6,"status_s":120},"advice":"10.0.0.2:1","platform":{"address":"10.0.0.3:1","rowBytes":65536}})"
+    };
+}
+
+std::vector<std::string> nodeMessages()
+{
+    edge::RelayRequest request { 7, 10ms, { {} } };
+    request.calls[0].number = 3;
+    request.calls[0].order.task = { "00000000000000aa", 0, 1, 2 };
+    edge::RelayResult result;
+    result.number = 3;
+    result.response.report
+        = fleet::ExecutorReport { 5, 1000, { { { "00000000000000aa", 0, 1, 2 }, 1, "c", 50, 7 } }, {} };
+    edge::LeaderStatus status;
+    status.isAnswered = status.isLeader = true;
+    status.pending = { { "q", 3 } };
+    return { encode(edge::LeaderProbe { "n", "a:1", "z", 0.5 }), encode(status),
+        edge::encodeApprovalRequest("00000000000000aa.0.1", { "i-1" }, 100ms), edge::encode(request),
+        edge::encode(std::vector { result }) };
+}
+
+std::vector<std::string> schedulerInputs()
+{
+    const std::string divider = "\n=\n";
+    const std::string report
+        = R"({"clockMs":5,"born":1000,"running":[["00000000000000aa.0.1.0",3,"c",50,7]],"finished":[[1,"00000000000000aa.0.1.1",1,"failed",""]]})";
+    return { twoSteps + divider + encode(halfDoneRecord()) + divider + report + divider + report,
+        twoSteps + divider + "none" + divider + report,
+        R"({"spec":"s","steps":[{"count":1}],"times":20,"firstMs":1,"intervalMs":10})" + divider
+            + R"({"phase":1,"tasks":[],"done":[],"occurrences":[0,3,5,5]})" };
+}
+
 std::vector<FuzzCase> fuzzCases()
 {
     const std::string settings = "name = \"e1\"\ndomain = \"d1\"\nlisten = \"127.0.0.1:0\"\n"
@@ -100,6 +161,10 @@
         { "transaction", fuzzTransaction, tableBodies() },
         { "VM list", fuzzServerList, { serverList() } },
         { "peer envelope", fuzzPeerEnvelope, envelopes() },
+        { "stored rows", fuzzStoredRows, storedRows() },
+        { "platform messages", fuzzPlatformMessages, platformMessages() },
+        { "messages between nodes", fuzzNodeMessages, nodeMessages() },
+        { "scheduler", fuzzScheduler, schedulerInputs() },
     };
 }
 
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -199,6 +199,9 @@
     record.tasks = { { 0, 1, 2, 3, 1, true, "i-1", 1000, "c" }, { 0, 0, 4, 1, 0, false, "", 0, "" } };
     record.done = { { 0, 0, { 0, 1, 2, 5, 7, 8 } } };
     CHECK(decodeJobRecord(encode(record), reason) == record);
+    auto scheduled = record;
+    scheduled.doneOccurrences = { 0, 1, 2, 5, 9998, 9999 };
+    CHECK(decodeJobRecord(encode(scheduled), reason) == scheduled);
     // As release 0.1 stored it, which nodes of a later release have to read.
     const auto earlier = decodeJobRecord(
         R"({"phase":1,"tasks":[[0,1,2,3,1,1,"i-1",1000,"c"],[0,0,4,1,0,0,"",0,""]],"done":[[0,0,[0,2,5,5,7,8]]]})",
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -1,6 +1,7 @@
 #include "FleetSimulation.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <set>
 
 using namespace quay;
@@ -269,6 +270,59 @@
     checkNoViolation(simulation);
 }
 
+TEST_CASE(
+    "ten thousand occurrences are due at once: few are open at a time, and each runs once across takeovers")
+{
+    FleetSimulation simulation(8, 3);
+    auto request = jobOf(jobA, 3, { 10, 1, 0 });
+    request.occurrences = maxOccurrencesPerJob;
+    std::map<TaskRef, int> starts;
+    simulation.behaviour = [&](const TaskRef& task, int) {
+        ++starts[task];
+        FakeRun run;
+        run.endsAt = simulation.now + 20ms;
+        return run;
+    };
+    simulation.submit(request);
+    for (int i = 0; i < 4; ++i) {
+        simulation.run(1s);
+        CHECK(simulation.scheduler->counts().waitingTasks <= static_cast<std::size_t>(maxTasksPerJob));
+        simulation.takeover();
+    }
+    CHECK(starts.size() > 3 * 100);
+    CHECK(std::all_of(starts.begin(), starts.end(), [](const auto& it) { return it.second == 1; }));
+    checkNoViolation(simulation);
+    CHECK(simulation.largestRecord() < 64'000); // the size of a row
+}
+
+TEST_CASE("requests with occurrences that can't be kept are refused")
+{
+    struct Row {
+        const char* name;
+        int occurrences;
+        std::int64_t firstDueUnixMs;
+        std::int64_t intervalMs;
+        bool isValid;
+    };
+    const Row rows[] = {
+        { "the limit", maxOccurrencesPerJob, 0, 0, true },
+        { "too many", maxOccurrencesPerJob + 1, 0, 0, false },
+        { "below zero", -1, 0, 0, false },
+        { "an interval that overflows", 10, 0, std::numeric_limits<std::int64_t>::max(), false },
+        { "a time that overflows", 10, std::numeric_limits<std::int64_t>::max(), 1, false },
+        { "a time below zero", 10, -1, 1, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        auto request = jobOf(jobA, 1);
+        request.occurrences = row.occurrences;
+        request.firstDueUnixMs = row.firstDueUnixMs;
+        request.intervalMs = row.intervalMs;
+        Reason reason;
+        CHECK(validate(request, reason) == row.isValid);
+    }
+}
+
 TEST_CASE("a gang starts all members or none, and a failed member ends the run of all members")
 {
     FleetSimulation simulation(6, 2); // capacity for 16 tasks of one core
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -368,6 +368,14 @@
     scheduler->executorDeregistered(id, now);
 }
 
+std::size_t FleetSimulation::largestRecord() const
+{
+    std::size_t largest = 0;
+    for (const auto& [id, record] : m_records)
+        largest = std::max(largest, record.size());
+    return largest;
+}
+
 std::size_t FleetSimulation::runsOf(const TaskRef& task) const
 {
     return static_cast<std::size_t>(std::count_if(executors.begin(), executors.end(),
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -78,6 +78,7 @@
     /** Drains the executor. It exits after `after`: its runs end, it deregisters and closes its port. */
     void drainAndLeave(const std::string& id, Duration after);
     std::size_t runsOf(const TaskRef& task) const;
+    std::size_t largestRecord() const;
     JobPhase phase(const std::string& job) const;
     /** When the store applied the last commit. */
     Instant lastCommit() const { return m_lastCommit; }
--- a/tests/fuzz/Fuzz.h
+++ b/tests/fuzz/Fuzz.h
@@ -39,4 +39,8 @@
 int fuzzTransaction(const std::uint8_t* data, std::size_t size);
 int fuzzServerList(const std::uint8_t* data, std::size_t size);
 int fuzzPeerEnvelope(const std::uint8_t* data, std::size_t size);
+int fuzzStoredRows(const std::uint8_t* data, std::size_t size);
+int fuzzPlatformMessages(const std::uint8_t* data, std::size_t size);
+int fuzzNodeMessages(const std::uint8_t* data, std::size_t size);
+int fuzzScheduler(const std::uint8_t* data, std::size_t size);
 }
--- /dev/null
+++ b/tests/fuzz/FuzzNodeMessages.cpp
@@ -0,0 +1,38 @@
+#include "edge/PeerClient.h"
+#include "edge/RelayCodec.h"
+#include "fuzz/Fuzz.h"
+
+using namespace quay;
+
+// What nodes send to each other; the sender may run any release.
+int fuzzNodeMessages(const std::uint8_t* data, std::size_t size)
+{
+    const auto bytes = fuzz::toText(data, size);
+    int parsed = 0;
+    if (const auto probe = edge::decodeLeaderProbe(bytes)) {
+        fuzz::require(
+            edge::decodeLeaderProbe(encode(*probe)).has_value(), "an accepted probe can be sent again");
+        parsed = 1;
+    }
+    if (const auto status = edge::decodeLeaderStatus(bytes)) {
+        fuzz::require(
+            edge::decodeLeaderStatus(encode(*status)) == status, "decode(encode(status)) == status");
+        parsed = 1;
+    }
+    std::string step;
+    std::vector<std::string> workers;
+    Duration timeout {};
+    if (edge::decodeApprovalRequest(bytes, step, workers, timeout))
+        parsed = 1;
+    if (const auto request = edge::decodeRelayRequest(bytes)) {
+        const auto again = edge::decodeRelayRequest(encode(*request));
+        fuzz::require(again && again->calls.size() == request->calls.size(), "calls survive encoding");
+        parsed = 1;
+    }
+    if (const auto results = edge::decodeRelayResults(bytes)) {
+        const auto again = edge::decodeRelayResults(encode(*results));
+        fuzz::require(again && again->size() == results->size(), "results survive encoding");
+        parsed = 1;
+    }
+    return parsed;
+}
