--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -9,6 +9,7 @@
 constexpr auto timeStep = 5ms;
 constexpr auto messageDelay = 3ms;
 constexpr auto commitDelay = 15ms;
+constexpr auto idleCommitInterval = 200ms;
 constexpr auto approvalDelay = 30ms;
 constexpr auto ticketValidity = 2s;
 constexpr auto answerTimeout = 700ms;
@@ -119,6 +120,10 @@
             action();
         }
         advanceExecutors();
+        if (hasIdleCommits && isStoreAvailable && now - m_lastCommit >= idleCommitInterval) {
+            m_lastCommit = now;
+            scheduler->committed(0, now, now);
+        }
         SchedulerActions actions;
         scheduler->pump(now, toMilliseconds(now.time_since_epoch()), actions);
         perform(actions);
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -59,6 +59,7 @@
     std::map<std::string, FakeExecutor> executors; // by id
     int startedRuns = 0;
     bool isStoreAvailable = true;
+    bool hasIdleCommits = false; // the leader's heartbeats in the store, which let leases be renewed
     std::set<std::string> approved; // executors that the approval service approves
     int approvalCalls = 0;
 
