Fleet: the tasks of a job that ends share a failure domain

Each job prefers a domain by the hash of its id: executors there are named first in calls for approval and chosen first, others fill what is left. Long-running steps stay spread.

--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -151,6 +151,7 @@
     if (entry.startedUnixMs == 0)
         incarnation->entry.startedUnixMs = previousStart;
     incarnation->rack = rackOf(entry);
+    incarnation->domain = m_impl->domainIndex(entry.zone);
     incarnation->isRegistered = true;
     m_impl->updatePool(*incarnation);
     m_impl->isPlacementDue = true;
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -82,7 +82,8 @@
         return isBelowLimit(number) && isCandidate(step, incarnations[number], demand, now);
     };
     // An approval is final and only its ticket expires, so approved executors come first to have their
-    // tickets renewed. Then come undecided ones, those with the most free CPU first.
+    // tickets renewed. Then come undecided ones, those of the job's failure domain before others, and of each
+    // those with the most free CPU first.
     std::vector<IncarnationId> chosen;
     std::vector<IncarnationId> full; // approved, and usable once there is room
     for (const auto& [number, ticket] : step.tickets) {
@@ -101,20 +102,28 @@
             return std::pair(incarnations[a].pooledFreeCpu, a) > std::pair(incarnations[b].pooledFreeCpu, b);
         });
         full.resize(std::min(full.size(), maxApprovalBatchSize / 3));
-        for (auto it = pool.byFreeCpu.rbegin();
-             it != pool.byFreeCpu.rend() && (overdue || it->first >= demand.cpuMilli)
-             && chosen.size() + full.size() < maxApprovalBatchSize;
-             ++it) {
-            const bool isUndecided
-                = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
-            if (!overdue && it->first - incarnations[it->second].claimedCpu < demand.cpuMilli)
-                continue; // the room will be taken by the steps that are asking about it already
-            if (isUndecided
-                && (hasRoom(it->second)
-                    || (overdue && isBelowLimit(it->second)
-                        && isUsable(step, incarnations[it->second], now))))
-                chosen.push_back(it->second);
-        }
+        const auto preferred = preferredDomain(step);
+        const auto addUndecided = [&](bool inPreferredDomain) {
+            for (auto it = pool.byFreeCpu.rbegin();
+                 it != pool.byFreeCpu.rend() && (overdue || it->first >= demand.cpuMilli)
+                 && chosen.size() + full.size() < maxApprovalBatchSize;
+                 ++it) {
+                const auto& incarnation = incarnations[it->second];
+                if ((!preferred || incarnation.domain == *preferred) != inPreferredDomain)
+                    continue;
+                if (!overdue && it->first - incarnation.claimedCpu < demand.cpuMilli)
+                    continue; // the room will be taken by the steps that are asking about it already
+                const bool isUndecided
+                    = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
+                if (isUndecided
+                    && (hasRoom(it->second)
+                        || (overdue && isBelowLimit(it->second) && isUsable(step, incarnation, now))))
+                    chosen.push_back(it->second);
+            }
+        };
+        addUndecided(true);
+        if (preferred)
+            addUndecided(false);
         chosen.insert(chosen.end(), full.begin(), full.end());
     }
     if (chosen.empty())
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -30,6 +30,15 @@
     return entry.labels.size() < 2 ? std::string() : entry.labels.back();
 }
 
+std::size_t FleetScheduler::Impl::domainIndex(const std::string& zone)
+{
+    const auto found = std::find(domains.begin(), domains.end(), zone);
+    const auto index = static_cast<std::size_t>(found - domains.begin());
+    if (found == domains.end())
+        domains.push_back(zone);
+    return index;
+}
+
 FleetScheduler::Impl::Incarnation& FleetScheduler::Impl::addIncarnation(
     const ExecutorEntry& entry, Instant now)
 {
@@ -37,6 +46,7 @@
     incarnation.number = static_cast<IncarnationId>(incarnations.size()) - 1;
     incarnation.entry = entry;
     incarnation.rack = rackOf(entry);
+    incarnation.domain = domainIndex(entry.zone);
     incarnation.nextHeartbeat = now;
     incarnation.leaseEndsAt = now;
     return incarnation;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -251,12 +251,22 @@
 // Returns the best executor for a task, or -1. In descending weight: not where the task failed last, on the
 // rack of its data, few other tasks of a long-running step, few recent failures, least CPU left over (best
 // fit).
+// The tasks of a job that ends share a failure domain, so that one that is cut off or lost delays the jobs in
+// it and not nearly all. Long-running steps are spread: each of their tasks counts by itself.
+std::optional<std::size_t> FleetScheduler::Impl::preferredDomain(const StepState& step) const
+{
+    if (step.request().isLongRunning || domains.empty())
+        return std::nullopt;
+    return std::hash<std::string>()(step.job->request.id) % domains.size();
+}
+
 int FleetScheduler::Impl::pickExecutor(const StepState& step, const TaskState& task,
     const std::vector<IncarnationId>& from,
     const std::unordered_map<IncarnationId, int>& perIncarnation) const
 {
     const auto& request = step.request();
     const auto demand = executorDemand(request);
+    const auto preferred = preferredDomain(step);
     int best = -1;
     double bestScore = 0;
     for (IncarnationId number : from) {
@@ -273,6 +283,8 @@
             score += 10'000;
         if (!request.dataRack.empty() && incarnation.rack != request.dataRack)
             score += 1'000;
+        if (preferred && incarnation.domain != *preferred)
+            score += 500;
         if (request.isLongRunning)
             score
                 += 100.0 * tasksOnExecutor; // limits how many tasks of the step the loss of one executor ends
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -148,6 +148,7 @@
     IncarnationId number = -1;
     ExecutorEntry entry;
     std::string rack;
+    std::size_t domain = 0; // index of its failure domain in Impl::domains
     bool isRegistered = false;
     bool isClosed = false;
     bool hasAnswered = false; // with our fencing token, so it refuses orders of earlier leaders
@@ -250,6 +251,7 @@
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
     void closeIncarnation(Incarnation& incarnation);
     void updatePool(Incarnation& incarnation);
+    std::size_t domainIndex(const std::string& zone);
     void evacuate(Incarnation& incarnation, Instant now);
     bool hasExited(const Incarnation& incarnation, OrderResult result) const;
     void applyReport(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
@@ -288,6 +290,7 @@
     void lookUpPolicies(StepState& step) const;
     int pickExecutor(const StepState& step, const TaskState& task, const std::vector<IncarnationId>& from,
         const std::unordered_map<IncarnationId, int>& perIncarnation) const;
+    std::optional<std::size_t> preferredDomain(const StepState& step) const;
     bool fitsQuota(const StepState& step) const;
     void assign(StepState& step, int index, IncarnationId incarnation, int run, Instant now);
     Resources demandOf(const StepRequest& request) const;
@@ -302,6 +305,7 @@
     std::deque<Incarnation> incarnations; // indexed by IncarnationId; closed ones are never erased
     std::unordered_map<std::string, IncarnationId> currentIncarnations; // by executor id
     std::map<std::string, internal::ServicePool> pools; // by service
+    std::vector<std::string> domains; // failure domains of all executors so far
     std::map<std::string, Resources> teamUsage;
     std::set<StepState*> readySteps; // steps with waiting tasks
     std::vector<JobState*> scheduledJobs; // jobs with occurrences that are not due yet
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -537,3 +537,41 @@
     }
     CHECK(batchWaiting.empty());
 }
+
+TEST_CASE("a failure domain is cut off: most jobs run in others, with and without the approval service")
+{
+    for (const bool hasApproval : { false, true }) {
+        CAPTURE(hasApproval);
+        FleetSimulation simulation(11, 160);
+        if (hasApproval)
+            simulation.configuration.queues[0].approval = ApprovalPolicy { 20, 0.3, 2000 };
+        simulation.scheduler->configure(simulation.configuration);
+        constexpr int domains = 4;
+        int number = 0;
+        for (auto& [id, executor] : simulation.executors) {
+            executor.entry.zone = "z" + std::to_string(number++ % domains);
+            simulation.approved.insert(id);
+            simulation.scheduler->executorRegistered(executor.entry, simulation.now);
+        }
+        simulation.behaviour = endlessRun;
+        simulation.run(500ms);
+        constexpr int jobs = 24;
+        for (int i = 0; i < jobs; ++i) {
+            char id[17];
+            std::snprintf(id, sizeof id, "%016x", 7919 * i);
+            simulation.submit(jobOf(id, 5, { 5000, 100, 0 })); // an executor has room for one task
+        }
+        simulation.run(2s);
+        REQUIRE(simulation.startedRuns == jobs * 5);
+        std::map<std::string, std::set<std::string>> domainsOfJob;
+        for (const auto& [id, executor] : simulation.executors) {
+            for (const auto& [task, run] : executor.running)
+                domainsOfJob[task.job].insert(executor.entry.zone);
+        }
+        int jobsInCutDomain = 0;
+        for (const auto& [id, zones] : domainsOfJob)
+            jobsInCutDomain += zones.count("z1") ? 1 : 0;
+        CHECK(jobsInCutDomain <= jobs / 2); // nearly all if tasks were spread over all executors
+        checkNoViolation(simulation);
+    }
+}
