Fleet: executors that other approval calls claim are named after the others instead of not at all

In a pool of 98 executors a few steps of small tasks claim a part of each, and a step of large tasks then found none that was not claimed: it asked only when it was overdue.

Unclaimed executors still come first; while a step waits for more tasks than it can name of those, claimed ones follow.

Test: "a few small tasks ask about every executor: a step of larger tasks asks about them as well" (no second call without the change).

--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -103,16 +103,18 @@
         });
         full.resize(std::min(full.size(), maxApprovalBatchSize / 3));
         const auto preferred = preferredDomain(step);
-        const auto addUndecided = [&](bool inPreferredDomain) {
+        const auto isClaimed = [&](std::int64_t freeCpu, const Incarnation& incarnation) {
+            return !overdue && freeCpu - incarnation.claimedCpu < demand.cpuMilli;
+        };
+        const auto addUndecided = [&](bool inPreferredDomain, bool claimed) {
             for (auto it = pool.byFreeCpu.rbegin();
                  it != pool.byFreeCpu.rend() && (overdue || it->first >= demand.cpuMilli)
                  && chosen.size() + full.size() < maxApprovalBatchSize;
                  ++it) {
                 const auto& incarnation = incarnations[it->second];
-                if ((!preferred || incarnation.domain == *preferred) != inPreferredDomain)
+                if ((!preferred || incarnation.domain == *preferred) != inPreferredDomain
+                    || isClaimed(it->first, incarnation) != claimed)
                     continue;
-                if (!overdue && it->first - incarnation.claimedCpu < demand.cpuMilli)
-                    continue; // the room will be taken by the steps that are asking about it already
                 const bool isUndecided
                     = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
                 if (isUndecided
@@ -121,9 +123,15 @@
                     chosen.push_back(it->second);
             }
         };
-        addUndecided(true);
+        addUndecided(true, false);
         if (preferred)
-            addUndecided(false);
+            addUndecided(false, false);
+        // The room of these will probably be taken by the steps that are asking about them already.
+        if (chosen.size() < static_cast<std::size_t>(step.waiting)) {
+            addUndecided(true, true);
+            if (preferred)
+                addUndecided(false, true);
+        }
         chosen.insert(chosen.end(), full.begin(), full.end());
     }
     if (chosen.empty())
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -575,3 +575,39 @@
         checkNoViolation(simulation);
     }
 }
+
+TEST_CASE("a few small tasks ask about every executor: a step of larger tasks asks about them as well")
+{
+    FleetSimulation simulation(2, 0);
+    simulation.configuration.queues[0].approval = ApprovalPolicy { 20, 0.3, 2000 };
+    auto& scheduler = *simulation.scheduler;
+    scheduler.configure(simulation.configuration);
+    scheduler.setApprovalCallers(8);
+    constexpr int executors = 10;
+    for (int i = 0; i < executors; ++i) {
+        ExecutorEntry entry;
+        entry.id = "i-" + std::to_string(i);
+        entry.startedUnixMs = 1;
+        entry.service = "service";
+        entry.address = "a:1";
+        entry.capacity = { 32'000, 65'536, 0 };
+        scheduler.executorRegistered(entry, simulation.now);
+    }
+    const auto pump = [&] {
+        SchedulerActions actions;
+        simulation.now += 10ms;
+        scheduler.pump(simulation.now, 0, actions);
+        return actions;
+    };
+    for (const auto& it : pump().heartbeats)
+        scheduler.heartbeatAnswered(it.incarnation, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} },
+            simulation.now, simulation.now);
+    scheduler.submit(jobOf(jobA, executors, { 14'000, 100, 0 }), simulation.now);
+    const auto first = pump().approvals;
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].workers.size() == executors);
+    scheduler.submit(jobOf(jobB, 2, { 20'000, 100, 0 }), simulation.now);
+    const auto second = pump().approvals;
+    REQUIRE(second.size() == 1); // not only once the first call is answered
+    CHECK(second[0].workers.size() == executors);
+}
