--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -33,6 +33,7 @@
 constexpr Duration minJitterRange = 120ms;
 constexpr auto acquireTimeout = 1200ms;
 constexpr auto successorRequestInterval = 200ms; // several times what a write of the row takes
+constexpr auto candidateUpdateInterval = 100ms; // looks at all nodes, and each of them probes
 constexpr auto smallNodeDelay = 800ms; // a larger node can detect the failure and write the row within it
 constexpr auto handoverInterval = 15000ms; // between handovers of one node; many times the cost of one
 
@@ -339,6 +340,9 @@
     m_candidates.recordProbe(node, address, share, now);
     if (!m_leader || m_hasResigned || !m_leader->isLoaded() || !m_leader->canCommit(now))
         return;
+    if (now < m_nextCandidateUpdate)
+        return;
+    m_nextCandidateUpdate = now + candidateUpdateInterval;
     m_leader->setCandidates(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
         m_candidates.successors(now).size());
     if (now < m_nextHandoverAt || !m_candidates.hasClearlyLarger(m_identity.processorShare, now))
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -103,6 +103,7 @@
     Instant m_vacantSince;
     LeaderCandidates m_candidates; // maintained while this node is the leader
     Instant m_nextHandoverAt {};
+    Instant m_nextCandidateUpdate {};
     Instant m_nextSuccessorRequestAt {};
     std::size_t m_successorsAsked = 0;
     bool m_isAcquiring = false; // a write of the row is not answered yet
