Fleet: a gang gathers tickets over several approval calls, and has no preferred failure domain

A ticket that is still valid after this call and the next is not renewed, so successive calls name others, those with the most room first. Gangs are placed in the whole service.

Test: "a gang that needs more executors than one approval call names starts after a few calls" (never, before).

--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -86,21 +86,28 @@
     // those with the most free CPU first.
     std::vector<IncarnationId> chosen;
     std::vector<IncarnationId> full; // approved, and usable once there is room
+    const Duration callDuration(static_cast<Duration::rep>(
+        policy.decisionMs + policy.perWorkerMs * static_cast<double>(maxApprovalBatchSize)));
     for (const auto& [number, ticket] : step.tickets) {
+        // The members of a gang need valid tickets at the same time, for which several calls may be
+        // necessary. So a ticket that will still be valid after this call and the next is not renewed by it.
+        if (ticket.validUntil >= now + 2 * callDuration)
+            continue;
         if (hasRoom(number))
             chosen.push_back(number);
         else if (overdue && isBelowLimit(number) && isUsable(step, incarnations[number], now))
             full.push_back(number);
     }
-    std::sort(chosen.begin(), chosen.end());
+    const auto hasMoreRoom = [&](IncarnationId a, IncarnationId b) {
+        return std::pair(incarnations[a].pooledFreeCpu, a) > std::pair(incarnations[b].pooledFreeCpu, b);
+    };
+    std::sort(chosen.begin(), chosen.end(), hasMoreRoom);
     if (chosen.size() > maxApprovalBatchSize)
         chosen.resize(maxApprovalBatchSize);
     auto& pool = pools.at(step.queue->service);
     if (chosen.size() < static_cast<std::size_t>(step.waiting)) {
         // Room may be reserved on the full ones, but only others may ever have any.
-        std::sort(full.begin(), full.end(), [&](IncarnationId a, IncarnationId b) {
-            return std::pair(incarnations[a].pooledFreeCpu, a) > std::pair(incarnations[b].pooledFreeCpu, b);
-        });
+        std::sort(full.begin(), full.end(), hasMoreRoom);
         full.resize(std::min(full.size(), maxApprovalBatchSize / 3));
         const auto preferred = preferredDomain(step);
         const auto isClaimed = [&](std::int64_t freeCpu, const Incarnation& incarnation) {
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -252,12 +252,13 @@
 // rack of its data, few other tasks of a long-running step, few recent failures, least CPU left over (best
 // fit).
 // The tasks of a job that ends share a failure domain, so that one that is cut off or lost delays the jobs in
-// it and not nearly all. Long-running steps are spread: each of their tasks counts by itself. Tasks with
-// accelerators go where they fit best in the whole service: large ones need executors of which nothing is
-// used.
+// it and not nearly all. Long-running steps are spread: each of their tasks counts by itself. Gangs and tasks
+// with accelerators go where they fit best in the whole service: a gang needs room for all members at the
+// same time, large tasks need executors of which nothing is used.
 std::optional<std::size_t> FleetScheduler::Impl::preferredDomain(const StepState& step) const
 {
-    if (step.request().isLongRunning || step.request().perTask.accelerators > 0 || domains.empty())
+    if (step.request().isLongRunning || step.request().isGang || step.request().perTask.accelerators > 0
+        || domains.empty())
         return std::nullopt;
     return std::hash<std::string>()(step.job->request.id) % domains.size();
 }
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -576,6 +576,52 @@
     }
 }
 
+TEST_CASE("a gang that needs more executors than one approval call names starts after a few calls")
+{
+    FleetSimulation simulation(2, 0);
+    const ApprovalPolicy slowApproval { 430, 6.1, 2000 };
+    simulation.configuration.queues[0].approval = slowApproval;
+    auto& scheduler = *simulation.scheduler;
+    scheduler.configure(simulation.configuration);
+    constexpr int executors = 120;
+    constexpr int members = 70;
+    for (int i = 0; i < executors; ++i) {
+        ExecutorEntry entry;
+        entry.id = "i-" + std::to_string(i);
+        entry.startedUnixMs = 1;
+        entry.service = "service";
+        entry.address = "a:1";
+        entry.zone = "z" + std::to_string(i % 6);
+        entry.capacity = { 32'000, 65'536, 0 };
+        scheduler.executorRegistered(entry, simulation.now);
+    }
+    auto request = jobOf(jobA, members, { 20'000, 100, 0 }); // one on an executor
+    request.steps[0].isGang = true;
+    scheduler.submit(request, simulation.now);
+    int calls = 0;
+    bool isPlaced = false;
+    for (int i = 0; i < 20 && !isPlaced; ++i) {
+        SchedulerActions actions;
+        scheduler.pump(simulation.now, 0, actions);
+        for (const auto& it : actions.heartbeats)
+            scheduler.heartbeatAnswered(it.incarnation, OrderResult::Ok, ExecutorReport { 1000, 1, {}, {} },
+                simulation.now, simulation.now);
+        isPlaced = actions.commit.has_value();
+        simulation.now += 50ms;
+        for (const auto& it : actions.approvals) {
+            ++calls;
+            simulation.now += std::chrono::milliseconds(static_cast<int>(it.expectedMs));
+            std::vector<Approval> approved;
+            for (const auto& worker : it.workers)
+                approved.push_back({ worker, "ticket" });
+            scheduler.approvalAnswered(it.step, true, it.workers, approved,
+                std::chrono::milliseconds(slowApproval.ticketValidityMs), simulation.now);
+        }
+    }
+    CHECK(isPlaced);
+    CHECK(calls <= 4);
+}
+
 TEST_CASE("a few small tasks ask about every executor: a step of larger tasks asks about them as well")
 {
     FleetSimulation simulation(2, 0);
