Fleet: logs that tell the hypotheses of the incident apart: ends of runs the scheduler does not have, start times of both processes

executor_reborn named neither process, an end that matches no run was dropped without a line, and a record of another process than the registered one left no trace. With these a log shows which of the four hypotheses of docs/incidents/restarted-executors.md holds.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -110,14 +110,15 @@
 void FleetScheduler::Impl::applyEnd(Incarnation& incarnation, const EndedTask& end, Instant now)
 {
     const auto key = keyOf(end.task, end.run);
-    if (!key || incarnation.runs.count(*key) == 0)
-        return; // the end of this run was already applied
+    const bool isMatched = key && incarnation.runs.count(*key) > 0;
     static constexpr std::string_view names[]
         = { "done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete" };
-    addEvent("run_ended", end.task.job,
+    addEvent(isMatched ? "run_ended" : "end_unmatched", end.task.job,
         "task=" + text(end.task) + " run=" + std::to_string(end.run)
             + " how=" + std::string(names[static_cast<std::size_t>(end.outcome)])
             + " executor=" + incarnation.entry.id);
+    if (!isMatched)
+        return; // the end of this run was already applied
     if (end.outcome == RunOutcome::Done || end.outcome == RunOutcome::Failed)
         key->job->hasStarted = true;
     endRun(incarnation, *key, end.outcome, end.checkpoint, now);
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -72,7 +72,9 @@
     currentIncarnations[entry.id] = incarnation.number;
     updatePool(incarnation);
     addEvent("executor_reborn", {},
-        "executor=" + entry.id + " runs_before=" + std::to_string(incarnations[oldNumber].runs.size()));
+        "executor=" + entry.id + " started=" + std::to_string(entry.startedUnixMs)
+            + " before=" + std::to_string(incarnations[oldNumber].entry.startedUnixMs)
+            + " runs_before=" + std::to_string(incarnations[oldNumber].runs.size()));
 }
 
 void FleetScheduler::Impl::closePredecessor(Incarnation& incarnation, Instant now)
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -291,6 +291,11 @@
     if (!record.isAssigned)
         return;
     auto* incarnation = incarnationOf(record.executor);
+    if (incarnation && incarnation->entry.startedUnixMs != record.executorStartedUnixMs)
+        addEvent("executor_record_differs", job.request.id,
+            "task=" + text(TaskRef { job.request.id, record.occurrence, record.step, record.index })
+                + " executor=" + record.executor + " recorded=" + std::to_string(record.executorStartedUnixMs)
+                + " registered=" + std::to_string(incarnation->entry.startedUnixMs));
     if (!incarnation || incarnation->entry.startedUnixMs != record.executorStartedUnixMs) {
         ExecutorEntry entry;
         entry.id = record.executor;
