Fleet: an executor that restarts under its id is entered once, however the news of it arrive

Cause: a heartbeat sent to the process before the restart can be answered by the process after it. If the registration of the new process was read first, heartbeatAnswered() replaced the old incarnation a second time. Two incarnations then stood for one process: each placed tasks up to the whole capacity, and each acknowledged the ends of the other's runs without having them, so that those runs were missing from the next report and were started again.

Before: ExecutorRestartTest 'a late answer to a heartbeat ... not entered twice': 2 heartbeats and 2 starts for an executor with room for one task. After: 1 and 1; cores pass (167 cases). Why it works: only the newest incarnation of an executor can be replaced, so a start time is entered once.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -313,7 +313,10 @@
         if (report->startedUnixMs != 0 && incarnation.entry.startedUnixMs != 0
             && report->startedUnixMs != incarnation.entry.startedUnixMs) {
             incarnation.nextHeartbeat = now + minHeartbeatRetryDelay;
-            if (report->startedUnixMs > incarnation.entry.startedUnixMs) {
+            // Only the newest incarnation may be replaced: the registration may have told of this one's
+            // successor before the answer arrived.
+            if (report->startedUnixMs > incarnation.entry.startedUnixMs
+                && it.incarnationOf(incarnation.entry.id) == &incarnation) {
                 auto entry = incarnation.entry;
                 entry.startedUnixMs = report->startedUnixMs;
                 it.replaceIncarnation(incarnation, entry, now);
