Fleet: a late acknowledgement to the process before no longer discards ends of the executor's next process

Callers would see: a task runs again although it is done and its end was acknowledged (TWICE).

Cause: a heartbeat without an answer may be carried out seconds later, by a process that has started under the same id meanwhile. Its acknowledgement counts the ends of the earlier process, but the new one numbers from 1 again and discards its own ends up to that number. The run is then listed neither as running nor as ended, and its task is started again.

Before: ExecutorRestartTest 'a heartbeat that acknowledged ends of the process before arrives late': placed on the restarted executor 1 s and 12 s after such a heartbeat; answered acknowledgements repeated in each heartbeat. After: the test passes. Why it works: an acknowledgement is sent until it is answered and not again, so most heartbeats in flight carry none; while an unanswered one may still arrive (20 s, as for starts), nothing is placed on the next process.

--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -65,7 +65,7 @@
     IncarnationId incarnation = 0;
     std::string address;
     std::string executor;
-    std::int64_t acknowledgedEnd = 0; // the executor discards its ends up to this number
+    std::int64_t acknowledgedEnd = 0; // the executor discards its ends up to this number; 0: none
     std::int64_t leaseUntilClockMs = 0; // on the executor's clock; 0: don't renew the lease
     Duration wait {}; // long poll: the executor may wait this long for an end before it answers
 };
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -309,6 +309,8 @@
     incarnation.isHeartbeatInFlight = false;
     if (incarnation.isClosed)
         return;
+    if (result == OrderResult::NoAnswer && incarnation.sentAcknowledgement > 0)
+        incarnation.unansweredAcknowledgementUntil = now + maxOrderDelay;
     if (result == OrderResult::Ok && report) {
         if (report->startedUnixMs != 0 && incarnation.entry.startedUnixMs != 0
             && report->startedUnixMs != incarnation.entry.startedUnixMs) {
@@ -333,6 +335,8 @@
         incarnation.missedHeartbeats = 0;
         incarnation.lastAnswer = now;
         incarnation.hasAnswered = true;
+        incarnation.confirmedAcknowledgement
+            = std::max(incarnation.confirmedAcknowledgement, incarnation.sentAcknowledgement);
         it.closePredecessor(incarnation, now);
         it.applyReport(it.incarnations[number], *report, sentAt, now);
         incarnation.nextHeartbeat
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -18,8 +18,6 @@
 // Intervals of the passes over all executors. They bound the cost of a scheduling round in a large cell.
 constexpr auto heartbeatCheckInterval = 8ms;
 constexpr auto leaseCheckInterval = 20ms;
-// How long an unanswered start may still be carried out; delays of 12 s were observed.
-constexpr auto maxStartDelay = 20s;
 // One ping interval. An executor that is cut off loses its registration only after three of them.
 constexpr auto selfDeregistrationWindow = 1500ms;
 
@@ -84,6 +82,10 @@
         return;
     auto& old = incarnations[number];
     closePredecessor(old, now);
+    if (old.isHeartbeatInFlight && old.sentAcknowledgement > 0)
+        old.unansweredAcknowledgementUntil = now + maxOrderDelay;
+    incarnation.staleAcknowledgementUntil
+        = std::max(old.staleAcknowledgementUntil, old.unansweredAcknowledgementUntil);
     for (const auto& [key, run] : old.runs) {
         if (run.isInFlight && !run.isStopRequested)
             old.unansweredStarts[key] = now;
@@ -92,7 +94,7 @@
     // fencing token of the old one. A stop makes the new process refuse this run number, even if the run has
     // ended.
     for (const auto& [key, sentAt] : old.unansweredStarts) {
-        if (now - sentAt > maxStartDelay)
+        if (now - sentAt > maxOrderDelay)
             continue;
         incarnation.unansweredStarts.emplace(key, sentAt); // the executor may restart again
         Run blockedRun;
@@ -273,7 +275,7 @@
             && now > incarnation.leaseEndsAt + bounds.maxStopDuration)
             loseRuns(incarnation, now, "lease expired");
         std::erase_if(incarnation.unansweredStarts,
-            [&](const auto& unansweredStart) { return now - unansweredStart.second > maxStartDelay; });
+            [&](const auto& unansweredStart) { return now - unansweredStart.second > maxOrderDelay; });
         const bool isIdle
             = incarnation.runs.empty() && !incarnation.isHeartbeatInFlight && incarnation.predecessor < 0;
         if (!incarnation.isRegistered && isIdle && now > incarnation.leaseEndsAt + bounds.maxStopDuration) {
@@ -344,8 +346,13 @@
         if (incarnation.isClosed || incarnation.isHeartbeatInFlight || now < incarnation.nextHeartbeat
             || incarnation.entry.address.empty())
             continue;
+        // An acknowledgement is sent until it is answered and not again: a heartbeat without one can't make a
+        // later process of the executor discard ends.
+        incarnation.sentAcknowledgement = incarnation.acknowledgedEnds > incarnation.confirmedAcknowledgement
+            ? incarnation.acknowledgedEnds
+            : 0;
         HeartbeatAction heartbeat { incarnation.number, incarnation.entry.address, incarnation.entry.id,
-            incarnation.acknowledgedEnds, 0, {} };
+            incarnation.sentAcknowledgement, 0, {} };
         heartbeat.leaseUntilClockMs = extendLease(incarnation, now);
         if (incarnation.hasAnswered && !incarnation.isUnresponsive
             && incarnation.processedEnds == incarnation.acknowledgedEnds)
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -22,6 +22,9 @@
 // and an approval, a commit and the ends of running tasks have to fit into the rest of six seconds.
 constexpr auto overdueAfter = 1500ms;
 
+// How long an order without an answer may still be carried out; delays of 12 s were observed.
+constexpr auto maxOrderDelay = 20s;
+
 enum class TaskPhase {
     Waiting,
     Active,
@@ -168,6 +171,12 @@
     std::int64_t acknowledgedEnds = 0; // number of the newest end that is durable
     Instant unacknowledgedSince; // meaningful only while processedEnds > acknowledgedEnds
     bool isHeartbeatInFlight = false;
+    std::int64_t sentAcknowledgement = 0; // carried by the last heartbeat; 0: none
+    std::int64_t confirmedAcknowledgement = 0; // the highest one that the executor has answered
+    // Until then a heartbeat that acknowledges ends of this process may still be carried out.
+    Instant unansweredAcknowledgementUntil;
+    // Until then such a heartbeat to an earlier process may make this one discard its own ends.
+    Instant staleAcknowledgementUntil;
     Instant nextHeartbeat;
     int missedHeartbeats = 0;
     int consecutiveFailures = 0;
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -36,10 +36,18 @@
         return actions;
     }
 
-    void answer(const HeartbeatAction& heartbeat, std::int64_t startedUnixMs)
+    void answer(const HeartbeatAction& heartbeat, std::int64_t startedUnixMs,
+        const std::vector<RunningTask>& running = {}, const std::vector<EndedTask>& ended = {})
     {
         scheduler.heartbeatAnswered(heartbeat.incarnation, OrderResult::Ok,
-            ExecutorReport { toMilliseconds(now.time_since_epoch()), startedUnixMs, {}, {} }, now, now);
+            ExecutorReport { toMilliseconds(now.time_since_epoch()), startedUnixMs, running, ended }, now,
+            now);
+    }
+
+    void restart(std::int64_t startedUnixMs)
+    {
+        entry.startedUnixMs = startedUnixMs;
+        scheduler.executorRegistered(entry, now);
     }
 
     ExecutorEntry entry;
@@ -58,8 +66,7 @@
     heartbeats = fleet.pump().heartbeats;
     REQUIRE(heartbeats.size() == 1);
 
-    fleet.entry.startedUnixMs = 5000;
-    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.restart(5000);
     fleet.answer(heartbeats[0], 5000);
     fleet.entry.remainingMs = 1; // a later registration of the same process
     fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
@@ -74,3 +81,60 @@
         starts += fleet.pump().starts.size();
     CHECK(starts == 1);
 }
+
+TEST_CASE(
+    "a heartbeat that acknowledged ends of the process before arrives late: no run is placed whose end it "
+    "would discard")
+{
+    struct Row {
+        const char* name;
+        bool isAcknowledgementAnswered;
+        Duration sinceLoss; // from the heartbeat that had no answer to the placement
+        bool isPlaced;
+    };
+    const Row rows[] = {
+        { "it was answered", true, 1s, true },
+        { "it may arrive", false, 1s, false },
+        { "it may arrive late", false, 12s, false },
+        { "it can't arrive any more", false, 21s, true },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        OneExecutor fleet;
+        fleet.answer(fleet.pump().heartbeats.at(0), 1000);
+        fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+        std::vector<StartAction> starts;
+        std::vector<HeartbeatAction> heartbeats;
+        for (int i = 0; i < 5; ++i) {
+            const auto actions = fleet.pump();
+            starts.insert(starts.end(), actions.starts.begin(), actions.starts.end());
+            heartbeats.insert(heartbeats.end(), actions.heartbeats.begin(), actions.heartbeats.end());
+        }
+        REQUIRE(starts.size() == 1);
+        REQUIRE(heartbeats.size() == 1);
+        const TaskRef task = starts[0].task;
+        fleet.scheduler.startAnswered(starts[0].incarnation, task, 1, OrderResult::Ok, fleet.now);
+        fleet.answer(heartbeats[0], 1000, {}, { { 1, task, 1, RunOutcome::Done, {} } });
+        fleet.pump(); // commits the end
+        heartbeats = fleet.pump().heartbeats;
+        REQUIRE(heartbeats.size() == 1);
+        REQUIRE(heartbeats[0].acknowledgedEnd == 1);
+        if (row.isAcknowledgementAnswered) {
+            fleet.answer(heartbeats[0], 1000);
+            heartbeats = fleet.pump(100ms).heartbeats;
+            REQUIRE(heartbeats.size() == 1);
+            CHECK(heartbeats[0].acknowledgedEnd == 0);
+        }
+        fleet.scheduler.heartbeatAnswered(
+            heartbeats[0].incarnation, OrderResult::NoAnswer, std::nullopt, fleet.now, fleet.now);
+        fleet.restart(5000);
+        fleet.now += row.sinceLoss;
+        for (const auto& it : fleet.pump().heartbeats)
+            fleet.answer(it, 5000);
+        fleet.scheduler.submit(jobOf("00000000000000bb", 1), fleet.now);
+        std::size_t placed = 0;
+        for (int i = 0; i < 5; ++i)
+            placed += fleet.pump().starts.size();
+        CHECK((placed == 1) == row.isPlaced);
+    }
+}
