Fleet: a restarted executor's first report decides which runs of its process before go on

Cause: when an executor answered after a restart, all runs ordered from its process before were taken for ended. But a start names the executor's id, which the new process has too, so the new process carries it out: a start that was sent before the news of the restart, or an earlier leader's. The capacity of such runs was free again (LIMIT), their tasks were started elsewhere beside them, and their ends were acknowledged without being applied (TWICE).

Why it works: what the report lists as running or ended is moved to the new process before the rest is taken for ended; what it does not list and may still arrive is barred by a stop, as before.

The simulation no longer excludes these cases: orders and heartbeats reach the next process, registrations may lag behind restarts. It still excuses what no scheduler can prevent, a start or acknowledgement that reaches a process within the 2 s in which it is contacted; such starts were dropped before and are carried out now.

--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -131,6 +131,11 @@
         "an executor reports the end of a run that the scheduler does not have there: it was lost or given "
         "up",
         "look for runs_lost and run_absent of the task" },
+    CataloguedEvent { 2610, "run_moved",
+        "a restarted executor reports a run that was ordered from its process before: it carried out the "
+        "start, "
+        "and the run goes on",
+        "nothing to do" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent {
         2702, "executor_leaving", "an executor is draining: it gets no new starts", "nothing to do" },
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -337,7 +337,7 @@
         incarnation.hasAnswered = true;
         incarnation.confirmedAcknowledgement
             = std::max(incarnation.confirmedAcknowledgement, incarnation.sentAcknowledgement);
-        it.closePredecessor(incarnation, now);
+        it.closePredecessor(incarnation, *report, now);
         it.applyReport(it.incarnations[number], *report, sentAt, now);
         incarnation.nextHeartbeat
             = incarnation.processedEnds > incarnation.acknowledgedEnds ? now + heartbeatDelayAfterEnds : now;
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -75,46 +75,66 @@
             + " runs_before=" + std::to_string(incarnations[oldNumber].runs.size()));
 }
 
-void FleetScheduler::Impl::closePredecessor(Incarnation& incarnation, Instant now)
+// Moves a run to the later incarnation of its executor. Its start may have been carried out there.
+internal::Run& FleetScheduler::Impl::moveRun(Incarnation& from, Incarnation& to, const RunKey& key)
+{
+    auto run = from.runs.extract(key);
+    from.used -= run.mapped().demand;
+    to.used += run.mapped().demand;
+    openOrders.erase({ from.number, key });
+    run.mapped().phase = RunPhase::Starting;
+    run.mapped().isInFlight = false;
+    if (!run.mapped().isOrphan)
+        key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].incarnation = to.number;
+    return to.runs.insert(std::move(run)).position->second;
+}
+
+// Ends the runs of earlier incarnations, except those that this one lists or may still start: it accepts
+// starts that were sent to an earlier one, because it has the same id.
+void FleetScheduler::Impl::closePredecessor(
+    Incarnation& incarnation, const ExecutorReport& report, Instant now)
 {
     const IncarnationId number = std::exchange(incarnation.predecessor, -1);
     if (number < 0)
         return;
     auto& old = incarnations[number];
-    closePredecessor(old, now);
+    closePredecessor(old, report, now);
     if (old.isHeartbeatInFlight && old.sentAcknowledgement > 0)
         old.unansweredAcknowledgementUntil = now + maxOrderDelay;
     incarnation.staleAcknowledgementUntil
         = std::max(old.staleAcknowledgementUntil, old.unansweredAcknowledgementUntil);
+    const auto moveListed = [&](const TaskRef& task, int runNumber) {
+        const auto key = keyOf(task, runNumber);
+        if (!key || old.runs.count(*key) == 0)
+            return;
+        addEvent("run_moved", task.job,
+            "task=" + text(task) + " run=" + std::to_string(runNumber) + " executor=" + incarnation.entry.id);
+        moveRun(old, incarnation, *key);
+        openOrders.insert({ incarnation.number, *key });
+    };
+    for (const auto& it : report.running)
+        moveListed(it.task, it.run);
+    for (const auto& it : report.ended)
+        moveListed(it.task, it.run);
     for (const auto& [key, run] : old.runs) {
         if (run.isInFlight && !run.isStopRequested)
             old.unansweredStarts[key] = now;
     }
-    // A delayed start to the old process may still reach the new one, which doesn't know the runs and the
-    // fencing token of the old one. A stop makes the new process refuse this run number, even if the run has
-    // ended.
+    // A stop makes the new process refuse this run number, even if the run has ended.
     for (const auto& [key, sentAt] : old.unansweredStarts) {
         if (now - sentAt > maxOrderDelay)
             continue;
         incarnation.unansweredStarts.emplace(key, sentAt); // the executor may restart again
-        Run blockedRun;
-        blockedRun.isOrphan = true;
-        if (auto it = old.runs.find(key); it != old.runs.end()) {
-            blockedRun = it->second;
-            old.used -= blockedRun.demand;
-            incarnation.used += blockedRun.demand;
-            old.runs.erase(it);
-            openOrders.erase({ old.number, key });
-            if (!blockedRun.isOrphan)
-                key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].incarnation
-                    = incarnation.number;
-        }
+        if (incarnation.runs.count(key))
+            continue; // listed
+        Run orphan;
+        orphan.isOrphan = true;
+        auto& blockedRun = old.runs.count(key) ? moveRun(old, incarnation, key)
+                                               : incarnation.runs.emplace(key, orphan).first->second;
         blockedRun.phase = RunPhase::Starting;
         blockedRun.isStopRequested = true;
         blockedRun.isStopAcknowledged = false;
-        blockedRun.isInFlight = false;
         blockedRun.nextSend = now;
-        incarnation.runs.emplace(key, blockedRun);
         openOrders.insert({ incarnation.number, key });
     }
     updatePool(incarnation);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -256,7 +256,8 @@
     Incarnation& addIncarnation(const ExecutorEntry& entry, Instant now);
     Incarnation* incarnationOf(const std::string& id);
     void replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, Instant now);
-    void closePredecessor(Incarnation& incarnation, Instant now);
+    Run& moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
+    void closePredecessor(Incarnation& incarnation, const ExecutorReport& report, Instant now);
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
     void closeIncarnation(Incarnation& incarnation);
     void updatePool(Incarnation& incarnation);
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -138,3 +138,85 @@
         CHECK((placed == 1) == row.isPlaced);
     }
 }
+
+TEST_CASE(
+    "seeded restarts under the same id, late orders and takeovers: no end is lost, no capacity is exceeded")
+{
+    struct Row {
+        const char* name;
+        MessageFaults faults;
+        Duration registrationDelay;
+        int takeoverPerMille; // probability in each step of 250 ms, like the next one
+        int restartPerMille;
+    };
+    const Row rows[] = {
+        { "restarts", {}, 0ms, 0, 60 },
+        { "registrations that lag", {}, 1500ms, 0, 60 },
+        { "answers that are lost", { 0, 100, 0 }, 300ms, 0, 60 },
+        { "late orders", { 0, 0, 100 }, 0ms, 0, 60 },
+        { "takeovers", {}, 0ms, 100, 60 },
+        { "takeovers, registrations that lag", {}, 1500ms, 100, 60 },
+        { "takeovers, late orders", { 0, 50, 100 }, 0ms, 100, 60 },
+    };
+    for (const auto& row : rows) {
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            CAPTURE(std::string(row.name));
+            CAPTURE(seed);
+            FleetSimulation simulation(seed, 6, row.faults);
+            simulation.registrationDelay = row.registrationDelay;
+            std::mt19937 random(seed * 7919);
+            simulation.behaviour = [&](const TaskRef&, int) {
+                FakeRun run;
+                run.endsAt = simulation.now + std::chrono::milliseconds(100 + random() % 1900);
+                return run;
+            };
+            const auto roll = [&](int perMille) { return static_cast<int>(random() % 1000) < perMille; };
+            std::vector<std::string> ids;
+            for (int i = 0; i < 40; ++i) {
+                if (i < 20) {
+                    char id[17];
+                    std::snprintf(id, sizeof id, "%016x", i);
+                    simulation.submit(jobOf(id, 1 + static_cast<int>(random() % 8)));
+                    ids.emplace_back(id);
+                }
+                simulation.run(250ms);
+                if (roll(row.takeoverPerMille))
+                    simulation.takeover();
+                for (auto& [id, executor] : simulation.executors) {
+                    if (roll(row.restartPerMille))
+                        simulation.restart(id);
+                }
+            }
+            simulation.run(90s);
+            for (const auto& it : simulation.violations)
+                FAIL_CHECK(it);
+            for (const auto& id : ids)
+                CHECK(simulation.phase(id) == JobPhase::Completed);
+        }
+    }
+}
+
+TEST_CASE("a new leader reads a registration from before a restart: runs of the later process are kept")
+{
+    FleetSimulation simulation(1, 2);
+    simulation.hasIdleCommits = true;
+    simulation.registrationDelay = 3s;
+    simulation.behaviour = [&](const TaskRef&, int) {
+        FakeRun run;
+        run.endsAt = simulation.now + 5s;
+        return run;
+    };
+    simulation.run(100ms);
+    for (auto& [id, executor] : simulation.executors)
+        simulation.restart(id);
+    simulation.run(500ms); // the leader has heard of the restarts from heartbeats
+    simulation.submit(jobOf(job, 16));
+    simulation.run(500ms);
+    REQUIRE(simulation.startedRuns == 16);
+    simulation.takeover();
+    simulation.run(15s);
+    CHECK(simulation.startedRuns == 16);
+    CHECK(simulation.phase(job) == JobPhase::Completed);
+    for (const auto& it : simulation.violations)
+        FAIL_CHECK(it);
+}
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -56,7 +56,7 @@
     scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, now, now);
     scheduler->configure(configuration);
     for (const auto& [id, it] : executors)
-        scheduler->executorRegistered(it.entry, now);
+        storeRegistration(it.entry);
 }
 
 bool FleetSimulation::chance(int perMille) { return static_cast<int>(m_random() % 1000) < perMille; }
@@ -148,10 +148,7 @@
             return OrderResult::Unreachable;
         if (!it->second.isUp || !it->second.isReachable)
             return OrderResult::NoAnswer;
-        // No scheduler can prevent that an order to the old process reaches a new one that it has not
-        // contacted yet, so such orders are dropped.
-        if (it->second.entry.startedUnixMs != processStart && now < it->second.processStart + restartGrace)
-            return OrderResult::NoAnswer;
+        it->second.isOrderForPredecessor = it->second.entry.startedUnixMs != processStart;
         return carryOut(it->second);
     };
     if (chance(m_faults.lostOrder)) {
@@ -170,6 +167,13 @@
     }
 }
 
+// No scheduler can prevent that an order to an earlier process is carried out by a new one that it has not
+// contacted yet.
+bool FleetSimulation::isBeforeContact(const FakeExecutor& executor) const
+{
+    return executor.isOrderForPredecessor && now < executor.processStart + restartGrace;
+}
+
 OrderResult FleetSimulation::start(FakeExecutor& executor, const StartAction& action, std::int64_t fence)
 {
     if (fence < executor.fence)
@@ -184,28 +188,38 @@
         executor.leaseUntil, std::min(action.leaseUntilClockMs, clockOf(executor) + maxLeaseDurationMs));
     if (runningTask != executor.running.end() || executor.highestEndedRun[action.task] >= action.run)
         return OrderResult::Outdated;
-    for (const auto& [id, other] : executors) {
-        if (other.isUp && other.running.count(action.task))
-            recordViolation("two concurrent runs of " + text(action.task));
-    }
-    if (m_acknowledgedDone.count(action.task))
-        recordViolation("task started after its end was acknowledged: " + text(action.task));
     FakeRun run;
     run.endsAt = now + 300ms;
     if (behaviour)
         run = behaviour(action.task, action.run);
     run.run = action.run;
     run.demand = m_jobs.at(action.task.job).steps[action.task.step].perTask;
-    Resources used = run.demand;
-    for (const auto& [task, other] : executor.running)
-        used += other.demand;
-    if (!used.fitsIn(executor.entry.capacity))
-        recordViolation("executor exceeds its capacity: " + executor.entry.id);
+    run.isUnknown = isBeforeContact(executor);
+    if (!run.isUnknown)
+        checkStart(executor, action.task, run.demand);
     executor.running[action.task] = run;
     ++startedRuns;
     return OrderResult::Ok;
 }
 
+void FleetSimulation::checkStart(const FakeExecutor& executor, const TaskRef& task, const Resources& demand)
+{
+    for (const auto& [id, other] : executors) {
+        const auto same = other.running.find(task);
+        if (other.isUp && same != other.running.end() && !same->second.isUnknown)
+            recordViolation("two concurrent runs of " + text(task));
+    }
+    if (m_acknowledgedDone.count(task))
+        recordViolation("task started after its end was acknowledged: " + text(task));
+    Resources used = demand;
+    for (const auto& [other, run] : executor.running) {
+        if (!run.isUnknown)
+            used += run.demand;
+    }
+    if (!used.fitsIn(executor.entry.capacity))
+        recordViolation("executor exceeds its capacity: " + executor.entry.id);
+}
+
 OrderResult FleetSimulation::stop(FakeExecutor& executor, const StopAction& action, std::int64_t fence)
 {
     if (fence < executor.fence)
@@ -224,14 +238,9 @@
     auto report = std::make_shared<ExecutorReport>();
     const auto sentAt = now;
     const auto fence = m_fence;
-    // A heartbeat names the incarnation, and any other incarnation refuses it. Starts and stops are accepted:
-    // the interface doesn't specify whether an incarnation with the same id has to refuse them.
-    const auto processStart = executors.at(action.executor).entry.startedUnixMs;
     sendOrder(
         action.executor,
-        [this, report, action, fence, processStart](FakeExecutor& executor) {
-            if (executor.entry.startedUnixMs != processStart)
-                return OrderResult::NoAnswer;
+        [this, report, action, fence](FakeExecutor& executor) {
             if (fence < executor.fence)
                 return OrderResult::Fenced;
             executor.fence = fence;
@@ -241,14 +250,16 @@
             std::erase_if(executor.ended, [&](const EndedTask& end) {
                 if (end.number > action.acknowledgedEnd)
                     return false;
-                if (end.outcome == RunOutcome::Done)
+                if (end.outcome == RunOutcome::Done && !isBeforeContact(executor))
                     m_acknowledgedDone.insert(end.task);
                 return true;
             });
             report->clockMs = clockOf(executor);
             report->startedUnixMs = executor.entry.startedUnixMs;
-            for (const auto& [task, run] : executor.running)
+            for (auto& [task, run] : executor.running) {
+                run.isUnknown = false;
                 report->running.push_back({ task, run.run, {}, 50, 0 });
+            }
             report->ended = executor.ended;
             return OrderResult::Ok;
         },
@@ -319,10 +330,8 @@
     scheduler = std::make_unique<FleetScheduler>(SchedulerBounds {}, m_lastCommit, now);
     m_lastCommit = now; // the takeover itself commits the leadership row
     scheduler->configure(configuration);
-    for (const auto& [id, it] : executors) {
-        if (!m_deregistered.count(id))
-            scheduler->executorRegistered(it.entry, now);
-    }
+    for (const auto& [id, entry] : m_registrations)
+        scheduler->executorRegistered(entry, now);
     for (const auto& [id, request] : m_jobs) {
         Reason reason;
         auto record = m_records.find(id);
@@ -350,7 +359,16 @@
     executor.entry = entry;
     executor.entry.startedUnixMs += 100'000;
     executor.processStart = now;
-    scheduler->executorRegistered(executor.entry, now);
+    if (registrationDelay == Duration::zero())
+        storeRegistration(executor.entry);
+    else
+        schedule(registrationDelay, [this, entry = executor.entry] { storeRegistration(entry); });
+}
+
+void FleetSimulation::storeRegistration(const ExecutorEntry& entry)
+{
+    m_registrations[entry.id] = entry;
+    scheduler->executorRegistered(entry, now);
 }
 
 void FleetSimulation::drainAndLeave(const std::string& id, Duration delay)
@@ -359,7 +377,7 @@
     entry.isDraining = true;
     entry.remainingMs = toMilliseconds(delay);
     executors.at(id).entry = entry;
-    scheduler->executorRegistered(entry, now);
+    storeRegistration(entry);
     schedule(delay, [this, id] {
         crash(id);
         executors.at(id).hasExited = true;
@@ -369,7 +387,7 @@
 
 void FleetSimulation::deregister(const std::string& id)
 {
-    m_deregistered.insert(id);
+    m_registrations.erase(id);
     scheduler->executorDeregistered(id, now);
 }
 
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -28,6 +28,7 @@
     Instant endsAt;
     RunOutcome end = RunOutcome::Done;
     Resources demand;
+    bool isUnknown = false; // started by an early order to the process before, and not in a report yet
 };
 
 /** An executor that behaves as the interface of the platform specifies. */
@@ -42,6 +43,7 @@
     Instant processStart;
     bool isUp = true;
     bool isReachable = true;
+    bool isOrderForPredecessor = false; // the order that it carries out was sent to an earlier process
     bool hasExited = false; // its port is closed, so connections are refused
 };
 
@@ -61,6 +63,7 @@
     bool isStoreAvailable = true;
     bool hasIdleCommits = false; // the leader's heartbeats in the store, which let leases be renewed
     std::set<std::string> approved; // executors that the approval service approves
+    Duration registrationDelay {}; // from the restart of an executor until the store has its new registration
     int approvalCalls = 0;
 
     void submit(const JobRequest& request);
@@ -104,9 +107,12 @@
     template <typename Answer>
     void sendOrder(const std::string& id, std::function<OrderResult(FakeExecutor&)> carryOut, Answer answer);
     OrderResult start(FakeExecutor& executor, const StartAction& action, std::int64_t fence);
+    bool isBeforeContact(const FakeExecutor& executor) const;
+    void checkStart(const FakeExecutor& executor, const TaskRef& task, const Resources& demand);
     OrderResult stop(FakeExecutor& executor, const StopAction& action, std::int64_t fence);
     void heartbeat(const HeartbeatAction& action);
     void commit(const CommitAction& action);
+    void storeRegistration(const ExecutorEntry& entry);
     void recordViolation(const std::string& what) { violations.push_back(what); }
 
     std::mt19937 m_random;
@@ -120,7 +126,7 @@
     std::set<std::string> m_cancelled; // durable
     std::map<std::string, std::string> m_records; // durable
     std::set<TaskRef> m_acknowledgedDone; // tasks whose end with outcome Done was acknowledged
-    std::set<std::string> m_deregistered;
+    std::map<std::string, ExecutorEntry> m_registrations; // by executor id, as the store has them
 };
 
 /** Returns a job with one step. */
