Fleet: a restart that a heartbeat tells of gets no tasks before its registration is read

Callers saw: an executor was given more than its capacity (LIMIT).

Cause: a process that starts under the id of an earlier one may be of another kind. When a heartbeat told of it before its registration was read, it was entered with the capacity, labels and service of the process before, as registered, and tasks were placed up to that capacity. No message needs to be lost or late.

Why it works: the new process is not registered until its own registration has been read; until then it is polled, not used.

--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -129,7 +129,7 @@
     if (incarnation && incarnation->entry.startedUnixMs != 0 && entry.startedUnixMs != 0
         && entry.startedUnixMs != incarnation->entry.startedUnixMs) {
         if (entry.startedUnixMs > incarnation->entry.startedUnixMs)
-            m_impl->replaceIncarnation(*incarnation, entry, now);
+            m_impl->replaceIncarnation(*incarnation, entry, true, now);
         return;
     }
     if (!incarnation) {
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -357,7 +357,7 @@
                 && it.incarnationOf(incarnation.entry.id) == &incarnation) {
                 auto entry = incarnation.entry;
                 entry.startedUnixMs = report->startedUnixMs;
-                it.replaceIncarnation(incarnation, entry, now);
+                it.replaceIncarnation(incarnation, entry, false, now);
             }
             return; // the next heartbeat goes to the new incarnation
         }
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -57,15 +57,17 @@
 }
 
 // The executor has restarted. The runs of the old incarnation end in closePredecessor(), once the new one
-// has answered with our fencing token: from then on it refuses orders of earlier leaders.
-void FleetScheduler::Impl::replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, Instant now)
+// has answered with our fencing token: from then on it refuses orders of earlier leaders. `isRegistered`:
+// `entry` is the registration of the new one, which may have other capacity and labels than the old one.
+void FleetScheduler::Impl::replaceIncarnation(
+    Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now)
 {
     const IncarnationId oldNumber = old.number;
     old.isRegistered = false;
     old.entry.address.clear();
     updatePool(old);
     auto& incarnation = addIncarnation(entry, now);
-    incarnation.isRegistered = true;
+    incarnation.isRegistered = isRegistered;
     incarnation.predecessor = oldNumber;
     currentIncarnations[entry.id] = incarnation.number;
     updatePool(incarnation);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -255,7 +255,7 @@
     // Executors (SchedulerExecutors.cpp)
     Incarnation& addIncarnation(const ExecutorEntry& entry, Instant now);
     Incarnation* incarnationOf(const std::string& id);
-    void replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, Instant now);
+    void replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now);
     Run& moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
     void closePredecessor(Incarnation& incarnation, const ExecutorReport& report, Instant now);
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
