Fleet: orders without an answer are remembered after the lease of their executor has ended

Callers would see: TWICE, or two runs of a task at the same time, after an executor was away for longer than its lease and came back under its id while an order to the process before was still under way (20 s; delays of 12 s were observed).

Cause: the incarnation of an executor that is gone was closed when its lease had certainly ended, about 7 s after the loss, and with it what was known of unanswered starts and acknowledgements. The next process had no predecessor: nothing barred the start, and work was placed whose ends a late acknowledgement would discard.

Before: 'a restart after the lease: an unanswered acknowledgement ...': 2 starts instead of 1; '... an unanswered start ...': no stop. After: both pass. Why it works: an incarnation stays open, without being polled, until none of its orders can arrive any more.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -300,10 +300,17 @@
             [&](const auto& unansweredStart) { return now - unansweredStart.second > maxOrderDelay; });
         const bool isIdle
             = incarnation.runs.empty() && !incarnation.isHeartbeatInFlight && incarnation.predecessor < 0;
-        if (!incarnation.isRegistered && isIdle && now > incarnation.leaseEndsAt + bounds.maxStopDuration) {
-            addEvent("executor_closed", {}, "executor=" + incarnation.entry.id);
-            closeIncarnation(incarnation);
+        if (incarnation.isRegistered || !isIdle || now <= incarnation.leaseEndsAt + bounds.maxStopDuration)
+            continue;
+        // If the executor starts again under its id, orders without an answer may reach its next process.
+        const auto ordersMayArriveUntil
+            = std::max(incarnation.unansweredAcknowledgementUntil, incarnation.staleAcknowledgementUntil);
+        if (!incarnation.unansweredStarts.empty() || now < ordersMayArriveUntil) {
+            incarnation.entry.address.clear();
+            continue;
         }
+        addEvent("executor_closed", {}, "executor=" + incarnation.entry.id);
+        closeIncarnation(incarnation);
     }
 }
 
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -362,3 +362,69 @@
         fleet.pump();
     CHECK(fleet.starts.size() <= 1);
 }
+
+TEST_CASE("a restart after the lease: an unanswered acknowledgement still bars placement")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    fleet.pumpUntilStarted(1);
+    const TaskRef task = fleet.starts[0].task;
+    fleet.scheduler.startAnswered(fleet.starts[0].incarnation, task, 1, OrderResult::Ok, fleet.now);
+    fleet.answerAll(1000, {}, { { 1, task, 1, RunOutcome::Done, {} } });
+    fleet.pump();
+    fleet.pump();
+    REQUIRE(fleet.heartbeats.size() == 1);
+    REQUIRE(fleet.heartbeats[0].acknowledgedEnd == 1);
+    fleet.scheduler.executorDeregistered("e", fleet.now);
+    const auto lostAt = fleet.now;
+    while (fleet.now - lostAt < 10s) {
+        fleet.failAll(); // each may be carried out up to 20 s later
+        fleet.pump(100ms);
+    }
+    fleet.heartbeats.clear();
+    fleet.entry.startedUnixMs = 50'000;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(50'000);
+    fleet.scheduler.submit(jobOf("00000000000000bb", 1), fleet.now);
+    for (int i = 0; i < 10; ++i)
+        fleet.pump();
+    CHECK(fleet.starts.size() == 1);
+}
+
+TEST_CASE("a restart after the lease: an unanswered start is still barred by a stop")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    fleet.pumpUntilStarted(1);
+    const TaskRef task = fleet.starts[0].task;
+    fleet.scheduler.executorDeregistered("e", fleet.now);
+    const auto lostAt = fleet.now;
+    std::size_t answered = 0;
+    Instant lastUnanswered;
+    while (fleet.now - lostAt < 10s) {
+        for (; answered < fleet.starts.size(); ++answered) {
+            fleet.scheduler.startAnswered(
+                fleet.starts[answered].incarnation, task, 1, OrderResult::NoAnswer, fleet.now);
+            lastUnanswered = fleet.now;
+        }
+        fleet.failAll();
+        fleet.pump(100ms);
+    }
+    REQUIRE(fleet.now - lastUnanswered < 10s); // it may still be carried out
+    fleet.heartbeats.clear();
+    fleet.stops.clear();
+    fleet.entry.startedUnixMs = 50'000;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(50'000);
+    for (int i = 0; i < 10; ++i)
+        fleet.pump();
+    CHECK(fleet.hasStop(1));
+}
