Fleet: a run that goes on in an executor's next process is stopped there, though the process before confirmed the stop

Callers would see: a task of a cancelled job runs on (UNASKED); a task whose run was given up never ends.

Cause: a run that moves to the next process kept the confirmation of its stop by the process before, so no stop was sent again.

Why it works: moving a run clears the confirmation.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -86,6 +86,7 @@
     openOrders.erase({ from.number, key });
     run.mapped().phase = RunPhase::Starting;
     run.mapped().isInFlight = false;
+    run.mapped().isStopAcknowledged = false; // by the earlier process
     if (!run.mapped().isOrphan)
         key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].incarnation = to.number;
     return to.runs.insert(std::move(run)).position->second;
@@ -135,7 +136,6 @@
                                                : incarnation.runs.emplace(key, orphan).first->second;
         blockedRun.phase = RunPhase::Starting;
         blockedRun.isStopRequested = true;
-        blockedRun.isStopAcknowledged = false;
         blockedRun.nextSend = now;
         openOrders.insert({ incarnation.number, key });
     }
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -428,3 +428,30 @@
         fleet.pump();
     CHECK(fleet.hasStop(1));
 }
+
+TEST_CASE("a run whose stop the process before confirmed runs in the next process: it is stopped there")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    fleet.pumpUntilStarted(1);
+    const TaskRef task = fleet.starts[0].task;
+    fleet.scheduler.startAnswered(fleet.starts[0].incarnation, task, 1, OrderResult::NoAnswer, fleet.now);
+    fleet.scheduler.cancel(job, fleet.now);
+    fleet.pump();
+    REQUIRE(fleet.hasStop(1));
+    fleet.scheduler.stopAnswered(fleet.stops[0].incarnation, task, 1, OrderResult::Ok, fleet.now);
+    fleet.stops.clear();
+    fleet.failAll();
+    fleet.entry.startedUnixMs = 5000;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(5000, { { task, 1, {}, 10, 0 } }); // the late start was carried out
+    for (int i = 0; i < 100; ++i) {
+        fleet.pump(20ms);
+        fleet.answerAll(5000, { { task, 1, {}, 10, 0 } });
+    }
+    CHECK(fleet.hasStop(1));
+}
