Fleet: a truncated first report of a restarted executor does not end the runs that it omits

Callers would see: TWICE, if a new leader reads a registration from before a restart and the executor has 500 or more unacknowledged ends.

Cause: closePredecessor() took what the first report does not list for ended, without the check for truncated reports that applyRunning() has.

Why it works: the earlier process is closed only with a report that is complete.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -22,7 +22,6 @@
 constexpr auto refusalBackoff = 700ms; // half of an executor's ping interval
 constexpr auto failureBackoff = 3000ms; // two ping intervals
 constexpr int failuresUntilBackoff = 3; // consecutive, of tasks of any job
-constexpr std::size_t maxEndsPerReport = 500; // executors truncate a report at this number of ends
 constexpr std::size_t unreachableStartsUntilRequeued = 2;
 
 } // namespace
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -97,9 +97,9 @@
 void FleetScheduler::Impl::closePredecessor(
     Incarnation& incarnation, const ExecutorReport& report, Instant now)
 {
+    if (incarnation.predecessor < 0 || report.ended.size() >= maxEndsPerReport)
+        return; // a truncated report may omit a run that has ended
     const IncarnationId number = std::exchange(incarnation.predecessor, -1);
-    if (number < 0)
-        return;
     auto& old = incarnations[number];
     closePredecessor(old, report, now);
     if (old.isHeartbeatInFlight && old.sentAcknowledgement > 0)
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -25,6 +25,8 @@
 // How long an order without an answer may still be carried out; delays of 12 s were observed.
 constexpr auto maxOrderDelay = 20s;
 
+constexpr std::size_t maxEndsPerReport = 500; // executors truncate a report at this number of ends
+
 enum class TaskPhase {
     Waiting,
     Active,
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -455,3 +455,28 @@
     }
     CHECK(fleet.hasStop(1));
 }
+
+TEST_CASE("the first report of a restarted executor is truncated: a run that it omits may have ended there")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now); // of the process before
+    JobRecord record;
+    record.phase = JobPhase::Running;
+    TaskRecord row;
+    row.run = 1;
+    row.isAssigned = true;
+    row.executor = "e";
+    row.executorStartedUnixMs = 5000;
+    record.tasks.push_back(row);
+    fleet.scheduler.restore(jobOf(job, 1), record, fleet.now);
+    fleet.pump();
+    std::vector<EndedTask> ends;
+    for (int i = 1; i <= 500; ++i)
+        ends.push_back({ i, { "00000000000000cc", 0, 0, i }, 1, RunOutcome::Done, {} });
+    fleet.answerAll(5000, {}, ends); // the end of our run is the 501st
+    for (int i = 0; i < 20; ++i) {
+        fleet.pump(20ms);
+        fleet.answerAll(5000, {}, ends);
+    }
+    CHECK(fleet.starts.empty());
+}
