Fleet: a start is withdrawn if its executor's capacity has shrunk since the placement

Callers would see: an executor whose capacity shrinks while it runs gets a start that brings it over (LIMIT, the users' new form of the rule).

Cause: the capacity was compared at the placement only. Between it and the start lies a commit, and a start without an answer is repeated; with a slow store both outlast the time in which a shrunken capacity does not count yet.

--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -136,6 +136,10 @@
         "start, "
         "and the run goes on",
         "nothing to do" },
+    CataloguedEvent { 2611, "start_withdrawn",
+        "a start is not sent because the executor's capacity has shrunk since the placement; the task waits "
+        "again",
+        "nothing to do" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent {
         2702, "executor_leaving", "an executor is draining: it gets no new starts", "nothing to do" },
