Fleet: a job record with a range of indexes below 0 is unreadable

Cause: only the end of a range was compared with the number of tasks.

After: it is refused and its job is left alone, as with other records that can't be read.

--- a/src/fleet/JobRecord.cpp
+++ b/src/fleet/JobRecord.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <stdexcept>
 
 namespace quay::fleet {
 
@@ -34,8 +35,11 @@
 {
     std::vector<int> indexes;
     for (std::size_t i = 0; i + 1 < ranges.size(); i += 2) {
+        const int first = ranges[i].to_number<int>();
         const int last = ranges[i + 1].to_number<int>();
-        for (int index = ranges[i].to_number<int>(); index <= last && last < endValue; ++index)
+        if (first < 0)
+            throw std::out_of_range("an index is below zero");
+        for (int index = first; index <= last && last < endValue; ++index)
             indexes.push_back(index);
     }
     return indexes;
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -210,6 +210,9 @@
     CHECK_FALSE(decodeJobRecord(R"({"phase":1,"tasks":[[0,1,2,3,1,1,0]],"done":[]})", reason));
     CHECK_FALSE(decodeJobRecord(
         R"({"phase":1,"executors":[["i-1",1000]],"tasks":[[0,1,2,3,1,1,1]],"done":[]})", reason));
+    // A range that begins far below 0 would fill the memory before its end is reached.
+    CHECK_FALSE(decodeJobRecord(R"({"phase":1,"tasks":[],"done":[[0,0,[-30000000,1]]]})", reason));
+    CHECK_FALSE(decodeJobRecord(R"({"phase":1,"tasks":[],"done":[],"occurrences":[-30000000,1]})", reason));
     const edge::StoredJob job { validJobId, "q", "t", R"({"spec":"\u0000é"})" };
     CHECK(edge::decodeStoredJob(encode(job), reason) == job);
     const edge::LeadershipRecord lead { "n", "a:1", 1ULL << 50U, 9, 3, 0.5, 4 };
