Executors: an entry with an impossible number or a label of another type is refused

One entry with a start in the far future (born 8e15) made its executor unusable for good: the row counted as a new incarnation, and the executor's own later rows as older than that. Capacities up to 9e15 and below 0 were added to those of the whole service, on which reserves and approvals depend; with enough of them the sum overflows. Callers would see tasks wait although executors are free.

Cause: the decoder took any number up to 9e15.

Deep nesting, numbers beyond 64 bits or a double, invalid UTF-8, empty rows and other types were refused before too; their rows stay in the table.

The bounds keep sums over executors and times after now in range. Small negative remaining times are kept: they mean that the time is over. The fuzz target registers each decoded entry, so that the sanitizers see the arithmetic.

--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -96,6 +96,61 @@
     }
 }
 
+// Another writer left entries of these kinds. Those with numbers out of range were used: sums of them
+// overflowed.
+TEST_CASE("an executor's entry that is nested deeply or holds an impossible number is rejected")
+{
+    constexpr std::size_t depth = 10'000;
+    const std::string opened(depth, '[');
+    const auto nested = opened + std::string(depth, ']');
+    const auto entry = [](const std::string& fields) {
+        return R"({"service":"s","address":"1.2.3.4:5","state":"ready",)" + fields + "}";
+    };
+    struct Row {
+        const char* name;
+        std::string body;
+        bool isValid;
+    };
+    const Row rows[] = {
+        { "complete", entry(R"("born":1790000000000,"remainingMs":0,"labels":["a"],"capacity":{"cpu":1})"),
+            true },
+        { "a negative remaining time", entry(R"("remainingMs":-5,"capacity":{"cpu":1})"), true },
+        { "nested", nested, false },
+        { "opened only", opened, false },
+        { "nested capacity", entry("\"capacity\":" + nested), false },
+        { "nested label", entry("\"capacity\":{},\"labels\":[" + nested + "]"), false },
+        { "nested unknown field", entry("\"capacity\":{},\"new\":" + nested), false },
+        { "a label of the wrong type", entry(R"("capacity":{},"labels":["a",[["b"]]])"), false },
+        { "cpu beyond the range of a double", entry(R"("capacity":{"cpu":1e400})"), false },
+        { "cpu beyond 64 bits", entry(R"("capacity":{"cpu":99999999999999999999})"), false },
+        { "cpu of 1e18", entry(R"("capacity":{"cpu":1e18})"), false },
+        { "cpu of 1e15", entry(R"("capacity":{"cpu":1e15})"), false },
+        { "negative cpu", entry(R"("capacity":{"cpu":-1})"), false },
+        { "memory of 1e15", entry(R"("capacity":{"memMb":1e15})"), false },
+        { "negative memory", entry(R"("capacity":{"memMb":-1})"), false },
+        { "1e15 accelerators", entry(R"("capacity":{"gpu":1e15})"), false },
+        { "negative accelerators", entry(R"("capacity":{"gpu":-1})"), false },
+        { "born beyond the range of a double", entry(R"("capacity":{},"born":1e400)"), false },
+        { "born beyond 64 bits", entry(R"("capacity":{},"born":99999999999999999999)"), false },
+        { "born in the far future", entry(R"("capacity":{},"born":8000000000000000)"), false },
+        { "born before 1970", entry(R"("capacity":{},"born":-1)"), false },
+        { "remaining beyond the range of a double", entry(R"("capacity":{},"remainingMs":1e400)"), false },
+        { "remaining longer than the clock's range", entry(R"("capacity":{},"remainingMs":8e15)"), false },
+        { "remaining negative and large", entry(R"("capacity":{},"remainingMs":-8e15)"), false },
+        { "invalid UTF-8", entry("\"capacity\":{},\"zone\":\"\xc3\xff\""), false },
+        { "an unpaired surrogate", entry(R"("capacity":{},"zone":"\ud800")"), false },
+        { "empty", "", false },
+        { "a list", "[]", false },
+        { "a number", "1e400", false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        Reason reason;
+        CHECK(decodeExecutorEntry("i-1", row.body, reason).has_value() == row.isValid);
+        CHECK((row.isValid || !reason.detail.empty()));
+    }
+}
+
 TEST_CASE("an executor's report is decoded from arrays with fixed positions")
 {
     Reason reason;
--- a/tests/fuzz/FuzzPlatformMessages.cpp
+++ b/tests/fuzz/FuzzPlatformMessages.cpp
@@ -1,6 +1,7 @@
 #include "NodeSettings.h"
 #include "Wire.h"
 #include "fuzz/Fuzz.h"
+#include "quay/fleet/FleetScheduler.h"
 
 using namespace quay;
 
@@ -27,8 +28,13 @@
         fuzz::require(tasks > 0 && tasks <= fleet::maxTasksPerJob, "the number of tasks is bounded");
         parsed = 1;
     }
-    if (platform::decodeExecutorEntry("i-1", bytes, reason))
+    if (const auto entry = platform::decodeExecutorEntry("i-1", bytes, reason)) {
+        const Instant now { std::chrono::hours(1) };
+        fleet::FleetScheduler scheduler({}, now, now);
+        scheduler.executorRegistered(*entry, now); // adds what the entry says to sums and times
+        (void)scheduler.counts();
         parsed = 1;
+    }
     if (platform::decodeExecutorReport(bytes, reason))
         parsed = 1;
     if (platform::parseNodeSettings(bytes, reason))
