Configuration: a row of another partition is not taken for the operator's

A row "config" that another writer leaves in another partition of the table "op" came into force, with its keys and limits; with a high version it also kept out all later versions of the operator. Callers would see 401 with their keys.

Cause: the change feed has the rows of all partitions, and only the key was compared.

Before: the test's foreign key was accepted (200) and the operator's next version was not in force after 8 s. After: the foreign key gets 401 and the next version is in force.

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -123,7 +123,8 @@
 
 void ConfigurationWatcher::apply(const StoreRow& row)
 {
-    if (row.key != configurationKey || row.isDeleted)
+    // The change feed has the rows of all partitions; the operator writes to the one without a name.
+    if (!row.partition.empty() || row.key != configurationKey || row.isDeleted)
         return;
     Reason reason;
     auto configuration = decodeConfiguration(row.value, reason);
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <functional>
 #include <regex>
 #include <set>
 #include <thread>
@@ -544,3 +545,41 @@
     waitFor("the job is completed", [&] { return isCompleted(node, jobId(1)); });
     CHECK(platform.violations().empty());
 }
+
+namespace {
+
+constexpr auto applyTimeout = 8s; // only fails tests
+
+bool becomes(const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + applyTimeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(10ms);
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a row of another partition is not taken for the operator's configuration")
+{
+    standin::FleetPlatform platform(1);
+    platform.configure(configuration);
+    Node node(41, platform.storeAddress());
+    waitFor(
+        "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
+    auto other = configuration;
+    other.replace(other.find("\"version\":1"), 11, "\"version\":99");
+    other.replace(other.find("\"key\""), 5, "\"other\"");
+    platform.writeRow("op", "other", "config", other);
+    auto next = configuration;
+    next.replace(next.find("\"version\":1"), 11, "\"version\":2");
+    next.replace(next.find("\"key\""), 5, "\"next\"");
+    platform.configure(next);
+    CHECK(becomes([&] {
+        return call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob, "next").status == 200;
+    }));
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(2), twoStepJob, "other").status == 401);
+}
