Executors: an entry whose address or id can't be called names no executor

An entry with port 0, 65536 or, without a port, with a host name, or with spaces or a line end in its address was registered: its capacity counted for its service, and heartbeats to it were tried again and again. An id goes into a header and into approval calls, so one with a line end would add a header to the orders.

Cause: the address was parsed only by the HTTP client, for each request, and the id nowhere. The client also took port 0, and addresses with a line end after the "%" of an IPv6 address, since the library reads only the number there.

The client and the leader use the same parser, so an executor in use has an address that the client accepts. The entry's writer is told by the event executor_unreadable, and the executor counts as deregistered.

--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -2,6 +2,7 @@
 
 #include "Wire.h"
 #include "edge/Clock.h"
+#include "net/Endpoint.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -24,6 +25,24 @@
 constexpr auto jobsPollInterval = 700ms; // bounds the delay of jobs whose notification to the leader was lost
 constexpr std::size_t restoreBatchSize = 40; // jobs; takes a few milliseconds on a tenth of a processor
 
+// An executor's id goes into headers and into requests that name other executors too.
+bool isPlainId(const std::string& id)
+{
+    return !id.empty()
+        && std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+}
+
+// Another writer's entry may have the form of a registration, and still name nothing that can be called.
+std::optional<ExecutorEntry> decodeUsableExecutor(const StoreRow& row, Reason& reason)
+{
+    if (!isPlainId(row.key))
+        return fail(reason, ErrorKind::MalformedRequest, "the id is not plain text");
+    auto entry = decodeExecutorEntry(row.key, row.value, reason);
+    if (entry && !parseEndpoint(entry->address))
+        return fail(reason, ErrorKind::MalformedRequest, "'" + entry->address + "' is not IP:PORT");
+    return entry;
+}
+
 // Returns a callback for each of `count` reads; after the last one `done` gets the lowest of their versions.
 std::function<void(std::int64_t)> joinReads(std::size_t count, std::function<void(std::int64_t)> done)
 {
@@ -263,7 +282,7 @@
         return;
     }
     Reason reason;
-    const auto entry = decodeExecutorEntry(row.key, row.value, reason);
+    const auto entry = decodeUsableExecutor(row, reason);
     if (!entry) {
         m_services.log.write(
             "executor_unreadable", {}, { { "executor", row.key }, { "reason", reason.detail } });
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpClient.h"
 
+#include "net/Endpoint.h"
 #include "net/TlsOptionalStream.h"
 
 #include <algorithm>
@@ -129,29 +130,22 @@
 
 void Connection::connect()
 {
-    std::string host;
-    std::uint16_t port = 0;
-    if (!splitAddress(m_address, host, port)) {
-        finish(failedResult(false, "'" + m_address + "' is not IP:PORT"), false);
-        return;
-    }
-    beast::error_code ec;
-    const auto ip = asio::ip::make_address(host, ec);
-    if (ec) {
+    const auto endpoint = parseEndpoint(m_address);
+    if (!endpoint) {
         finish(failedResult(false, "'" + m_address + "' is not IP:PORT"), false);
         return;
     }
+    const auto host = m_address.substr(0, m_address.rfind(':')); // as the certificate names it
     m_stream.tcp().expires_at(m_exchange->deadline);
-    m_stream.tcp().async_connect(
-        tcp::endpoint(ip, port), [self = shared_from_this(), host](beast::error_code error) {
-            if (error) {
-                self->finish(failedResult(false, self->m_address + ": " + error.message()), false);
-                return;
-            }
-            beast::error_code ignored;
-            self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
-            self->handshake(host);
-        });
+    m_stream.tcp().async_connect(*endpoint, [self = shared_from_this(), host](beast::error_code error) {
+        if (error) {
+            self->finish(failedResult(false, self->m_address + ": " + error.message()), false);
+            return;
+        }
+        beast::error_code ignored;
+        self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->handshake(host);
+    });
 }
 
 // The request is written only after the server's certificate is verified, so a failed handshake means that
--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -70,6 +70,7 @@
     std::int64_t clockMs() const { return toMilliseconds(currentTime() - startedAt) + 1; }
 
     std::string id;
+    std::string registration;
     Instant startedAt = currentTime();
     std::int64_t fencingToken = 0;
     std::int64_t leaseUntilMs = 0;
@@ -106,7 +107,8 @@
             { "zone", "z" }, { "state", "ready" }, { "born", 1000 + i },
             { "capacity", json::object { { "cpu", cpuMilli }, { "memMb", 8000 }, { "gpu", 0 } } },
             { "labels", json::array { "a", "r1" } } };
-        putRow({ "servers", "", instance.id }, encodeBase64(json::serialize(entry)));
+        instance.registration = json::serialize(entry);
+        putRow({ "servers", "", instance.id }, encodeBase64(instance.registration));
         m_executors.push_back(std::move(executor));
     }
     m_thread = std::thread([this] {
@@ -149,6 +151,18 @@
     putRow({ table, partition, key }, encodeBase64(value));
 }
 
+void FleetPlatform::writeEncodedRow(
+    const std::string& table, const std::string& partition, const std::string& key, const std::string& base64)
+{
+    const std::lock_guard lock(m_mutex);
+    putRow({ table, partition, key }, base64);
+}
+
+std::string FleetPlatform::registration(std::size_t executor) const
+{
+    return m_executors.at(executor)->registration;
+}
+
 void FleetPlatform::setBusyPartition(const std::string& partition)
 {
     const std::lock_guard lock(m_mutex);
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -42,6 +42,11 @@
     /** Writes a row of any table. */
     void writeRow(const std::string& table, const std::string& partition, const std::string& key,
         const std::string& value);
+    /** Writes a row with a value that is not encoded, so that it may be invalid base64. */
+    void writeEncodedRow(const std::string& table, const std::string& partition, const std::string& key,
+        const std::string& base64);
+    /** The registration row that the executor wrote when it started. */
+    std::string registration(std::size_t executor) const;
     /** While true, all store calls get a response with status 503. */
     void setStoreUnavailable(bool isUnavailable);
     /** From now on, transactions on the partition get a response with status 429; empty: on none. */
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -548,6 +548,20 @@
 
 namespace {
 
+// The number of executors in one of the states.
+std::int64_t countExecutors(const Node& node, const std::vector<std::string>& states)
+{
+    const auto page = node.metricsPage();
+    std::int64_t count = 0;
+    for (const auto& state : states) {
+        std::smatch match;
+        const std::regex line("quay_executors\\{state=\"" + state + "\"\\} (\\d+)");
+        if (std::regex_search(page, match, line))
+            count += std::stoll(match[1]);
+    }
+    return count;
+}
+
 constexpr auto applyTimeout = 8s; // only fails tests
 
 bool becomes(const std::function<bool()>& condition)
@@ -563,6 +577,79 @@
 
 } // namespace
 
+// One odd entry ended nodes, was used as an executor, or made the executor that it names unusable.
+TEST_CASE("an odd entry among those of the executors names none, and the node follows the others")
+{
+    constexpr std::size_t depth = 10'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto entry = [](const std::string& address, const std::string& fields = {}) {
+        return R"({"service":"service","zone":"z","state":"ready","capacity":{"cpu":1000},"address":")"
+            + address + "\"" + fields + "}";
+    };
+    const std::pair<const char*, std::string> oddValues[] = {
+        { "empty", "" },
+        { "not an object", "[]" },
+        { "bytes", "\x01\xff" },
+        { "nested", nested },
+        { "nested labels", entry("127.0.0.1:9", ",\"labels\":" + nested) },
+        { "a number beyond the range of a double", entry("127.0.0.1:9", ",\"born\":1e400") },
+        { "a start in the far future", entry("127.0.0.1:9", ",\"born\":8000000000000000") },
+        { "a capacity of 8e15", entry("127.0.0.1:9", R"(,"capacity":{"cpu":8000000000000000})") },
+        { "a negative capacity", entry("127.0.0.1:9", R"(,"capacity":{"cpu":-8000000000000000})") },
+        { "remaining longer than the clock's range",
+            entry("127.0.0.1:9", R"(,"state":"draining","remainingMs":8000000000000000)") },
+        { "no port", entry("127.0.0.1") },
+        { "an empty port", entry("127.0.0.1:") },
+        { "port 0", entry("127.0.0.1:0") },
+        { "port -1", entry("127.0.0.1:-1") },
+        { "port 65536", entry("127.0.0.1:65536") },
+        { "port 99999999999", entry("127.0.0.1:99999999999") },
+        { "a named port", entry("127.0.0.1:http") },
+        { "a host name", entry("host:80") },
+        { "an IPv6 address in brackets", entry("[::1]:80") },
+        { "spaces", entry(" 127.0.0.1:9") },
+        { "a line end", entry(R"(127.0.0.1:9\r\nX: y)") },
+        { "a line end in the zone of an address", entry(R"(fe80::1%1\r\nX: y:9)") },
+    };
+    const std::string oddKeys[] = { "", "a b", "a\r\nX: y", "\xc3\xa9", std::string("a\0b", 3) };
+    const std::vector<std::string> registered { "at_work", "leaving", "silent" };
+
+    standin::FleetPlatform platform(2);
+    platform.configure(configuration);
+    platform.writeEncodedRow("servers", "", "before", "!!!!"); // read with the whole table
+    Node node(40, platform.storeAddress());
+    waitFor(
+        "the node is ready", [&] { return call(node.readinessEndpoint(), "GET", "/ready").status == 200; });
+    waitFor("it knows the executors", [&] { return countExecutors(node, registered) == 2; });
+
+    int number = 0;
+    for (const auto& [name, value] : oddValues)
+        platform.writeRow("servers", "", "odd-" + std::to_string(++number), value);
+    for (const auto& key : oddKeys)
+        platform.writeRow("servers", "", key, entry("127.0.0.1:9"));
+    platform.writeEncodedRow("servers", "", "odd-base64", "!!!!");
+    platform.writeRow("servers", "", "last", entry("127.0.0.1:9")); // a usable one, whose executor is silent
+    CHECK(becomes([&] { return countExecutors(node, registered) >= 3; }));
+    CHECK(countExecutors(node, registered) == 3);
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
+    CHECK(becomes([&] { return isCompleted(node, jobId(1)); }));
+
+    for (const auto& [name, value] : oddValues) {
+        CAPTURE(std::string(name));
+        platform.writeRow("servers", "", "i-0", value);
+        CHECK(becomes([&] { return countExecutors(node, { "at_work" }) == 1; }));
+        platform.writeRow("servers", "", "i-0", platform.registration(0));
+        CHECK(becomes([&] { return countExecutors(node, { "at_work" }) == 2; }));
+    }
+    platform.writeRow("servers", "", "last", "");
+    CHECK(becomes([&] { return countExecutors(node, { "silent" }) == 0; }));
+    CHECK(countExecutors(node, { "at_work" }) == 2);
+    CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(2), twoStepJob).status == 200);
+    CHECK(becomes([&] { return isCompleted(node, jobId(2)); }));
+    CHECK(platform.startedRuns() == 14);
+    CHECK(platform.violations().empty());
+}
+
 TEST_CASE("a row of another partition is not taken for the operator's configuration")
 {
     standin::FleetPlatform platform(1);
--- a/tests/contract/HttpClientTest.cpp
+++ b/tests/contract/HttpClientTest.cpp
@@ -70,3 +70,26 @@
     while (openFileDescriptors() > before && context.run_one_for(10s)) { }
     CHECK(openFileDescriptors() <= before);
 }
+
+// A line end in an address would add headers to the request of a client that writes it into "Host".
+TEST_CASE("a request to an address that is not an IP and a port fails as not sent")
+{
+    boost::asio::io_context context(1);
+    HttpClient client(context, 1, 1024);
+    for (const std::string address : { "", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:-1",
+             "127.0.0.1:65536", "127.0.0.1:99999999999", "127.0.0.1:http", "127.0.0.1:80 ", " 127.0.0.1:80",
+             "127.0.0.1:80\r\nX: y", "127.0.0.1\r\nX: y:80", "fe80::1%1\r\nX: y:80", "host:80", "[::1]:80",
+             "300.0.0.1:80", "http://127.0.0.1:80" }) {
+        CAPTURE(address);
+        std::string detail;
+        bool mayHaveArrived = true;
+        client.send(address, HttpRequest {}, 2s, [&](const HttpResult& result) {
+            mayHaveArrived = result.mayHaveArrived || result.response.has_value();
+            detail = result.reason.detail;
+        });
+        context.restart();
+        context.run_for(3s);
+        CHECK_FALSE(mayHaveArrived);
+        CHECK(detail.find("is not IP:PORT") != std::string::npos);
+    }
+}
