Executors: a row of another partition is not taken for a registration

A row "i-0" that another writer leaves in another partition of the table of executors would deregister the executor i-0, which writes again only when its entry changes; a valid one was used until the table was read again.

Cause: the change feed has the rows of all partitions, and only the key was used. The first read of the table has the rows of one partition only.

After: it is not, and an unreadable row "i-0" in another partition leaves i-0 at work. The latter was not run alone before the fix.

--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -275,6 +275,8 @@
 
 void CellLeader::applyExecutorRow(const StoreRow& row)
 {
+    if (!row.partition.empty())
+        return; // the change feed has the rows of all partitions, and executors write to this one
     const auto now = clockNow();
     if (row.isDeleted) {
         if (m_registeredExecutors.erase(row.key))
--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -628,6 +628,7 @@
     for (const auto& key : oddKeys)
         platform.writeRow("servers", "", key, entry("127.0.0.1:9"));
     platform.writeEncodedRow("servers", "", "odd-base64", "!!!!");
+    platform.writeRow("servers", "other", "elsewhere", entry("127.0.0.1:9"));
     platform.writeRow("servers", "", "last", entry("127.0.0.1:9")); // a usable one, whose executor is silent
     CHECK(becomes([&] { return countExecutors(node, registered) >= 3; }));
     CHECK(countExecutors(node, registered) == 3);
@@ -641,6 +642,7 @@
         platform.writeRow("servers", "", "i-0", platform.registration(0));
         CHECK(becomes([&] { return countExecutors(node, { "at_work" }) == 2; }));
     }
+    platform.writeRow("servers", "other", "i-0", "");
     platform.writeRow("servers", "", "last", "");
     CHECK(becomes([&] { return countExecutors(node, { "silent" }) == 0; }));
     CHECK(countExecutors(node, { "at_work" }) == 2);
