--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -133,6 +133,53 @@
     std::vector<std::string> events;
 };
 
+struct RestartRow {
+    const char* name;
+    MessageFaults faults;
+    Duration registrationDelay;
+    int takeoverPerMille; // probability in each step of 250 ms, like the next one
+    int restartPerMille;
+};
+
+// Executors restart at random under their ids while leaders change and orders are lost or late.
+void checkRestarts(const RestartRow& row, unsigned seeds)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(std::string(row.name));
+        CAPTURE(seed);
+        FleetSimulation simulation(seed, 6, row.faults);
+        simulation.registrationDelay = row.registrationDelay;
+        std::mt19937 random(seed * 7919);
+        simulation.behaviour = [&](const TaskRef&, int) {
+            FakeRun run;
+            run.endsAt = simulation.now + std::chrono::milliseconds(100 + random() % 1900);
+            return run;
+        };
+        const auto roll = [&](int perMille) { return static_cast<int>(random() % 1000) < perMille; };
+        std::vector<std::string> ids;
+        for (int i = 0; i < 40; ++i) {
+            if (i < 20) {
+                char id[17];
+                std::snprintf(id, sizeof id, "%016x", i);
+                simulation.submit(jobOf(id, 1 + static_cast<int>(random() % 8)));
+                ids.emplace_back(id);
+            }
+            simulation.run(250ms);
+            if (roll(row.takeoverPerMille))
+                simulation.takeover();
+            for (auto& [id, executor] : simulation.executors) {
+                if (roll(row.restartPerMille))
+                    simulation.restart(id);
+            }
+        }
+        simulation.run(90s);
+        for (const auto& it : simulation.violations)
+            FAIL_CHECK(it);
+        for (const auto& id : ids)
+            CHECK(simulation.phase(id) == JobPhase::Completed);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a late answer to a heartbeat that was sent before a restart: the executor is not entered twice")
@@ -220,14 +267,7 @@
 TEST_CASE(
     "seeded restarts under the same id, late orders and takeovers: no end is lost, no capacity is exceeded")
 {
-    struct Row {
-        const char* name;
-        MessageFaults faults;
-        Duration registrationDelay;
-        int takeoverPerMille; // probability in each step of 250 ms, like the next one
-        int restartPerMille;
-    };
-    const Row rows[] = {
+    const RestartRow rows[] = {
         { "restarts", {}, 0ms, 0, 60 },
         { "registrations that lag", {}, 1500ms, 0, 60 },
         { "answers that are lost", { 0, 100, 0 }, 300ms, 0, 60 },
@@ -236,42 +276,13 @@
         { "takeovers, registrations that lag", {}, 1500ms, 100, 60 },
         { "takeovers, late orders", { 0, 50, 100 }, 0ms, 100, 60 },
     };
-    for (const auto& row : rows) {
-        for (unsigned seed = 1; seed <= 20; ++seed) {
-            CAPTURE(std::string(row.name));
-            CAPTURE(seed);
-            FleetSimulation simulation(seed, 6, row.faults);
-            simulation.registrationDelay = row.registrationDelay;
-            std::mt19937 random(seed * 7919);
-            simulation.behaviour = [&](const TaskRef&, int) {
-                FakeRun run;
-                run.endsAt = simulation.now + std::chrono::milliseconds(100 + random() % 1900);
-                return run;
-            };
-            const auto roll = [&](int perMille) { return static_cast<int>(random() % 1000) < perMille; };
-            std::vector<std::string> ids;
-            for (int i = 0; i < 40; ++i) {
-                if (i < 20) {
-                    char id[17];
-                    std::snprintf(id, sizeof id, "%016x", i);
-                    simulation.submit(jobOf(id, 1 + static_cast<int>(random() % 8)));
-                    ids.emplace_back(id);
-                }
-                simulation.run(250ms);
-                if (roll(row.takeoverPerMille))
-                    simulation.takeover();
-                for (auto& [id, executor] : simulation.executors) {
-                    if (roll(row.restartPerMille))
-                        simulation.restart(id);
-                }
-            }
-            simulation.run(90s);
-            for (const auto& it : simulation.violations)
-                FAIL_CHECK(it);
-            for (const auto& id : ids)
-                CHECK(simulation.phase(id) == JobPhase::Completed);
-        }
-    }
+    for (const auto& row : rows)
+        checkRestarts(row, 20);
+}
+
+TEST_CASE("seeded restarts with all faults together: no end is lost")
+{
+    checkRestarts({ "all", { 20, 50, 100 }, 1500ms, 80, 80 }, 100);
 }
 
 TEST_CASE("a new leader reads a registration from before a restart: runs of the later process are kept")
@@ -480,3 +491,32 @@
     }
     CHECK(fleet.starts.empty());
 }
+
+TEST_CASE(
+    "a late heartbeat to the process before prolongs the lease of the next: its runs aren't lost earlier")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.pump();
+    fleet.failAll(); // carries a deadline on the clock of the first process; may arrive up to 20 s later
+    const auto unansweredAt = fleet.now;
+    fleet.entry.startedUnixMs = 5000;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(5000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    fleet.pumpUntilStarted(1);
+    const TaskRef task = fleet.starts[0].task;
+    fleet.scheduler.startAnswered(fleet.starts[0].incarnation, task, 1, OrderResult::Ok, fleet.now);
+    // The executor is cut off. At 5 s it carries out the late heartbeat, which renews its lease by 6 s.
+    bool isLost = false;
+    while (fleet.now - unansweredAt < 11s) {
+        fleet.failAll();
+        fleet.pump(100ms);
+        for (const auto& it : fleet.events)
+            isLost = isLost || it.starts_with("runs_lost");
+    }
+    CHECK_FALSE(isLost);
+}
