--- a/tests/contract/EdgeNodeTest.cpp
+++ b/tests/contract/EdgeNodeTest.cpp
@@ -635,9 +635,9 @@
     CHECK(call(node.apiEndpoint(), "POST", "/q/" + jobId(1), twoStepJob).status == 200);
     CHECK(becomes([&] { return isCompleted(node, jobId(1)); }));
 
-    for (const auto& [name, value] : oddValues) {
-        CAPTURE(std::string(name));
-        platform.writeRow("servers", "", "i-0", value);
+    for (const auto& odd : oddValues) {
+        CAPTURE(std::string(odd.first));
+        platform.writeRow("servers", "", "i-0", odd.second);
         CHECK(becomes([&] { return countExecutors(node, { "at_work" }) == 1; }));
         platform.writeRow("servers", "", "i-0", platform.registration(0));
         CHECK(becomes([&] { return countExecutors(node, { "at_work" }) == 2; }));
