--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -531,8 +531,11 @@
         m_record << steadyMs() << " executor " << m_id << " " << what << " " << detail << std::endl;
     }
 
+    // The first ping follows the start of the process by a third of the interval; pings are not tied to the moment
+    // at which the executor begins to listen.
     void beat()
     {
+        std::this_thread::sleep_for(std::chrono::milliseconds(Platform::beatMs / 3));
         for (std::int64_t seq = 1;; ++seq) {
             const json::object entry { { "service", m_service }, { "address", m_address }, { "zone", m_zone },
                 { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
