--- a/review/common.sh
+++ b/review/common.sh
@@ -66,13 +66,19 @@
     PIDS[node-$1]=$!
     disown
 }
-# startExecutor NUMBER LABEL CPU: all are of service "shop".
+# startExecutor NUMBER LABEL CPU [ADDRESS]: all are of service "shop". ADDRESS is the one that it registers.
 startExecutor() {
     "$STANDIN" executor "$NET.$((100 + $1)):$PORT" "$PLATFORM" "i-$1" "zone-$((1 + $1 % 3))" shop "$2" \
-        "r$((1 + $1 % 2))" "$3" "$WORK/executor-$1.log" 2>> "$WORK/platform.log" &
+        "r$((1 + $1 % 2))" "$3" "$WORK/executor-$1.log" "${4:-$NET.$((100 + $1)):$PORT}" 2>> "$WORK/platform.log" &
     PIDS[executor-$1]=$!
     disown
 }
+# startProxy NUMBER: in front of the executor of this number.
+startProxy() {
+    "$STANDIN" proxy "$NET.$((150 + $1)):$PORT" "$NET.$((100 + $1)):$PORT" 2>> "$WORK/platform.log" &
+    PIDS[proxy-$1]=$!
+    disown
+}
 # Prints the number of the node that leads, from its metrics.
 leader() {
     local node
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -2,7 +2,10 @@
 // advice service, one executor, and a caller.
 //
 //   standin platform ADDRESS                     store, /advise, and /control/... for the script
-//   standin executor ADDRESS PLATFORM ID ZONE SERVICE LABEL RACK CPU RECORD
+//   standin executor ADDRESS PLATFORM ID ZONE SERVICE LABEL RACK CPU RECORD TOLD
+//       (TOLD: the address that it registers)
+//       SIGUSR1: it shuts down in an orderly way and goes on serving for a while. The script ends it.
+//   standin proxy ADDRESS TARGET                 forwards channels; ended, the address refuses them
 //   standin call METHOD ADDRESS PATH HOST KEY [BODY]    prints status and body; status 0: no answer
 //   standin now                                  milliseconds of the steady clock, which all stand-ins share
 #include <algorithm>
@@ -12,6 +15,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <functional>
@@ -199,6 +203,40 @@
     return text;
 }
 
+void forward(tcp::socket& from, tcp::socket& to)
+{
+    std::vector<char> buffer(64U * 1024);
+    boost::system::error_code ec;
+    for (;;) {
+        const auto count = from.read_some(asio::buffer(buffer), ec);
+        if (ec)
+            break;
+        asio::write(to, asio::buffer(buffer.data(), count), ec);
+        if (ec)
+            break;
+    }
+    from.shutdown(tcp::socket::shutdown_both, ec);
+    to.shutdown(tcp::socket::shutdown_both, ec);
+}
+
+void proxy(const std::string& address, const std::string& target)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, endpointOf(address));
+    for (;;) {
+        auto near = std::make_shared<tcp::socket>(acceptor.accept());
+        auto far = std::make_shared<tcp::socket>(context);
+        boost::system::error_code ec;
+        far->connect(endpointOf(target), ec);
+        if (ec)
+            continue;
+        near->set_option(tcp::no_delay(true), ec);
+        far->set_option(tcp::no_delay(true), ec);
+        std::thread([near, far] { forward(*near, *far); }).detach();
+        std::thread([near, far] { forward(*far, *near); }).detach();
+    }
+}
+
 // The store, the operator's writes and the advice service.
 class Platform {
 public:
@@ -252,7 +290,8 @@
     };
 
     // /control/busy?on=1, /control/config (body: the configuration), /control/policy (body: list of ids),
-    // /control/beat?id=ID (body: the entry), /control/gone?id=ID. The script and the executors use it.
+    // /control/beat?id=ID (body: the entry), /control/gone?id=ID, /control/deaf?id=ID and /control/hear?id=ID (the
+    // executor is cut off from the store, and no longer). The script and the executors use it.
     Response control(const Target& target, const Request& request)
     {
         const std::lock_guard lock(m_mutex);
@@ -268,7 +307,7 @@
                 m_allowed.insert(std::string(it.as_string()));
             m_hasPolicy = true;
         } else if (target.path == "/control/beat") {
-            if (m_busy)
+            if (m_busy || m_deaf.count(id))
                 return answer(503, json::object {});
             m_lastBeat[id] = steadyMs();
             // The row changes only when more than `seq` changes.
@@ -282,6 +321,10 @@
             if (text != last || row == m_rows.end() || row->second.isDropped)
                 put({ "servers", "", id }, encodeBase64(request.body()));
             last = text;
+        } else if (target.path == "/control/deaf") {
+            m_deaf.insert(id);
+        } else if (target.path == "/control/hear") {
+            m_deaf.erase(id);
         } else if (target.path == "/control/gone") {
             m_lastBeat.erase(id);
             drop({ "servers", "", id });
@@ -477,10 +520,13 @@
     std::atomic<bool> m_busy = false;
     bool m_hasPolicy = false;
     std::set<std::string> m_allowed;
+    std::set<std::string> m_deaf;
     std::map<std::string, std::int64_t> m_lastBeat;
     std::map<std::string, std::string> m_lastEntry;
 };
 
+std::atomic<bool> isDraining = false;
+
 // One lifetime of an executor. It does not guard its capacity. The number in a job's spec is the duration of its
 // tasks in milliseconds; 0: they last.
 class Executor {
@@ -495,6 +541,7 @@
         , m_rack(arguments[6])
         , m_cpu(std::stoll(arguments[7]))
         , m_record(arguments[8], std::ios::app)
+        , m_told(arguments[9])
     {
         note("up", "label=" + m_label + " cpu=" + std::to_string(m_cpu));
     }
@@ -536,14 +583,22 @@
     void beat()
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(Platform::beatMs / 3));
+        std::int64_t drainingSince = 0;
         for (std::int64_t seq = 1;; ++seq) {
-            const json::object entry { { "service", m_service }, { "address", m_address }, { "zone", m_zone },
-                { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
+            if (isDraining && drainingSince == 0)
+                drainingSince = steadyMs();
+            json::object entry { { "service", m_service }, { "address", m_told }, { "zone", m_zone },
+                { "version", "v1" }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" },
+                { "coldLeftMs", 0 },
                 { "born", m_born },
                 { "capacity", json::object { { "cpu", m_cpu }, { "memMb", 65536 }, { "gpu", 0 } } },
                 { "labels", json::array { m_label, m_rack } }, { "seq", seq } };
+            if (drainingSince != 0)
+                entry["remainingMs"] = std::max<std::int64_t>(0, drainingSince + 2000 - steadyMs());
             call("POST", m_platform, "/control/beat?id=" + m_id, "store", "", json::serialize(entry), 500);
-            std::this_thread::sleep_for(std::chrono::milliseconds(Platform::beatMs));
+            const auto next = steadyMs() + Platform::beatMs;
+            while (steadyMs() < next && (drainingSince != 0 || !isDraining)) // a planned shutdown is told at once
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
     }
 
@@ -669,6 +724,7 @@
     std::string m_rack;
     std::int64_t m_cpu;
     std::ofstream m_record;
+    std::string m_told;
     std::int64_t m_born = unixMs();
     std::int64_t m_startedAt = steadyMs();
     std::int64_t m_fence = 0;
@@ -691,8 +747,11 @@
             Platform platform;
             std::thread([&] { platform.expireEntries(); }).detach();
             serve(argv[2], [&](const Request& request) { return platform.handle(request); });
-        } else if (mode == "executor" && argc == 11) {
+        } else if (mode == "executor" && argc == 12) {
+            std::signal(SIGUSR1, [](int) { isDraining = true; });
             Executor(argv + 2).run();
+        } else if (mode == "proxy" && argc == 4) {
+            proxy(argv[2], argv[3]);
         } else if (mode == "call" && argc >= 7) {
             const auto result
                 = call(argv[2], argv[3], argv[4], argv[5], argv[6], argc > 7 ? argv[7] : "", 3500);
