--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -6,6 +6,9 @@
 //       (TOLD: the address that it registers)
 //       SIGUSR1: it shuts down in an orderly way and goes on serving for a while. The script ends it.
 //   standin proxy ADDRESS TARGET                 forwards channels; ended, the address refuses them
+//   standin late-proxy ADDRESS TARGET FOLDER     forwards calls, and carries some out late without an answer: while the
+//       file FOLDER/acks exists, the first /hold that takes note of ends; while FOLDER/starts exists, every /run-start.
+//       Once the file FOLDER/release exists, they reach TARGET, the starts first and the rest 100 ms later.
 //   standin call METHOD ADDRESS PATH HOST KEY [BODY]    prints status and body; status 0: no answer
 //   standin now                                  milliseconds of the steady clock, which all stand-ins share
 #include <algorithm>
@@ -66,6 +69,9 @@
     return response;
 }
 
+struct Unanswered { }; // the channel stays open without an answer
+struct Broken { }; // the channel is closed without an answer
+
 using Handler = std::function<Response(const Request&)>;
 
 // One thread for each connection: a handler may wait.
@@ -94,6 +100,11 @@
                 Response response;
                 try {
                     response = handler(request);
+                } catch (const Unanswered&) {
+                    std::this_thread::sleep_for(std::chrono::seconds(3));
+                    return;
+                } catch (const Broken&) {
+                    return;
                 } catch (const std::exception& error) {
                     response = answer(400, { { "error", error.what() } });
                 }
@@ -237,6 +248,83 @@
     }
 }
 
+// Orders that get no answer and are carried out late, by whichever process listens at the address by then.
+class LateProxy {
+public:
+    LateProxy(std::string target, std::string folder)
+        : m_target(std::move(target))
+        , m_folder(std::move(folder))
+    {
+    }
+
+    Response handle(const Request& request)
+    {
+        const std::string path(request.target());
+        const auto value = json::parse(request.body());
+        const bool isAck = path == "/hold" && numberOf(value.as_object(), "seenUpto") > 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            if ((path == "/run-start" && exists("starts"))
+                || (isAck && exists("acks") && std::remove((m_folder + "/acks").c_str()) == 0)) {
+                (isAck ? m_acks : m_starts).push_back(request);
+                throw Unanswered {};
+            }
+        }
+        Response response;
+        if (!send(request, response))
+            throw Broken {};
+        return response;
+    }
+
+    void releaseLoop()
+    {
+        for (;;) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            if (!exists("release"))
+                continue;
+            std::vector<Request> starts;
+            std::vector<Request> acks;
+            {
+                const std::lock_guard lock(m_mutex);
+                starts.swap(m_starts);
+                acks.swap(m_acks);
+            }
+            Response ignored;
+            for (const auto& it : starts)
+                while (!send(it, ignored))
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            if (!starts.empty())
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            for (const auto& it : acks)
+                while (!send(it, ignored))
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+
+private:
+    bool exists(const char* name) const { return std::ifstream(m_folder + "/" + name).good(); }
+
+    bool send(const Request& request, Response& response) const
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        boost::beast::error_code ec;
+        socket.connect(endpointOf(m_target), ec);
+        if (!ec)
+            http::write(socket, request, ec);
+        boost::beast::flat_buffer buffer;
+        if (!ec)
+            http::read(socket, buffer, response, ec);
+        return !ec;
+    }
+
+    std::string m_target;
+    std::string m_folder;
+    std::mutex m_mutex;
+    std::vector<Request> m_starts;
+    std::vector<Request> m_acks;
+};
+
 // The store, the operator's writes and the advice service.
 class Platform {
 public:
@@ -694,7 +782,12 @@
     {
         lease(numberOf(body, "deadlineMs"));
         const auto seen = numberOf(body, "seenUpto");
-        std::erase_if(m_ended, [&](const End& end) { return end.number <= seen; });
+        std::erase_if(m_ended, [&](const End& end) {
+            if (end.number > seen)
+                return false;
+            note("noted", end.task + " run " + std::to_string(end.run) + " " + end.how);
+            return true;
+        });
         const auto until = steadyMs() + std::min<std::int64_t>(2000, numberOf(body, "waitMs"));
         while (m_ended.empty() && steadyMs() < until) {
             m_changed.wait_for(lock, std::chrono::milliseconds(10));
@@ -752,6 +845,10 @@
             Executor(argv + 2).run();
         } else if (mode == "proxy" && argc == 4) {
             proxy(argv[2], argv[3]);
+        } else if (mode == "late-proxy" && argc == 5) {
+            LateProxy proxy(argv[3], argv[4]);
+            std::thread([&] { proxy.releaseLoop(); }).detach();
+            serve(argv[2], [&](const Request& request) { return proxy.handle(request); });
         } else if (mode == "call" && argc >= 7) {
             const auto result
                 = call(argv[2], argv[3], argv[4], argv[5], argv[6], argc > 7 ? argv[7] : "", 3500);
