--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A job is accepted, and the store is busy (503) for 4.5 s while its approval is on the way. Afterwards it has to run:
+# A job is accepted, and the store is busy (503) for 4.3 s while its approval is on the way. Afterwards it has to run:
 # its approved executors are free. Exit 1: it has not begun 19 s later, though a new job has run on them.
 set -euo pipefail
 HERE="$(cd "$(dirname "$0")" && pwd)"
@@ -28,11 +28,11 @@
 if [ "$TROUBLE" != 0 ]; then
     note "the store is busy"
     control 'busy?on=1'
-    sleep 4.5
+    sleep 4.3
     control 'busy?on=0'
     note "the store serves again; leader is node $(leader 1 2 3)"
 else
-    sleep 4.5
+    sleep 4.3
 fi
 sleep 15
 # The same policy lets a new job run, so the executors are usable.
