--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -155,8 +155,6 @@
     incarnation->isRegistered = true;
     m_impl->updatePool(*incarnation);
     m_impl->isPlacementDue = true;
-    if (incarnation->entry.isDraining && !incarnation->isEvacuated)
-        m_impl->evacuate(*incarnation, now);
 }
 
 void FleetScheduler::executorDeregistered(const std::string& id, Instant now)
@@ -166,7 +164,6 @@
         return;
     incarnation->isRegistered = false;
     m_impl->updatePool(*incarnation);
-    incarnation->deregisteredAt = now;
     incarnation->nextHeartbeat = std::min(incarnation->nextHeartbeat, now);
     m_impl->addEvent(
         "executor_unlisted", {}, "executor=" + id + " runs=" + std::to_string(incarnation->runs.size()));
@@ -239,7 +236,7 @@
 {
     auto& it = *m_impl;
     it.openDueOccurrences(now, unixMs);
-    it.expireLeases(now);
+    it.checkExecutors(now);
     it.expireFinishedJobs(now, actions);
     it.place(now, actions);
     it.buildCommit(actions);
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -386,8 +386,6 @@
         incarnation.isUnresponsive = true;
         return;
     }
-    if (it.hasExited(incarnation, result))
-        it.loseRuns(incarnation, now, "left");
     if (!incarnation.isUnresponsive) {
         incarnation.isUnresponsive = true;
         it.addEvent("executor_silent", {},
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -17,9 +17,9 @@
 constexpr Duration maxHeartbeatWait = 1500ms;
 // Intervals of the passes over all executors. They bound the cost of a scheduling round in a large cell.
 constexpr auto heartbeatCheckInterval = 8ms;
-constexpr auto leaseCheckInterval = 20ms;
-// One ping interval. An executor that is cut off loses its registration only after three of them.
-constexpr auto selfDeregistrationWindow = 1500ms;
+constexpr auto executorCheckInterval = 20ms;
+// Allows for a stop and the delivery of its order and its end, before a draining executor exits.
+constexpr auto evacuationMargin = 300ms;
 
 } // namespace
 
@@ -158,20 +158,32 @@
     }
 }
 
-// Moves tasks off a draining executor if they would not end in time and a stop now costs less than the exit
-// of the executor: long-running tasks, and those that save a checkpoint when stopped.
+// Estimated time until a run that was confirmed as running ends.
+Duration FleetScheduler::Impl::expectedTimeLeft(const RunKey& key, const Run& run, Instant now) const
+{
+    const auto spent = now - run.startedAt;
+    if (run.progress > 0)
+        return spent * (100 - run.progress) / run.progress;
+    return std::chrono::milliseconds(key.job->request.steps[key.step].estimateMs) - spent;
+}
+
+// Moves tasks off a draining executor while it still reports their ends: an exit is never certain before the
+// lease has expired. Long-running tasks and those that save a checkpoint when stopped are moved at once if
+// they would not end in time, others shortly before the executor may exit.
 void FleetScheduler::Impl::evacuate(Incarnation& incarnation, Instant now)
 {
-    incarnation.isEvacuated = true;
+    const Duration servesFor = std::max<Duration>(incarnation.servesUntil - now, bounds.maxStopDuration);
+    const bool isExitNear = servesFor <= bounds.maxStopDuration + evacuationMargin;
     std::vector<RunKey> leaving;
     for (const auto& [key, run] : incarnation.runs) {
-        const auto& request = key.job->request.steps[key.step];
-        if (run.isOrphan || run.phase != RunPhase::Running || request.isGang)
+        if (run.isOrphan || run.isStopRequested)
             continue;
-        const auto spent = now - run.startedAt;
-        const auto left = run.progress > 0 ? spent * (100 - run.progress) / run.progress : Duration::max();
-        if (request.isLongRunning
-            || (request.savesCheckpoints && now + std::min<Duration>(left, 3600s) > incarnation.servesUntil))
+        const auto& request = key.job->request.steps[key.step];
+        const bool isUnsent = run.phase == RunPhase::Recording;
+        const bool isMovedEarly = request.isLongRunning || (request.savesCheckpoints && !request.isGang);
+        const bool isCutShort = run.phase == RunPhase::Running && (isMovedEarly || isExitNear)
+            && (request.isLongRunning || expectedTimeLeft(key, run, now) > servesFor);
+        if (isUnsent || isCutShort)
             leaving.push_back(key);
     }
     if (!leaving.empty())
@@ -181,15 +193,6 @@
         requestStop(incarnation, key, now);
 }
 
-// An executor has exited if it was draining, removed its registration while it still answered, and now
-// refuses connections. One that is cut off loses its registration only after several ping intervals.
-bool FleetScheduler::Impl::hasExited(const Incarnation& incarnation, OrderResult result) const
-{
-    return result == OrderResult::Unreachable && incarnation.entry.isDraining && !incarnation.isRegistered
-        && incarnation.hasAnswered
-        && incarnation.deregisteredAt - incarnation.lastAnswer < selfDeregistrationWindow;
-}
-
 // Must be called after each change of the registration, the capacity or the used resources of an executor.
 void FleetScheduler::Impl::updatePool(Incarnation& incarnation)
 {
@@ -285,14 +288,16 @@
     return incarnation.requestedLeaseClockMs;
 }
 
-void FleetScheduler::Impl::expireLeases(Instant now)
+void FleetScheduler::Impl::checkExecutors(Instant now)
 {
-    if (now < nextLeaseCheck)
+    if (now < nextExecutorCheck)
         return;
-    nextLeaseCheck = now + leaseCheckInterval;
+    nextExecutorCheck = now + executorCheckInterval;
     for (auto& incarnation : incarnations) {
         if (incarnation.isClosed)
             continue;
+        if (incarnation.entry.isDraining && !incarnation.runs.empty())
+            evacuate(incarnation, now);
         if (!incarnation.runs.empty() && incarnation.isUnresponsive
             && now > incarnation.leaseEndsAt + bounds.maxStopDuration)
             loseRuns(incarnation, now, "lease expired");
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -166,9 +166,7 @@
     std::int64_t requestedLeaseClockMs = 0; // end of the longest lease requested so far, on its clock
     Instant leaseEndsAt; // upper bound of the end of its lease, on our clock
     Instant lastAnswer; // to a heartbeat
-    Instant deregisteredAt;
     Instant servesUntil; // a draining executor runs tasks at least until then
-    bool isEvacuated = false;
     std::int64_t processedEnds = 0; // number of the newest end that was applied in memory
     std::int64_t acknowledgedEnds = 0; // number of the newest end that is durable
     Instant unacknowledgedSince; // meaningful only while processedEnds > acknowledgedEnds
@@ -265,7 +263,7 @@
     void updatePool(Incarnation& incarnation);
     std::size_t domainIndex(const std::string& zone);
     void evacuate(Incarnation& incarnation, Instant now);
-    bool hasExited(const Incarnation& incarnation, OrderResult result) const;
+    Duration expectedTimeLeft(const RunKey& key, const Run& run, Instant now) const;
     void applyReport(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
     void applyEnd(Incarnation& incarnation, const EndedTask& end, Instant now);
     void applyRunning(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
@@ -281,7 +279,7 @@
     std::optional<RunKey> keyOf(const TaskRef& task, int run) const;
     TaskRef taskRefOf(const RunKey& key) const;
     std::int64_t extendLease(Incarnation& incarnation, Instant now);
-    void expireLeases(Instant now);
+    void checkExecutors(Instant now);
     void sendOrders(Instant now, SchedulerActions& actions);
     void sendHeartbeats(Instant now, SchedulerActions& actions);
     void sendThrottles(SchedulerActions& actions);
@@ -327,7 +325,7 @@
     std::set<std::pair<IncarnationId, RunKey>> openOrders; // runs with an unconfirmed start or stop
     std::optional<internal::CommitInFlight> commit;
     std::uint64_t nextCommit = 1;
-    Instant nextLeaseCheck;
+    Instant nextExecutorCheck;
     Instant nextHeartbeatCheck;
     std::set<IncarnationId> unacknowledgedExecutors; // with processedEnds > acknowledgedEnds
     std::set<IncarnationId> executorsWithUnknownRuns;
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -144,7 +144,7 @@
     const auto processStart = executors.at(id).entry.startedUnixMs;
     const auto arrive = [this, id, carryOut, processStart]() -> OrderResult {
         auto it = executors.find(id);
-        if (it->second.hasExited)
+        if (it->second.refusesConnections)
             return OrderResult::Unreachable;
         if (!it->second.isUp || !it->second.isReachable)
             return OrderResult::NoAnswer;
@@ -371,16 +371,20 @@
     scheduler->executorRegistered(entry, now);
 }
 
-void FleetSimulation::drainAndLeave(const std::string& id, Duration delay)
+void FleetSimulation::drain(const std::string& id, Duration remaining)
 {
-    auto entry = executors.at(id).entry;
+    auto& entry = executors.at(id).entry;
     entry.isDraining = true;
-    entry.remainingMs = toMilliseconds(delay);
-    executors.at(id).entry = entry;
+    entry.remainingMs = toMilliseconds(remaining);
     storeRegistration(entry);
+}
+
+void FleetSimulation::drainAndLeave(const std::string& id, Duration delay)
+{
+    drain(id, delay);
     schedule(delay, [this, id] {
         crash(id);
-        executors.at(id).hasExited = true;
+        executors.at(id).refusesConnections = true;
         deregister(id);
     });
 }
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -44,7 +44,7 @@
     bool isUp = true;
     bool isReachable = true;
     bool isOrderForPredecessor = false; // the order that it carries out was sent to an earlier process
-    bool hasExited = false; // its port is closed, so connections are refused
+    bool refusesConnections = false; // its process may have exited, or be at work behind a broken link
 };
 
 class FleetSimulation {
@@ -79,6 +79,8 @@
     /** Restarts the executor under the same id, without any state. */
     void restart(const std::string& id);
     void deregister(const std::string& id);
+    /** Registers the executor as draining, for `remaining` at least. */
+    void drain(const std::string& id, Duration remaining);
     /** Drains the executor. It exits after `after`: its runs end, it deregisters and closes its port. */
     void drainAndLeave(const std::string& id, Duration after);
     std::size_t runsOf(const TaskRef& task) const;
