--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -137,8 +137,8 @@
         "and the run goes on",
         "nothing to do" },
     CataloguedEvent { 2611, "start_withdrawn",
-        "a start is not sent because the executor's capacity has shrunk since the placement; the task waits "
-        "again",
+        "a start is not sent because its ticket has expired or the executor's capacity has shrunk since the "
+        "placement (why); the task waits again",
         "nothing to do" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent {
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -266,6 +266,9 @@
             key->job->hasStarted = true;
             if (!run.isStopRequested)
                 it.openOrders.erase({ number, *key });
+            auto& approvals = key->job->occurrences[key->occurrence].steps[key->step]->approvals;
+            if (auto approval = approvals.find(number); approval != approvals.end())
+                approval->second.ticketRefusals = 0;
         }
         break;
     case OrderResult::NoAnswer:
@@ -293,12 +296,10 @@
     case OrderResult::OtherIncarnation:
         it.loseRuns(incarnation, now, "another process at its address");
         break;
-    case OrderResult::NoTicket: {
-        auto& step = *key->job->occurrences[key->occurrence].steps[key->step];
-        step.tickets.erase(number);
+    case OrderResult::NoTicket:
+        it.rejectTicket(*key->job->occurrences[key->occurrence].steps[key->step], number, run.ticket, now);
         giveUp();
         break;
-    }
     case OrderResult::Unhealthy:
     case OrderResult::NoRoom:
     case OrderResult::Malformed:
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxApprovalBatchSize = 30; // a job's latency objective allows for a call of this size
 // Applies after a failed call, and to a step whose approved executors have no capacity.
 constexpr auto approvalRetryDelay = 250ms;
+constexpr int maxTicketRetryDoublings = 5; // of approvalRetryDelay, for tickets that are refused each time
 // Longer calls count as long: an urgent step that waits behind one would miss its objective.
 constexpr double longCallMs = 120;
 // Bounds the CPU demand of the steps with calls in flight, relative to the free CPU. Above 1 because not all
@@ -88,10 +89,12 @@
     std::vector<IncarnationId> full; // approved, and usable once there is room
     const Duration callDuration(static_cast<Duration::rep>(
         policy.decisionMs + policy.perWorkerMs * static_cast<double>(maxApprovalBatchSize)));
-    for (const auto& [number, ticket] : step.tickets) {
+    for (const auto& [number, approval] : step.approvals) {
+        if (!approval.isApproved || now < approval.renewFrom)
+            continue;
         // The members of a gang need valid tickets at the same time, for which several calls may be
         // necessary. So a ticket that will still be valid after this call and the next is not renewed by it.
-        if (ticket.validUntil >= now + 2 * callDuration)
+        if (approval.ticketUntil >= now + 2 * callDuration)
             continue;
         if (hasRoom(number))
             chosen.push_back(number);
@@ -122,9 +125,7 @@
                 if ((!preferred || incarnation.domain == *preferred) != inPreferredDomain
                     || isClaimed(it->first, incarnation) != claimed)
                     continue;
-                const bool isUndecided
-                    = !step.tickets.count(it->second) && !step.decidedExecutors.count(it->second);
-                if (isUndecided
+                if (!step.approvals.count(it->second)
                     && (hasRoom(it->second)
                         || (overdue && isBelowLimit(it->second) && isUsable(step, incarnation, now))))
                     chosen.push_back(it->second);
@@ -146,7 +147,7 @@
     const double expectedMs = policy.decisionMs + policy.perWorkerMs * static_cast<double>(chosen.size());
     if (!overdue && !hasCallerCapacityForApproval(expectedMs))
         return;
-    if (!overdue && !step.decidedExecutors.empty() && expectedMs > longCallMs
+    if (!overdue && !step.approvals.empty() && expectedMs > longCallMs
         && now - step.lastApprovalCall < maxApprovalPostponement) {
         int freePlaces = 0;
         for (IncarnationId number : chosen) {
@@ -187,13 +188,15 @@
 {
     auto& it = *m_impl;
     it.isPlacementDue = true;
+    std::vector<IncarnationId> named;
     if (auto call = it.approvalsInFlight.find(stepName); call != it.approvalsInFlight.end()) {
         it.approvalsInFlightMs -= call->second.expectedMs;
         if (call->second.expectedMs > longCallMs)
             it.longApprovalsInFlightMs -= call->second.expectedMs;
         call->second.pool->awaitingApprovalCpu -= call->second.cpuMilli;
         it.overdueApprovalsInFlight -= call->second.isOverdue ? 1 : 0;
-        for (IncarnationId number : call->second.named)
+        named = std::move(call->second.named);
+        for (IncarnationId number : named)
             it.incarnations[number].claimedCpu -= call->second.claimEach;
         it.approvalsInFlight.erase(call);
     }
@@ -210,17 +213,48 @@
         step.nextApprovalCall = now + approvalRetryDelay;
         return;
     }
-    for (const auto& id : asked) {
-        if (const auto* incarnation = it.incarnationOf(id))
-            step.decidedExecutors.insert(incarnation->number);
+    // A ticket is valid for one incarnation. One that started after the call has no decision yet.
+    const auto approvalOf = [&](const std::string& id) -> ExecutorApproval* {
+        const auto* incarnation = it.incarnationOf(id);
+        const bool isNamed
+            = incarnation && std::find(named.begin(), named.end(), incarnation->number) != named.end();
+        return isNamed ? &step.approvals[incarnation->number] : nullptr;
+    };
+    std::set<std::string> withTicket;
+    for (const auto& row : approved) {
+        withTicket.insert(row.executor);
+        if (auto* approval = approvalOf(row.executor)) {
+            approval->isApproved = true;
+            approval->ticket = row.ticket;
+            approval->ticketUntil = now + ticketValidity;
+        }
     }
-    for (const auto& approval : approved) {
-        if (const auto* incarnation = it.incarnationOf(approval.executor))
-            step.tickets[incarnation->number] = { approval.ticket, now + ticketValidity };
+    for (const auto& id : asked) {
+        if (withTicket.count(id))
+            continue;
+        auto* approval = approvalOf(id);
+        if (approval && approval->isApproved) // earlier, so the answer is incomplete
+            it.delayRenewal(*approval, now);
     }
-    step.nextApprovalCall = now;
-    if (!approved.empty() || step.decidedExecutors.size() < it.currentIncarnations.size())
-        step.nextApprovalCall = now + approvalRetryDelay / 10;
+    step.nextApprovalCall = now + approvalRetryDelay / 10;
+}
+
+void FleetScheduler::Impl::delayRenewal(ExecutorApproval& approval, Instant now) const
+{
+    approval.renewFrom
+        = now + approvalRetryDelay * (1 << std::min(approval.ticketRefusals, maxTicketRetryDoublings));
+    ++approval.ticketRefusals;
+}
+
+// The executor refused a start with this ticket. It stays approved and needs a new ticket.
+void FleetScheduler::Impl::rejectTicket(
+    StepState& step, IncarnationId number, const std::string& ticket, Instant now) const
+{
+    auto it = step.approvals.find(number);
+    if (it == step.approvals.end() || it->second.ticket != ticket)
+        return; // renewed meanwhile
+    it->second.ticketUntil = now;
+    delayRenewal(it->second, now);
 }
 
 } // namespace quay::fleet
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -343,18 +343,17 @@
         }
         if (run.phase != RunPhase::Starting)
             continue;
-        auto& step = *key.job->occurrences[key.occurrence].steps[key.step];
+        const auto& step = *key.job->occurrences[key.occurrence].steps[key.step];
+        // The executor would refuse the start. The step calls for a new ticket before it is placed again.
         const bool isTicketExpired = !run.ticket.empty() && run.ticketUntil < now;
-        if (isTicketExpired) // the executor would refuse the start
-            step.tickets.erase(number);
         // The capacity may have shrunk since the placement, and the executor may not guard it.
         const bool isAboveCapacity = !incarnation.used.fitsIn(incarnation.entry.capacity);
-        if (isAboveCapacity)
+        if (isTicketExpired || isAboveCapacity) {
             addEvent("start_withdrawn", key.job->request.id,
                 "task=" + text(taskRefOf(key)) + " run=" + std::to_string(key.run) + " executor="
-                    + incarnation.entry.id + " used_cpu=" + std::to_string(incarnation.used.cpuMilli)
+                    + incarnation.entry.id + (isTicketExpired ? " why=ticket_expired" : " why=capacity")
+                    + " used_cpu=" + std::to_string(incarnation.used.cpuMilli)
                     + " cpu=" + std::to_string(incarnation.entry.capacity.cpuMilli));
-        if (isTicketExpired || isAboveCapacity) {
             if (run.unansweredAttempts == 0)
                 requeue(incarnation, key, now);
             else
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -42,6 +42,12 @@
 
 const StepRequest& internal::StepState::request() const { return job->request.steps[number]; }
 
+bool internal::StepState::isApproved(IncarnationId executor) const
+{
+    const auto it = approvals.find(executor);
+    return it != approvals.end() && it->second.isApproved;
+}
+
 FleetScheduler::Impl::JobState& FleetScheduler::Impl::addJob(const JobRequest& request, Instant now)
 {
     auto job = std::make_unique<JobState>();
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -139,11 +139,10 @@
     for (auto it = byFreeCpu.rbegin();
          it != byFreeCpu.rend() && places < step.waiting && reservedExecutors.size() < maxReserved; ++it) {
         auto& incarnation = incarnations[it->second];
-        const auto ticket = step.tickets.find(incarnation.number);
         const auto here = tasksByIncarnation.find(incarnation.number);
         const int running = here == tasksByIncarnation.end() ? 0 : here->second;
-        if ((step.queue->approval && ticket == step.tickets.end()) || !isUsable(step, incarnation, now)
-            || !demand.fitsIn(incarnation.entry.capacity)
+        if ((step.queue->approval && !step.isApproved(incarnation.number))
+            || !isUsable(step, incarnation, now) || !demand.fitsIn(incarnation.entry.capacity)
             || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor))
             continue;
         incarnation.reservedFor = &step;
@@ -238,10 +237,10 @@
     const auto tasksByIncarnation
         = request.maxPerExecutor > 0 ? tasksPerIncarnation(step) : std::unordered_map<IncarnationId, int>();
     std::vector<IncarnationId> result;
-    for (const auto& [number, ticket] : step.tickets) {
+    for (const auto& [number, approval] : step.approvals) {
         const auto here = tasksByIncarnation.find(number);
         const bool isFull = here != tasksByIncarnation.end() && here->second >= request.maxPerExecutor;
-        if (ticket.validUntil >= now + minTicketValidity && !isFull
+        if (approval.isApproved && approval.ticketUntil >= now + minTicketValidity && !isFull
             && isCandidate(step, incarnations[number], demand, now))
             result.push_back(number);
     }
@@ -311,9 +310,9 @@
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
     run.nextSend = now;
-    if (auto it = step.tickets.find(number); it != step.tickets.end()) {
-        run.ticket = it->second.text;
-        run.ticketUntil = it->second.validUntil;
+    if (auto it = step.approvals.find(number); it != step.approvals.end()) {
+        run.ticket = it->second.ticket;
+        run.ticketUntil = it->second.ticketUntil;
     }
     incarnation.used += run.demand;
     updatePool(incarnation);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <set>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace quay::fleet {
 
@@ -42,9 +41,13 @@
     std::string checkpoint;
 };
 
-struct Ticket {
-    std::string text;
-    Instant validUntil;
+// The decision of the approval service about one executor for one step. It is final; only its ticket expires.
+struct ExecutorApproval {
+    bool isApproved = false;
+    std::string ticket;
+    Instant ticketUntil; // the ticket may be used for a start until then
+    int ticketRefusals = 0; // consecutive: the executor refused the ticket, or an answer had none for it
+    Instant renewFrom; // earliest time of the next call for a ticket
 };
 
 struct StepState {
@@ -57,8 +60,7 @@
     int done = 0;
     int lastFailedGangRun = 0;
     std::string gangCheckpoint; // newest checkpoint of any member; valid for all members
-    std::unordered_map<IncarnationId, Ticket> tickets; // of approved executors
-    std::unordered_set<IncarnationId> decidedExecutors; // approved or rejected; a decision is final
+    std::unordered_map<IncarnationId, ExecutorApproval> approvals; // of the executors with a decision
     bool isApprovalInFlight = false;
     Instant nextApprovalCall;
     Instant lastApprovalCall;
@@ -70,6 +72,7 @@
     int criticalPathMs = 0; // sum of estimates on the longest path from this step to the end of the job
 
     const StepRequest& request() const;
+    bool isApproved(IncarnationId executor) const;
     bool isComplete() const { return done == static_cast<int>(tasks.size()); }
 };
 
@@ -289,6 +292,8 @@
     void placeStep(StepState& step, Instant now, SchedulerActions& actions);
     bool placeGang(StepState& step, const std::vector<IncarnationId>& candidates, Instant now);
     void requestApproval(StepState& step, Instant now, SchedulerActions& actions);
+    void rejectTicket(StepState& step, IncarnationId number, const std::string& ticket, Instant now) const;
+    void delayRenewal(internal::ExecutorApproval& approval, Instant now) const;
     bool isOverdue(const StepState& step, Instant now) const;
     void reserveExecutors(StepState& step, Instant now);
     bool hasCallerCapacityForOverdueStep() const;
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -10,12 +10,18 @@
 constexpr auto messageDelay = 3ms;
 constexpr auto commitDelay = 15ms;
 constexpr auto idleCommitInterval = 200ms;
-constexpr auto approvalDelay = 30ms;
 constexpr auto ticketValidity = 2s;
 constexpr auto answerTimeout = 700ms;
 constexpr std::int64_t maxLeaseDurationMs = 6000;
 constexpr auto restartGrace = 2s; // time for a heartbeat and a stop, one of which has to be repeated
 
+// A ticket names its step, the process it was issued for, and the end of its validity.
+std::string ticketOf(const std::string& step, std::int64_t startedUnixMs, Instant validUntil)
+{
+    return step + " " + std::to_string(startedUnixMs) + " "
+        + std::to_string(toMilliseconds(validUntil.time_since_epoch()));
+}
+
 } // namespace
 
 JobRequest jobOf(const std::string& id, int tasks, Resources each)
@@ -174,6 +180,17 @@
     return executor.isOrderForPredecessor && now < executor.processStart + restartGrace;
 }
 
+bool FleetSimulation::isTicketValid(const FakeExecutor& executor, const StartAction& action) const
+{
+    const auto* queue = configuration.queueNamed(m_jobs.at(action.task.job).queue);
+    if (!queue || !queue->approval)
+        return true;
+    const auto expected = ticketOf(stepText(action.task), executor.entry.startedUnixMs, Instant {});
+    const auto prefix = expected.substr(0, expected.rfind(' ') + 1);
+    return action.ticket.starts_with(prefix)
+        && std::stoll(action.ticket.substr(prefix.size())) >= toMilliseconds(now.time_since_epoch());
+}
+
 OrderResult FleetSimulation::start(FakeExecutor& executor, const StartAction& action, std::int64_t fence)
 {
     if (fence < executor.fence)
@@ -188,6 +205,8 @@
         executor.leaseUntil, std::min(action.leaseUntilClockMs, clockOf(executor) + maxLeaseDurationMs));
     if (runningTask != executor.running.end() || executor.highestEndedRun[action.task] >= action.run)
         return OrderResult::Outdated;
+    if (!isTicketValid(executor, action))
+        return OrderResult::NoTicket;
     FakeRun run;
     run.endsAt = now + 300ms;
     if (behaviour)
@@ -311,14 +330,19 @@
         heartbeat(it);
     for (const auto& it : actions.approvals) {
         ++approvalCalls;
-        schedule(approvalDelay, [this, it, generation = m_generation] {
+        std::map<std::string, std::int64_t> startedUnixMs;
+        for (const auto& worker : it.workers)
+            startedUnixMs[worker] = executors.at(worker).entry.startedUnixMs;
+        schedule(approvalDelay, [this, it, startedUnixMs, generation = m_generation] {
             std::vector<Approval> rows;
             for (const auto& worker : it.workers) {
-                if (approved.count(worker))
-                    rows.push_back({ worker, "ticket" });
+                if (approved.count(worker) && isApprovalServiceAvailable)
+                    rows.push_back(
+                        { worker, ticketOf(it.step, startedUnixMs.at(worker), now + ticketValidity) });
             }
             if (generation == m_generation)
-                scheduler->approvalAnswered(it.step, true, it.workers, rows, ticketValidity, now);
+                scheduler->approvalAnswered(
+                    it.step, isApprovalServiceAvailable, it.workers, rows, ticketValidity, now);
         });
     }
 }
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -65,6 +65,8 @@
     std::set<std::string> approved; // executors that the approval service approves
     Duration registrationDelay {}; // from the restart of an executor until the store has its new registration
     int approvalCalls = 0;
+    Duration approvalDelay { 30ms };
+    bool isApprovalServiceAvailable = true; // otherwise its calls fail
 
     void submit(const JobRequest& request);
     void cancel(const std::string& id);
@@ -109,6 +111,7 @@
     template <typename Answer>
     void sendOrder(const std::string& id, std::function<OrderResult(FakeExecutor&)> carryOut, Answer answer);
     OrderResult start(FakeExecutor& executor, const StartAction& action, std::int64_t fence);
+    bool isTicketValid(const FakeExecutor& executor, const StartAction& action) const;
     bool isBeforeContact(const FakeExecutor& executor) const;
     void checkStart(const FakeExecutor& executor, const TaskRef& task, const Resources& demand);
     OrderResult stop(FakeExecutor& executor, const StopAction& action, std::int64_t fence);
