Draining executors: the estimate of a task can be any number

Cause: expectedTimeLeft() of converts the caller's estimate to a duration, which overflows for large ones; the task then seems to be about to end and stays on the draining executor until the exit. Change: estimates count as one hour at most. Evidence: the new case of DrainTest fails without the change and passes with it.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -20,6 +20,7 @@
 constexpr auto executorCheckInterval = 20ms;
 // Allows for a stop and the delivery of its order and its end, before a draining executor exits.
 constexpr auto evacuationMargin = 300ms;
+constexpr std::int64_t maxEstimateMs = 3'600'000; // longer ones count as long
 
 } // namespace
 
@@ -164,7 +165,8 @@
     const auto spent = now - run.startedAt;
     if (run.progress > 0)
         return spent * (100 - run.progress) / run.progress;
-    return std::chrono::milliseconds(key.job->request.steps[key.step].estimateMs) - spent;
+    const auto estimateMs = key.job->request.steps[key.step].estimateMs; // any number that a caller gave
+    return std::chrono::milliseconds(std::min(estimateMs, maxEstimateMs)) - spent;
 }
 
 // Moves tasks off a draining executor while it still reports their ends: an exit is never certain before the
--- a/tests/cores/DrainTest.cpp
+++ b/tests/cores/DrainTest.cpp
@@ -1,6 +1,7 @@
 #include "FleetSimulation.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 // Executors that drain while they are cut off, or while starts to them are under way.
 using namespace quay;
@@ -109,3 +110,24 @@
             FAIL_CHECK(it);
     }
 }
+
+// Guards against an overflow, after which the task stayed on the executor until its exit.
+TEST_CASE("the estimate of a task is as large as can be: its start isn't expected to end before an exit")
+{
+    FleetSimulation simulation(9, 2);
+    simulation.behaviour = [&](const TaskRef&, int) {
+        FakeRun run;
+        run.endsAt = Instant::max();
+        run.percent = 0;
+        return run;
+    };
+    simulation.run(500ms);
+    auto request = jobOf(job, 16); // fills all executors
+    request.steps[0].savesCheckpoints = true;
+    request.steps[0].estimateMs = std::numeric_limits<std::int64_t>::max();
+    simulation.submit(request);
+    simulation.run(200ms);
+    simulation.drain("i-1", 2s);
+    simulation.run(50ms);
+    CHECK(simulation.executors.at("i-1").running.empty());
+}
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -277,7 +277,7 @@
             report->startedUnixMs = executor.entry.startedUnixMs;
             for (auto& [task, run] : executor.running) {
                 run.isUnknown = false;
-                report->running.push_back({ task, run.run, {}, 50, 0 });
+                report->running.push_back({ task, run.run, {}, run.percent, 0 });
             }
             report->ended = executor.ended;
             return OrderResult::Ok;
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -28,6 +28,7 @@
     Instant endsAt;
     RunOutcome end = RunOutcome::Done;
     Resources demand;
+    int percent = 50; // done, as it reports
     bool isUnknown = false; // started by an early order to the process before, and not in a report yet
 };
 
