Runs are ordered by the number of their job, not by its address

Cause: RunKey compared pointers, and steps of several occurrences of a job had no order. Change: jobs are numbered as the scheduler comes to know them; a key holds the number, since keys of unanswered starts may outlive their job.

--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -51,6 +51,7 @@
 FleetScheduler::Impl::JobState& FleetScheduler::Impl::addJob(const JobRequest& request, Instant now)
 {
     auto job = std::make_unique<JobState>();
+    job->number = nextJobNumber++;
     job->request = request;
     job->acceptedAt = now;
     const auto* queue = configuration.queueNamed(request.queue);
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -97,9 +97,9 @@
     std::sort(prioritizedSteps.begin(), prioritizedSteps.end(),
         [](const PrioritizedStep& a, const PrioritizedStep& b) {
             return std::tie(b.isOverdue, a.isExpired, a.priority, a.isLate, a.deadline,
-                       a.step->job->request.id, a.step->number)
+                       a.step->job->request.id, a.step->occurrence, a.step->number)
                 < std::tie(a.isOverdue, b.isExpired, b.priority, b.isLate, b.deadline,
-                    b.step->job->request.id, b.step->number);
+                    b.step->job->request.id, b.step->occurrence, b.step->number);
         });
     std::size_t checkedSteps = 0;
     for (const auto& it : prioritizedSteps) {
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -82,6 +82,7 @@
 };
 
 struct JobState {
+    std::uint64_t number = 0; // in the order in which the scheduler came to know its jobs
     JobRequest request;
     JobPhase phase = JobPhase::Queued;
     JobPhase durablePhase = JobPhase::Queued; // the phase that callers see
@@ -106,12 +107,25 @@
     Inherited, // recorded by an earlier leader; not yet confirmed by the executor
 };
 
+// Ordered by the number of the job and not by its address, so that the scheduler is deterministic. The number
+// is a copy, because a key may outlive its job.
 struct RunKey {
-    JobState* job = nullptr;
-    int occurrence = 0;
-    int step = 0;
-    int index = 0;
-    int run = 0;
+    RunKey(JobState* theJob, int theOccurrence, int theStep, int theIndex, int theRun)
+        : jobNumber(theJob->number)
+        , job(theJob)
+        , occurrence(theOccurrence)
+        , step(theStep)
+        , index(theIndex)
+        , run(theRun)
+    {
+    }
+
+    std::uint64_t jobNumber;
+    JobState* job;
+    int occurrence;
+    int step;
+    int index;
+    int run;
 
     auto operator<=>(const RunKey&) const = default;
 };
@@ -319,6 +333,7 @@
     Instant renewalAllowedUntil; // leases must not be renewed from this time on
     FleetConfiguration configuration;
     std::unordered_map<std::string, std::unique_ptr<JobState>> jobs;
+    std::uint64_t nextJobNumber = 1;
     std::deque<Incarnation> incarnations; // indexed by IncarnationId; closed ones are never erased
     std::unordered_map<std::string, IncarnationId> currentIncarnations; // by executor id
     std::map<std::string, internal::ServicePool> pools; // by service
