Ends are acknowledged only right after an answer of their process (TWICE)

The new process, which has carried out a start that was sent before the restart was known, forgets the end of that run, and the run is taken for one that never was. Now an acknowledgement goes only with a heartbeat that follows an answer; after a missed one the executor has to answer first, which names its process.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -390,11 +390,11 @@
         if (incarnation.isClosed || incarnation.isHeartbeatInFlight || now < incarnation.nextHeartbeat
             || incarnation.entry.address.empty())
             continue;
-        // An acknowledgement is sent until it is answered and not again: a heartbeat without one can't make a
-        // later process of the executor discard ends.
-        incarnation.sentAcknowledgement = incarnation.acknowledgedEnds > incarnation.confirmedAcknowledgement
-            ? incarnation.acknowledgedEnds
-            : 0;
+        // An acknowledgement is sent until it is answered and not again, and only right after an answer: a
+        // later process of the executor that carries it out discards its own ends.
+        const bool mayAcknowledge = !incarnation.isUnresponsive
+            && incarnation.acknowledgedEnds > incarnation.confirmedAcknowledgement;
+        incarnation.sentAcknowledgement = mayAcknowledge ? incarnation.acknowledgedEnds : 0;
         HeartbeatAction heartbeat { incarnation.number, incarnation.entry.address, incarnation.entry.id,
             incarnation.sentAcknowledgement, 0, {} };
         heartbeat.leaseUntilClockMs = extendLease(incarnation, now);
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -524,3 +524,33 @@
     }
     CHECK_FALSE(isLost);
 }
+
+// Guards against TWICE: the new process of an executor discarded the end of a run that it had done, because a
+// heartbeat that acknowledged ends of the previous process was sent before the restart was known.
+TEST_CASE("a heartbeat gets no answer: no end is acknowledged until the executor has answered again")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    fleet.pumpUntilStarted(1);
+    const TaskRef task = fleet.starts[0].task;
+    fleet.scheduler.startAnswered(fleet.starts[0].incarnation, task, 1, OrderResult::Ok, fleet.now);
+    fleet.answerAll(1000, {}, { { 1, task, 1, RunOutcome::Done, {} } });
+    fleet.pump(); // commits the end
+    fleet.pump(); // acknowledges it
+    REQUIRE(fleet.heartbeats.size() == 1);
+    fleet.failAll(); // the executor may have restarted meanwhile
+    for (int i = 0; i < 3; ++i) {
+        fleet.pump(500ms);
+        REQUIRE(fleet.heartbeats.size() == 1);
+        CHECK(fleet.heartbeats[0].acknowledgedEnd == 0);
+        fleet.failAll();
+    }
+    fleet.pump(500ms);
+    fleet.answerAll(1000, {}, { { 1, task, 1, RunOutcome::Done, {} } }); // the same process
+    fleet.pump(100ms);
+    REQUIRE(fleet.heartbeats.size() == 1);
+    CHECK(fleet.heartbeats[0].acknowledgedEnd == 1);
+}
