A new leader honours the remaining time of a draining executor

Cause: the time until which a draining executor serves was only set when an executor that was known began to drain. A new leader, or a new process that is registered as draining, had none, so that since each task with more than 0.9 s to go was stopped at once. Evidence: the new case of DrainTest fails without the change (24 starts instead of 16) and passes with it.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -48,6 +48,7 @@
     incarnation.domain = domainIndex(entry.zone);
     incarnation.nextHeartbeat = now;
     incarnation.leaseEndsAt = now;
+    incarnation.servesUntil = now + std::chrono::milliseconds(entry.remainingMs);
     return incarnation;
 }
 
--- a/tests/cores/DrainTest.cpp
+++ b/tests/cores/DrainTest.cpp
@@ -131,3 +131,23 @@
     simulation.run(50ms);
     CHECK(simulation.executors.at("i-1").running.empty());
 }
+
+// Guards against work thrown away: a new leader took an executor that drains for one that exits at once.
+TEST_CASE("a new leader finds a draining executor: tasks that end before its exit are not stopped")
+{
+    FleetSimulation simulation(9, 2);
+    simulation.hasIdleCommits = true;
+    simulation.behaviour = [&](const TaskRef&, int) {
+        FakeRun run;
+        run.endsAt = simulation.now + 4s;
+        return run;
+    };
+    simulation.submit(jobOf(job, 16)); // fills all executors
+    simulation.run(500ms);
+    REQUIRE(simulation.startedRuns == 16);
+    simulation.drain("i-1", 10s);
+    simulation.takeover();
+    simulation.run(5s);
+    CHECK(simulation.startedRuns == 16);
+    CHECK(simulation.phase(job) == JobPhase::Completed);
+}
