Draining executors: tasks are only stopped if another executor has room for them

Cause: stops all tasks that would not end before the exit, also those for which there is no room elsewhere; the executor goes on serving, as the platform says it may, and the work is thrown away. Change: near the exit as many tasks are moved as find room beside what waits already; the others run on. Evidence: the new case of DrainTest fails without the change (all eight tasks stopped, room for two) and passes with it.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -170,24 +170,75 @@
     return std::chrono::milliseconds(std::min(estimateMs, maxEstimateMs)) - spent;
 }
 
+// CPU of a service that its waiting tasks and those that are being moved off draining executors will take.
+std::int64_t FleetScheduler::Impl::claimedCpu(const std::string& service) const
+{
+    std::int64_t claimed = 0;
+    for (const auto* step : readySteps) {
+        if (step->queue && step->queue->service == service)
+            claimed += step->waiting * demandOf(step->request()).cpuMilli;
+    }
+    for (const auto& incarnation : incarnations) {
+        if (incarnation.isClosed || !incarnation.entry.isDraining || incarnation.entry.service != service)
+            continue;
+        for (const auto& [key, run] : incarnation.runs)
+            claimed += run.isStopRequested && !run.isOrphan ? run.demand.cpuMilli : 0;
+    }
+    return claimed;
+}
+
+// Returns whether another executor has room for a task of the step beyond `claimed` CPU.
+bool FleetScheduler::Impl::hasRoomElsewhere(const StepState& step, std::int64_t claimed, Instant now) const
+{
+    const auto pool = step.queue ? pools.find(step.queue->service) : pools.end();
+    if (pool == pools.end())
+        return false;
+    const auto demand = demandOf(step.request());
+    const auto each = std::max<std::int64_t>(1, demand.cpuMilli);
+    std::int64_t room = 0;
+    const auto& byFreeCpu = pool->second.byFreeCpu;
+    for (auto it = byFreeCpu.rbegin(); it != byFreeCpu.rend() && it->first >= each; ++it) {
+        if (!isCandidate(step, incarnations[it->second], demand, now)
+            || (step.queue->approval && !step.isApproved(it->second)))
+            continue;
+        room += it->first / each * each;
+        if (room >= claimed + each)
+            return true;
+    }
+    return false;
+}
+
 // Moves tasks off a draining executor while it still reports their ends: an exit is never certain before the
 // lease has expired. Long-running tasks and those that save a checkpoint when stopped are moved at once if
-// they would not end in time, others shortly before the executor may exit.
+// they would not end in time, others shortly before the executor may exit, and only if they find room: it may
+// serve for longer than it says.
 void FleetScheduler::Impl::evacuate(Incarnation& incarnation, Instant now)
 {
     const Duration servesFor = std::max<Duration>(incarnation.servesUntil - now, bounds.maxStopDuration);
     const bool isExitNear = servesFor <= bounds.maxStopDuration + evacuationMargin;
     std::vector<RunKey> leaving;
+    std::optional<std::int64_t> claimed;
     for (const auto& [key, run] : incarnation.runs) {
         if (run.isOrphan || run.isStopRequested)
             continue;
         const auto& request = key.job->request.steps[key.step];
-        const bool isUnsent = run.phase == RunPhase::Recording;
-        const bool isMovedEarly = request.isLongRunning || (request.savesCheckpoints && !request.isGang);
-        const bool isCutShort = run.phase == RunPhase::Running && (isMovedEarly || isExitNear)
-            && (request.isLongRunning || expectedTimeLeft(key, run, now) > servesFor);
-        if (isUnsent || isCutShort)
+        if (run.phase == RunPhase::Recording) { // no start was sent
+            leaving.push_back(key);
+            continue;
+        }
+        if (run.phase != RunPhase::Running
+            || (!request.isLongRunning && expectedTimeLeft(key, run, now) <= servesFor))
+            continue;
+        if (request.isLongRunning || (request.savesCheckpoints && !request.isGang)) {
             leaving.push_back(key);
+        } else if (isExitNear) {
+            if (!claimed)
+                claimed = claimedCpu(incarnation.entry.service);
+            if (hasRoomElsewhere(*key.job->occurrences[key.occurrence].steps[key.step], *claimed, now)) {
+                leaving.push_back(key);
+                *claimed += run.demand.cpuMilli;
+            }
+        }
     }
     if (!leaving.empty())
         addEvent("executor_evacuated", {},
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -280,6 +280,8 @@
     void updatePool(Incarnation& incarnation);
     std::size_t domainIndex(const std::string& zone);
     void evacuate(Incarnation& incarnation, Instant now);
+    std::int64_t claimedCpu(const std::string& service) const;
+    bool hasRoomElsewhere(const StepState& step, std::int64_t claimed, Instant now) const;
     Duration expectedTimeLeft(const RunKey& key, const Run& run, Instant now) const;
     void applyReport(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
     void applyEnd(Incarnation& incarnation, const EndedTask& end, Instant now);
--- a/tests/cores/DrainTest.cpp
+++ b/tests/cores/DrainTest.cpp
@@ -151,3 +151,28 @@
     CHECK(simulation.startedRuns == 16);
     CHECK(simulation.phase(job) == JobPhase::Completed);
 }
+
+// Guards against work thrown away: tasks were stopped though no other executor had room for them.
+TEST_CASE("an executor drains while the others have room for two tasks: two are moved, the others go on")
+{
+    FleetSimulation simulation(9, 3);
+    simulation.hasIdleCommits = true;
+    simulation.behaviour = [&](const TaskRef&, int) {
+        FakeRun run;
+        run.endsAt = simulation.now + 6s;
+        return run;
+    };
+    simulation.submit(jobOf(job, 22)); // an executor has room for 8
+    simulation.run(1s);
+    REQUIRE(simulation.startedRuns == 22);
+    const auto tasksBefore = simulation.executors.at("i-1").running.size();
+    REQUIRE(tasksBefore >= 6);
+    simulation.drain("i-1", 2s); // it serves for longer
+    simulation.run(3s);
+    CHECK(simulation.startedRuns <= 24);
+    CHECK(simulation.executors.at("i-1").running.size() >= tasksBefore - 2);
+    simulation.run(6s);
+    CHECK(simulation.phase(job) == JobPhase::Completed);
+    for (const auto& it : simulation.violations)
+        FAIL_CHECK(it);
+}
