--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -140,13 +140,13 @@
     }
     if (incarnation->isRegistered && incarnation->entry == entry)
         return; // a large cell hears this hundreds of times a second
-    if (entry.isDraining && !incarnation->entry.isDraining)
+    if (entry.isDraining && !incarnation->entry.isDraining) {
         m_impl->addEvent("executor_leaving", {},
             "executor=" + entry.id + " runs=" + std::to_string(incarnation->runs.size())
                 + " remaining_ms=" + std::to_string(entry.remainingMs));
-    const auto previousStart = incarnation->entry.startedUnixMs;
-    if (entry.isDraining && !incarnation->entry.isDraining)
         incarnation->servesUntil = now + std::chrono::milliseconds(entry.remainingMs);
+    }
+    const auto previousStart = incarnation->entry.startedUnixMs;
     incarnation->entry = entry;
     if (entry.startedUnixMs == 0)
         incarnation->entry.startedUnixMs = previousStart;
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -28,6 +28,14 @@
 constexpr int minTasksPerRepeatedCall = 4;
 constexpr auto maxApprovalPostponement = 1500ms;
 
+// Delays the next call for a ticket exponentially while tickets are refused.
+void delayRenewal(ExecutorApproval& approval, Instant now)
+{
+    approval.renewFrom
+        = now + approvalRetryDelay * (1 << std::min(approval.ticketRefusals, maxTicketRetryDoublings));
+    ++approval.ticketRefusals;
+}
+
 } // namespace
 
 // Returns whether a caller has few enough calls queued for another one of this duration. A third of the
@@ -234,18 +242,11 @@
             continue;
         auto* approval = approvalOf(id);
         if (approval && approval->isApproved) // earlier, so the answer is incomplete
-            it.delayRenewal(*approval, now);
+            delayRenewal(*approval, now);
     }
     step.nextApprovalCall = now + approvalRetryDelay / 10;
 }
 
-void FleetScheduler::Impl::delayRenewal(ExecutorApproval& approval, Instant now) const
-{
-    approval.renewFrom
-        = now + approvalRetryDelay * (1 << std::min(approval.ticketRefusals, maxTicketRetryDoublings));
-    ++approval.ticketRefusals;
-}
-
 // The executor refused a start with this ticket. It stays approved and needs a new ticket.
 void FleetScheduler::Impl::rejectTicket(
     StepState& step, IncarnationId number, const std::string& ticket, Instant now) const
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -171,20 +171,20 @@
 }
 
 // CPU of a service that its waiting tasks and those that are being moved off draining executors will take.
-std::int64_t FleetScheduler::Impl::claimedCpu(const std::string& service) const
+std::int64_t FleetScheduler::Impl::cpuAwaitingPlacement(const std::string& service) const
 {
-    std::int64_t claimed = 0;
+    std::int64_t cpu = 0;
     for (const auto* step : readySteps) {
         if (step->queue && step->queue->service == service)
-            claimed += step->waiting * demandOf(step->request()).cpuMilli;
+            cpu += step->waiting * demandOf(step->request()).cpuMilli;
     }
     for (const auto& incarnation : incarnations) {
         if (incarnation.isClosed || !incarnation.entry.isDraining || incarnation.entry.service != service)
             continue;
         for (const auto& [key, run] : incarnation.runs)
-            claimed += run.isStopRequested && !run.isOrphan ? run.demand.cpuMilli : 0;
+            cpu += run.isStopRequested && !run.isOrphan ? run.demand.cpuMilli : 0;
     }
-    return claimed;
+    return cpu;
 }
 
 // Returns whether another executor has room for a task of the step beyond `claimed` CPU.
@@ -233,7 +233,7 @@
             leaving.push_back(key);
         } else if (isExitNear) {
             if (!claimed)
-                claimed = claimedCpu(incarnation.entry.service);
+                claimed = cpuAwaitingPlacement(incarnation.entry.service);
             if (hasRoomElsewhere(*key.job->occurrences[key.occurrence].steps[key.step], *claimed, now)) {
                 leaving.push_back(key);
                 *claimed += run.demand.cpuMilli;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -280,7 +280,7 @@
     void updatePool(Incarnation& incarnation);
     std::size_t domainIndex(const std::string& zone);
     void evacuate(Incarnation& incarnation, Instant now);
-    std::int64_t claimedCpu(const std::string& service) const;
+    std::int64_t cpuAwaitingPlacement(const std::string& service) const;
     bool hasRoomElsewhere(const StepState& step, std::int64_t claimed, Instant now) const;
     Duration expectedTimeLeft(const RunKey& key, const Run& run, Instant now) const;
     void applyReport(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
@@ -309,7 +309,6 @@
     bool placeGang(StepState& step, const std::vector<IncarnationId>& candidates, Instant now);
     void requestApproval(StepState& step, Instant now, SchedulerActions& actions);
     void rejectTicket(StepState& step, IncarnationId number, const std::string& ticket, Instant now) const;
-    void delayRenewal(internal::ExecutorApproval& approval, Instant now) const;
     bool isOverdue(const StepState& step, Instant now) const;
     void reserveExecutors(StepState& step, Instant now);
     bool hasCallerCapacityForOverdueStep() const;
--- a/tests/cores/DrainTest.cpp
+++ b/tests/cores/DrainTest.cpp
@@ -12,15 +12,6 @@
 
 const std::string job = "00000000000000aa";
 
-std::string executorRunning(const FleetSimulation& simulation, const TaskRef& task)
-{
-    for (const auto& [id, executor] : simulation.executors) {
-        if (executor.running.count(task))
-            return id;
-    }
-    return {};
-}
-
 } // namespace
 
 // Guards against TWICE: a removed registration and a refused connection were taken for the end of a process.
@@ -55,7 +46,7 @@
             request.steps[0].isLongRunning = isLongRunning;
             simulation.submit(request);
             simulation.run(1500ms);
-            const auto owner = executorRunning(simulation, { job, 0, 0, 0 });
+            const auto owner = simulation.executorRunning({ job, 0, 0, 0 });
             REQUIRE_FALSE(owner.empty());
             auto& executor = simulation.executors.at(owner);
             simulation.drain(owner, row.remaining);
--- a/tests/cores/FleetSchedulerTest.cpp
+++ b/tests/cores/FleetSchedulerTest.cpp
@@ -27,17 +27,6 @@
     return run;
 }
 
-// Returns the id of the executor that runs the task; empty: none.
-std::string executorRunning(const FleetSimulation& simulation, const TaskRef& task)
-{
-    std::string owner;
-    for (const auto& [id, executor] : simulation.executors) {
-        if (executor.running.count(task))
-            owner = id;
-    }
-    return owner;
-}
-
 void checkNoViolation(const FleetSimulation& simulation)
 {
     for (const auto& it : simulation.violations)
@@ -137,7 +126,7 @@
         simulation.submit(longRunningJob(jobA, 1));
         simulation.run(1s);
         const TaskRef task { jobA, 0, 0, 0 };
-        const auto owner = executorRunning(simulation, task);
+        const auto owner = simulation.executorRunning(task);
         REQUIRE_FALSE(owner.empty());
         simulation.crash(owner);
         if (row.isDeregistered)
@@ -170,7 +159,7 @@
         simulation.submit(request);
         simulation.run(1s);
         const TaskRef task { jobA, 0, 0, 0 };
-        const auto owner = executorRunning(simulation, task);
+        const auto owner = simulation.executorRunning(task);
         REQUIRE_FALSE(owner.empty());
         simulation.drainAndLeave(owner, 2s);
         simulation.run(row.restartsWithin);
@@ -450,7 +439,7 @@
     simulation.run(500ms);
     const auto lastCommit = simulation.lastCommit();
     const TaskRef task { jobA, 0, 0, 0 };
-    const auto owner = executorRunning(simulation, task);
+    const auto owner = simulation.executorRunning(task);
     REQUIRE_FALSE(owner.empty());
     simulation.run(lastCommit + 2s - simulation.now);
     simulation.crash(owner);
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -433,6 +433,16 @@
         [&](const auto& it) { return it.second.isUp && it.second.running.count(task) > 0; }));
 }
 
+std::string FleetSimulation::executorRunning(const TaskRef& task) const
+{
+    std::string owner;
+    for (const auto& [id, executor] : executors) {
+        if (executor.running.count(task))
+            owner = id;
+    }
+    return owner;
+}
+
 JobPhase FleetSimulation::phase(const std::string& job) const { return scheduler->durablePhase(job).value(); }
 
 } // namespace quay::fleet::test
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -87,6 +87,8 @@
     /** Drains the executor. It exits after `after`: its runs end, it deregisters and closes its port. */
     void drainAndLeave(const std::string& id, Duration after);
     std::size_t runsOf(const TaskRef& task) const;
+    /** Returns the id of the executor that runs the task; empty: none. */
+    std::string executorRunning(const TaskRef& task) const;
     std::size_t largestRecord() const;
     JobPhase phase(const std::string& job) const;
     /** When the store applied the last commit. */
