Log the evidence of a run that is given up as absent

run_absent tells which answer came before the report was requested, how long before, the starts without an answer and the ends that the executor may discard, so that a late order to a previous process and a run given up without proof differ in the log.

--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -119,7 +119,8 @@
     CataloguedEvent { 2604, "stop_sent", "a stop order was sent", "nothing to do" },
     CataloguedEvent { 2605, "run_ended", "an executor reported the end of a run", "nothing to do" },
     CataloguedEvent { 2606, "run_absent",
-        "an executor reports a run neither as running nor as ended; its task is started again",
+        "an executor reports a run neither as running nor as ended; its task is started again; proof is the "
+        "answer that came before the report was requested, acknowledged the ends that it may discard",
         "nothing to do" },
     CataloguedEvent { 2607, "runs_lost",
         "the runs on an executor can no longer be active; their tasks are started again",
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -206,9 +206,20 @@
             absent.push_back(key);
     }
     for (const auto& key : absent) {
+        const auto it = incarnation.runs.find(key);
+        if (it == incarnation.runs.end())
+            continue;
+        const auto& run = it->second;
+        const std::string_view proof = run.phase == RunPhase::Inherited ? "answer_to_new_leader"
+            : run.isStopAcknowledged                                    ? "stop"
+                                                                        : "start";
         addEvent("run_absent", key.job->request.id,
             "task=" + text(taskRefOf(key)) + " run=" + std::to_string(key.run)
-                + " executor=" + incarnation.entry.id);
+                + " executor=" + incarnation.entry.id + " proof=" + std::string(proof) + " asked_after_ms="
+                + (run.confirmedAt == Instant {} ? std::string("-")
+                                                 : std::to_string(toMilliseconds(sentAt - run.confirmedAt)))
+                + " unanswered=" + std::to_string(run.unansweredAttempts)
+                + " acknowledged=" + std::to_string(incarnation.acknowledgedEnds));
         endRun(incarnation, key, RunOutcome::LeaseExpired, {}, now);
     }
 }
