--- a/include/quay/fleet/Executor.h
+++ b/include/quay/fleet/Executor.h
@@ -103,6 +103,18 @@
 
 std::string_view text(OrderResult result);
 
+/** The answer to a start, with which the scheduler tells two processes of one executor apart. */
+struct StartAnswer {
+    StartAnswer(OrderResult theResult, std::int64_t theClockMs = 0)
+        : result(theResult)
+        , clockMs(theClockMs)
+    {
+    }
+
+    OrderResult result;
+    std::int64_t clockMs; // the executor's clock when it answered; 0: unknown
+};
+
 /** An executor on which the approval service allows a step, with the ticket that a start must carry. */
 struct Approval {
     std::string executor;
--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -2,6 +2,7 @@
 
 #include "quay/core/Time.h"
 #include "quay/fleet/Executor.h"
+#include "quay/fleet/FencingToken.h"
 #include "quay/fleet/FleetConfiguration.h"
 #include "quay/fleet/JobRecord.h"
 #include "quay/fleet/JobRequest.h"
@@ -39,6 +40,7 @@
     std::string ticket;
     std::int64_t leaseUntilClockMs = 0; // on the executor's clock
     int unansweredAttempts = 0; // earlier attempts of this start that got no answer
+    std::int64_t epoch = 0; // for fencingToken()
 };
 
 /** Stop a run on an executor. */
@@ -48,6 +50,7 @@
     std::string executor;
     TaskRef task;
     int run = 0;
+    std::int64_t epoch = 0; // for fencingToken()
 };
 
 /** Set the CPU share of a running task. */
@@ -58,6 +61,7 @@
     TaskRef task;
     int run = 0;
     int percent = 100; // CPU share, 0 to 100
+    std::int64_t epoch = 0; // for fencingToken()
 };
 
 /** Poll an executor: renew its lease, acknowledge ends and get its next report. */
@@ -68,6 +72,7 @@
     std::int64_t acknowledgedEnd = 0; // the executor discards its ends up to this number; 0: none
     std::int64_t leaseUntilClockMs = 0; // on the executor's clock; 0: don't renew the lease
     Duration wait {}; // long poll: the executor may wait this long for an end before it answers
+    std::int64_t epoch = 0; // for fencingToken()
 };
 
 /** Ask the approval service on which of the executors a step may run. */
@@ -177,10 +182,16 @@
     /** The registration of an executor was removed. */
     void executorDeregistered(const std::string& id, Instant now);
 
+    /**
+     * Whether an order of this epoch is older than the newest one to the same executor. An executor that
+     * refuses such an order as fenced has seen a newer order of this scheduler, not another leader.
+     */
+    bool isSuperseded(IncarnationId incarnation, std::int64_t epoch) const;
+
     // Results of the actions. `sentAt`: when the request was sent.
 
     void startAnswered(
-        IncarnationId incarnation, const TaskRef& task, int run, OrderResult result, Instant now);
+        IncarnationId incarnation, const TaskRef& task, int run, const StartAnswer& answer, Instant now);
     void stopAnswered(
         IncarnationId incarnation, const TaskRef& task, int run, OrderResult result, Instant now);
     void throttleAnswered(IncarnationId incarnation, const TaskRef& task, int run, int percent,
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -48,7 +48,7 @@
     , m_scheduler(bounds, lastPredecessorCommit, rowSentAt)
     , m_leadership(std::move(leadership))
     , m_leadershipVersion(version)
-    , m_fencingToken(version)
+    , m_term(version)
     , m_onLeadershipLost(std::move(onLeadershipLost))
     , m_lastCommitAt(clockNow())
     , m_tickTimer(services.context)
@@ -71,7 +71,7 @@
 
 void CellLeader::begin(const FleetConfiguration& configuration)
 {
-    m_services.orders.beginSession(m_fencingToken);
+    m_services.orders.beginSession(m_term);
     configure(configuration);
     loadTables();
     tick();
@@ -228,15 +228,23 @@
         deleteIntakeRows(it);
 }
 
-OrderTarget CellLeader::target(const std::string& address, const std::string& executor) const
+OrderTarget CellLeader::target(
+    const std::string& address, const std::string& executor, std::int64_t epoch) const
 {
-    return { address, executor, m_fencingToken };
+    return { address, executor, fencingToken(m_term, epoch) };
 }
 
-void CellLeader::checkFenced(OrderResult result, const std::string& executor)
+void CellLeader::checkFenced(
+    OrderResult result, IncarnationId incarnation, const std::string& executor, std::int64_t epoch)
 {
-    if (result == OrderResult::Fenced)
-        loseLeadership("executor " + executor + " has accepted orders with a higher fencing token");
+    if (result != OrderResult::Fenced)
+        return;
+    if (m_scheduler.isSuperseded(incarnation, epoch)) {
+        m_services.log.write(
+            "order_superseded", {}, { { "executor", executor }, { "epoch", std::to_string(epoch) } });
+        return;
+    }
+    loseLeadership("executor " + executor + " has accepted orders with a higher fencing token");
 }
 
 void CellLeader::sendStart(const StartAction& action)
@@ -247,16 +255,17 @@
         action.leaseUntilClockMs };
     m_services.log.write("start_sent", action.task.job,
         { { "task", text(action.task) }, { "run", std::to_string(action.run) },
-            { "executor", action.executor } });
-    m_services.orders.start(target(action.address, action.executor), order,
+            { "executor", action.executor }, { "epoch", std::to_string(action.epoch) } });
+    m_services.orders.start(target(action.address, action.executor, action.epoch), order,
         std::min<Duration>(initialStartTimeout * (1 + action.unansweredAttempts), orderTimeout),
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
-            sentAt, executor = action.executor](OrderResponse answer) {
+            sentAt, executor = action.executor, epoch = action.epoch](OrderResponse answer) {
             if (self->m_isStopped)
                 return;
             self->m_startLatency.record(clockNow() - sentAt);
-            self->checkFenced(answer.result, executor);
-            self->m_scheduler.startAnswered(incarnation, task, run, answer.result, clockNow());
+            self->checkFenced(answer.result, incarnation, executor, epoch);
+            self->m_scheduler.startAnswered(
+                incarnation, task, run, { answer.result, answer.clockMs }, clockNow());
             self->runSchedulerSoon();
         });
 }
@@ -265,13 +274,14 @@
 {
     m_services.log.write("stop_sent", action.task.job,
         { { "task", text(action.task) }, { "run", std::to_string(action.run) },
-            { "executor", action.executor } });
-    m_services.orders.stop(target(action.address, action.executor), action.task, action.run, orderTimeout,
+            { "executor", action.executor }, { "epoch", std::to_string(action.epoch) } });
+    m_services.orders.stop(target(action.address, action.executor, action.epoch), action.task, action.run,
+        orderTimeout,
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
-            executor = action.executor](OrderResponse answer) {
+            executor = action.executor, epoch = action.epoch](OrderResponse answer) {
             if (self->m_isStopped)
                 return;
-            self->checkFenced(answer.result, executor);
+            self->checkFenced(answer.result, incarnation, executor, epoch);
             self->m_scheduler.stopAnswered(incarnation, task, run, answer.result, clockNow());
             self->runSchedulerSoon();
         });
@@ -279,13 +289,14 @@
 
 void CellLeader::sendThrottle(const ThrottleAction& action)
 {
-    m_services.orders.throttle(target(action.address, action.executor), action.task, action.run,
+    m_services.orders.throttle(target(action.address, action.executor, action.epoch), action.task, action.run,
         action.percent, orderTimeout,
         [self = shared_from_this(), incarnation = action.incarnation, task = action.task, run = action.run,
-            percent = action.percent, executor = action.executor](OrderResponse answer) {
+            percent = action.percent, executor = action.executor,
+            epoch = action.epoch](OrderResponse answer) {
             if (self->m_isStopped)
                 return;
-            self->checkFenced(answer.result, executor);
+            self->checkFenced(answer.result, incarnation, executor, epoch);
             self->m_scheduler.throttleAnswered(incarnation, task, run, percent, answer.result, clockNow());
         });
 }
@@ -293,13 +304,13 @@
 void CellLeader::sendExecutorHeartbeat(const HeartbeatAction& action)
 {
     const auto sentAt = clockNow();
-    m_services.orders.heartbeat(target(action.address, action.executor), action.acknowledgedEnd,
+    m_services.orders.heartbeat(target(action.address, action.executor, action.epoch), action.acknowledgedEnd,
         action.leaseUntilClockMs, action.wait, action.wait + longPollMargin,
-        [self = shared_from_this(), incarnation = action.incarnation, sentAt, executor = action.executor](
-            HeartbeatResponse answer) {
+        [self = shared_from_this(), incarnation = action.incarnation, sentAt, executor = action.executor,
+            epoch = action.epoch](HeartbeatResponse answer) {
             if (self->m_isStopped)
                 return;
-            self->checkFenced(answer.order.result, executor);
+            self->checkFenced(answer.order.result, incarnation, executor, epoch);
             self->m_scheduler.heartbeatAnswered(
                 incarnation, answer.order.result, answer.report, sentAt, clockNow());
             self->runSchedulerSoon();
@@ -340,8 +351,8 @@
     if (m_isStopped)
         return;
     stop();
-    m_services.log.write("leadership_lost", {},
-        { { "fence", std::to_string(m_fencingToken) }, { "reason", std::string(why) } });
+    m_services.log.write(
+        "leadership_lost", {}, { { "fence", std::to_string(m_term) }, { "reason", std::string(why) } });
     boost::asio::post(m_services.context, m_onLeadershipLost);
 }
 
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -79,7 +79,7 @@
     /** Number of jobs that have not started, by queue; at most 100 ms old. */
     const std::map<std::string, std::int64_t>& pending();
     fleet::SchedulerCounts counts() const { return m_scheduler.counts(); }
-    std::int64_t fencingToken() const { return m_fencingToken; }
+    std::int64_t term() const { return m_term; }
 
     /** Sets what the row tells of the other nodes; written with the next commit. */
     void setCandidates(double largestShare, std::size_t candidateCount)
@@ -130,8 +130,10 @@
     void sendThrottle(const fleet::ThrottleAction& action);
     void sendExecutorHeartbeat(const fleet::HeartbeatAction& action);
     void sendApproval(const fleet::ApprovalAction& action);
-    void checkFenced(fleet::OrderResult result, const std::string& executor);
-    platform::OrderTarget target(const std::string& address, const std::string& executor) const;
+    void checkFenced(fleet::OrderResult result, fleet::IncarnationId incarnation, const std::string& executor,
+        std::int64_t epoch);
+    platform::OrderTarget target(
+        const std::string& address, const std::string& executor, std::int64_t epoch) const;
 
     struct PendingAccept {
         StoredJob job;
@@ -160,7 +162,7 @@
     fleet::FleetScheduler m_scheduler;
     LeadershipRecord m_leadership;
     std::int64_t m_leadershipVersion; // last known version of the leadership row
-    std::int64_t m_fencingToken;
+    std::int64_t m_term; // version of the leadership row that this leader wrote first
     std::function<void()> m_onLeadershipLost;
     std::function<void(std::int64_t)> m_onCommitsRefused;
     bool m_isLoaded = false;
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -211,7 +211,7 @@
         return;
     }
     m_services.log.write("scheduler_loaded", {},
-        { { "fence", std::to_string(m_fencingToken) }, { "jobs", std::to_string(m_loadedJobs->size()) },
+        { { "fence", std::to_string(m_term) }, { "jobs", std::to_string(m_loadedJobs->size()) },
             { "records", std::to_string(m_recordsToRestore.size()) },
             { "executors", std::to_string(m_registeredExecutors.size()) },
             { "read_ms", std::to_string(toMilliseconds(m_tablesReadAt - m_loadingSince)) },
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -141,6 +141,10 @@
         "a start is not sent because its ticket has expired or the executor's capacity has shrunk since the "
         "placement (why); the task waits again",
         "nothing to do" },
+    CataloguedEvent { 2612, "order_superseded",
+        "an executor refused an order because it has seen a later one of this leader; the order is sent "
+        "again",
+        "nothing to do" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent {
         2702, "executor_leaving", "an executor is draining: it gets no new starts", "nothing to do" },
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -26,7 +26,7 @@
 constexpr const char* leadershipKey = "lead";
 // Raised with each change after which an earlier version of the program could not lead any more: it does not
 // take the leadership row from a leader that stores a later format.
-constexpr int storedFormat = 1;
+constexpr int storedFormat = 2;
 constexpr const char* cancellationSuffix = "!";
 
 /** An accepted job as stored: the unchanged body, the id and queue from its path, the team of its key. */
--- a/src/edge/OrderDispatcher.cpp
+++ b/src/edge/OrderDispatcher.cpp
@@ -50,10 +50,10 @@
 {
 }
 
-void OrderDispatcher::beginSession(std::int64_t fencingToken)
+void OrderDispatcher::beginSession(std::int64_t term)
 {
     endSession();
-    m_session = fencingToken;
+    m_session = term;
 }
 
 void OrderDispatcher::endSession()
--- a/src/edge/OrderDispatcher.h
+++ b/src/edge/OrderDispatcher.h
@@ -16,10 +16,10 @@
 
 /**
  * Sends the leader's calls to executors: in batches through relay nodes where RelayPlan names one, otherwise
- * directly. A relay decides nothing: each call carries the leader's fencing token, and a call that is lost
+ * directly. A relay decides nothing: each call carries its fencing token, and a call that is lost
  * with its relay ends as NoAnswer, like one that an executor did not answer.
  *
- * Usage: `dispatcher.beginSession(fencingToken); dispatcher.start(target, order, 90ms, [](OrderResponse
+ * Usage: `dispatcher.beginSession(term); dispatcher.start(target, order, 90ms, [](OrderResponse
  * answer) { ... });`
  */
 class OrderDispatcher {
@@ -28,7 +28,7 @@
         boost::asio::io_context& context, platform::ExecutorClient& direct, NodeLog& log, Metrics& metrics);
 
     /** Begins to send for a new leader. Results of earlier calls are dropped. */
-    void beginSession(std::int64_t fencingToken);
+    void beginSession(std::int64_t term);
     /** Ends the session: the relays get no more requests. */
     void endSession();
     void nodeSeen(const std::string& name, const RelayPlan::Node& node, Instant now);
--- a/src/edge/RelayCodec.h
+++ b/src/edge/RelayCodec.h
@@ -29,7 +29,7 @@
 };
 
 struct RelayRequest {
-    std::int64_t session = 0; // the leader's fencing token
+    std::int64_t session = 0; // term of the leader
     Duration wait {}; // without calls: how long the relay may wait for a result before it answers
     std::vector<RelayCall> calls;
 };
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -179,6 +179,8 @@
     if (it == incarnation.runs.end())
         return;
     it->second.isThrottleInFlight = false;
+    if (result == OrderResult::NoAnswer)
+        m_impl->raiseEpoch(incarnation, it->second.throttleEpoch);
     if (result == OrderResult::Ok)
         it->second.percent = percent;
     if (it->second.percent != it->second.targetPercent)
--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -244,19 +244,26 @@
 }
 
 void FleetScheduler::startAnswered(
-    IncarnationId number, const TaskRef& task, int runNumber, OrderResult result, Instant now)
+    IncarnationId number, const TaskRef& task, int runNumber, const StartAnswer& answer, Instant now)
 {
     auto& it = *m_impl;
     auto& incarnation = it.incarnations[number];
+    const auto result = answer.result;
+    if (result == OrderResult::Ok && !incarnation.isSameProcess(answer.clockMs))
+        incarnation.lastUnverifiedStart = now;
     const auto key = it.keyOf(task, runNumber);
     auto found = key ? incarnation.runs.find(*key) : incarnation.runs.end();
     if (found == incarnation.runs.end()) {
         if (key && result == OrderResult::NoAnswer)
             incarnation.unansweredStarts[*key] = now;
+        if (result == OrderResult::NoAnswer)
+            it.raiseEpoch(incarnation, it.epochOf(incarnation));
         return;
     }
     auto& run = found->second;
     run.isInFlight = false;
+    if (result == OrderResult::NoAnswer)
+        it.raiseEpoch(incarnation, run.sentEpoch);
     if (result != OrderResult::Ok)
         it.addEvent("start_refused", task.job,
             "task=" + text(task) + " run=" + std::to_string(runNumber) + " executor=" + incarnation.entry.id
@@ -321,7 +328,8 @@
         giveUp();
         break;
     case OrderResult::Fenced:
-        break; // the caller resigns as the leader
+        run.nextSend = now; // a later order of this scheduler came first; otherwise the caller resigns
+        break;
     }
 }
 
@@ -336,6 +344,8 @@
         return;
     auto& run = found->second;
     run.isInFlight = false;
+    if (result == OrderResult::NoAnswer)
+        it.raiseEpoch(incarnation, run.sentEpoch);
     if (result == OrderResult::Ok || result == OrderResult::Outdated || result == OrderResult::Malformed) {
         run.isStopAcknowledged = true;
         run.confirmedAt = now;
@@ -343,6 +353,8 @@
         incarnation.nextHeartbeat = std::min(incarnation.nextHeartbeat, now);
     } else if (result == OrderResult::OtherIncarnation) {
         it.loseRuns(incarnation, now, "another process at its address");
+    } else if (result == OrderResult::Fenced) {
+        run.nextSend = now; // see startAnswered()
     } else {
         run.nextSend = now + (incarnation.isUnresponsive ? unresponsiveRetryDelay : stopRetryDelay);
     }
@@ -354,6 +366,8 @@
     auto& it = *m_impl;
     auto& incarnation = it.incarnations[number];
     incarnation.isHeartbeatInFlight = false;
+    if (result == OrderResult::NoAnswer)
+        it.raiseEpoch(incarnation, incarnation.heartbeatEpoch);
     if (incarnation.isClosed)
         return;
     if (result == OrderResult::NoAnswer && incarnation.sentAcknowledgement > 0)
@@ -381,6 +395,7 @@
         incarnation.isUnresponsive = false;
         incarnation.missedHeartbeats = 0;
         incarnation.lastAnswer = now;
+        incarnation.lastAnswerSentAt = sentAt;
         incarnation.hasAnswered = true;
         incarnation.confirmedAcknowledgement
             = std::max(incarnation.confirmedAcknowledgement, incarnation.sentAcknowledgement);
@@ -390,6 +405,10 @@
             = incarnation.processedEnds > incarnation.acknowledgedEnds ? now + heartbeatDelayAfterEnds : now;
         return;
     }
+    if (result == OrderResult::Fenced) {
+        incarnation.nextHeartbeat = now; // see startAnswered()
+        return;
+    }
     if (result == OrderResult::OtherIncarnation) {
         it.loseRuns(incarnation, now, "another process at its address");
         incarnation.isRegistered = false;
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -15,11 +15,16 @@
 // Limits a large cell to 500 heartbeats per second, as long as the wait stays within a quarter of the lease.
 constexpr Duration heartbeatWaitPerExecutor = 2ms;
 constexpr Duration maxHeartbeatWait = 1500ms;
+// A heartbeat waits this long for an open start, so that it can carry the acknowledgement: the timeout of an
+// order. It is a twentieth of the maximum lease.
+constexpr Duration maxAcknowledgementWait = 300ms;
 // Intervals of the passes over all executors. They bound the cost of a scheduling round in a large cell.
 constexpr auto heartbeatCheckInterval = 8ms;
 constexpr auto executorCheckInterval = 20ms;
 // Allows for a stop and the delivery of its order and its end, before a draining executor exits.
 constexpr auto evacuationMargin = 300ms;
+// Longer than the time from one answered heartbeat to the next, including a long poll and its timeout.
+constexpr std::int64_t minClockToIdentifyMs = 5000;
 constexpr std::int64_t maxEstimateMs = 3'600'000; // longer ones count as long
 
 } // namespace
@@ -49,9 +54,47 @@
     incarnation.nextHeartbeat = now;
     incarnation.leaseEndsAt = now;
     incarnation.servesUntil = now + std::chrono::milliseconds(entry.remainingMs);
+    if (const auto [epoch, isNew] = epochs.emplace(entry.id, 0); !isNew)
+        raiseEpoch(incarnation, epoch->second);
     return incarnation;
 }
 
+bool internal::Incarnation::hasOpenStart() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.isStartOpen(); });
+}
+
+// The clock of a process starts at its birth, so a later process is behind the last reading of this one,
+// unless this one was young. A process that has been up for longer has been identified by a heartbeat.
+bool internal::Incarnation::isSameProcess(std::int64_t clock) const
+{
+    return clockMs > minClockToIdentifyMs && clock >= clockMs;
+}
+
+// Only an answered heartbeat that was sent after the answers of all starts tells that this process has
+// carried them out, and not a later one.
+bool internal::Incarnation::mayHaveStartedInLaterProcess() const
+{
+    return hasOpenStart() || lastUnverifiedStart >= lastAnswerSentAt;
+}
+
+std::int64_t FleetScheduler::Impl::epochOf(const Incarnation& incarnation) const
+{
+    return epochs.at(incarnation.entry.id);
+}
+
+// Later orders to the executor bar those of `epoch`; those of an earlier epoch are barred already.
+void FleetScheduler::Impl::raiseEpoch(const Incarnation& incarnation, std::int64_t epoch)
+{
+    auto& current = epochs.at(incarnation.entry.id);
+    current = std::max(current, epoch + 1);
+}
+
+bool FleetScheduler::isSuperseded(IncarnationId incarnation, std::int64_t epoch) const
+{
+    return epoch < m_impl->epochOf(m_impl->incarnations[incarnation]);
+}
+
 FleetScheduler::Impl::Incarnation* FleetScheduler::Impl::incarnationOf(const std::string& id)
 {
     auto it = currentIncarnations.find(id);
@@ -391,8 +434,9 @@
             if (run.isStopAcknowledged)
                 continue;
             run.isInFlight = true;
-            actions.stops.push_back(
-                { number, incarnation.entry.address, incarnation.entry.id, taskRefOf(key), key.run });
+            run.sentEpoch = epochOf(incarnation);
+            actions.stops.push_back({ number, incarnation.entry.address, incarnation.entry.id, taskRefOf(key),
+                key.run, run.sentEpoch });
             continue;
         }
         if (run.phase != RunPhase::Starting)
@@ -416,17 +460,22 @@
         }
         const auto& checkpoint
             = step.request().isGang ? step.gangCheckpoint : step.tasks[key.index].checkpoint;
+        // A later process that carries out both a late acknowledgement and a late start must not discard the
+        // end of that run, so the start bars the acknowledgement.
+        if (incarnation.isAcknowledgementInFlight())
+            raiseEpoch(incarnation, incarnation.heartbeatEpoch);
         run.isInFlight = true;
+        run.sentEpoch = epochOf(incarnation);
         actions.starts.push_back({ number, incarnation.entry.address, incarnation.entry.id, taskRefOf(key),
             key.run, key.job->request.payload, checkpoint, run.ticket, extendLease(incarnation, now),
-            run.unansweredAttempts });
+            run.unansweredAttempts, run.sentEpoch });
         ++totals.starts;
     }
     for (IncarnationId number : std::exchange(executorsWithUnknownRuns, {})) {
         auto& incarnation = incarnations[number];
         for (const auto& [task, run] : incarnation.unknownRuns)
-            actions.stops.push_back(
-                { incarnation.number, incarnation.entry.address, incarnation.entry.id, task, run });
+            actions.stops.push_back({ incarnation.number, incarnation.entry.address, incarnation.entry.id,
+                task, run, epochOf(incarnation) });
         incarnation.unknownRuns.clear();
     }
 }
@@ -443,14 +492,20 @@
             || incarnation.entry.address.empty())
             continue;
         // An acknowledgement is sent until it is answered and not again, and only right after an answer: a
-        // later process of the executor that carries it out discards its own ends.
-        const bool mayAcknowledge = !incarnation.isUnresponsive
+        // later process of the executor that carries it out discards its own ends. For the same reason it
+        // waits for the answers of the starts before it.
+        const bool isAcknowledgementDue = !incarnation.isUnresponsive
             && incarnation.acknowledgedEnds > incarnation.confirmedAcknowledgement;
-        incarnation.sentAcknowledgement = mayAcknowledge ? incarnation.acknowledgedEnds : 0;
+        const bool isHeldBack = isAcknowledgementDue && incarnation.mayHaveStartedInLaterProcess();
+        if (incarnation.hasOpenStart() && isHeldBack && now - incarnation.lastAnswer < maxAcknowledgementWait)
+            continue;
+        incarnation.sentAcknowledgement
+            = isAcknowledgementDue && !isHeldBack ? incarnation.acknowledgedEnds : 0;
+        incarnation.heartbeatEpoch = epochOf(incarnation);
         HeartbeatAction heartbeat { incarnation.number, incarnation.entry.address, incarnation.entry.id,
-            incarnation.sentAcknowledgement, 0, {} };
+            incarnation.sentAcknowledgement, 0, {}, incarnation.heartbeatEpoch };
         heartbeat.leaseUntilClockMs = extendLease(incarnation, now);
-        if (incarnation.hasAnswered && !incarnation.isUnresponsive
+        if (incarnation.hasAnswered && !incarnation.isUnresponsive && !isHeldBack
             && incarnation.processedEnds == incarnation.acknowledgedEnds)
             heartbeat.wait = wait;
         incarnation.isHeartbeatInFlight = true;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -468,8 +468,9 @@
             if (run.phase != RunPhase::Running || run.isThrottleInFlight || run.percent == run.targetPercent)
                 continue;
             run.isThrottleInFlight = true;
+            run.throttleEpoch = epochOf(incarnation);
             actions.throttles.push_back({ number, incarnation.entry.address, incarnation.entry.id,
-                taskRefOf(key), key.run, run.targetPercent });
+                taskRefOf(key), key.run, run.targetPercent, run.throttleEpoch });
         }
     }
 }
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -138,6 +138,7 @@
     Instant ticketUntil; // afterwards the executor refuses a start with this ticket
     Instant nextSend; // earliest time of the next start, or stop if isStopRequested, that is sent
     bool isInFlight = false; // a start or stop was sent and not answered yet
+    std::int64_t sentEpoch = 0; // of the start or stop that was sent last
     int unansweredAttempts = 0; // starts without an answer, which may still be carried out
     int unreachableAttempts = 0; // starts that could not be sent
     bool isOrphan = false; // its end no longer changes the state of its task
@@ -151,6 +152,13 @@
     int targetPercent = 100; // CPU share that the run should have
     int percent = 100; // CPU share that the executor has confirmed
     bool isThrottleInFlight = false;
+    std::int64_t throttleEpoch = 0; // of the throttle that was sent last
+
+    // A start that was sent may have been carried out, or may yet be, without the scheduler knowing.
+    bool isStartOpen() const
+    {
+        return phase == RunPhase::Starting && (unansweredAttempts > 0 || (isInFlight && !isStopRequested));
+    }
 };
 
 // The registered executors of one service.
@@ -183,11 +191,14 @@
     std::int64_t requestedLeaseClockMs = 0; // end of the longest lease requested so far, on its clock
     Instant leaseEndsAt; // upper bound of the end of its lease, on our clock
     Instant lastAnswer; // to a heartbeat
+    Instant lastAnswerSentAt; // when that heartbeat was sent
+    Instant lastUnverifiedStart; // when a start was last answered that a later process may have carried out
     Instant servesUntil; // a draining executor runs tasks at least until then
     std::int64_t processedEnds = 0; // number of the newest end that was applied in memory
     std::int64_t acknowledgedEnds = 0; // number of the newest end that is durable
     Instant unacknowledgedSince; // meaningful only while processedEnds > acknowledgedEnds
     bool isHeartbeatInFlight = false;
+    std::int64_t heartbeatEpoch = 0; // of the heartbeat that was sent last
     std::int64_t sentAcknowledgement = 0; // carried by the last heartbeat; 0: none
     std::int64_t confirmedAcknowledgement = 0; // the highest one that the executor has answered
     // Until then a heartbeat that acknowledges ends of this process may still be carried out.
@@ -208,6 +219,12 @@
     std::int64_t pooledTotalCpu = 0;
     // An earlier incarnation of the executor, whose runs are known to have ended once this one answers.
     IncarnationId predecessor = -1;
+
+    bool hasOpenStart() const;
+    bool isSameProcess(std::int64_t clock) const;
+    bool mayHaveStartedInLaterProcess() const;
+    // An acknowledgement was sent and not answered yet.
+    bool isAcknowledgementInFlight() const { return isHeartbeatInFlight && sentAcknowledgement > 0; }
 };
 
 // An approval call that was sent, with the CPU demand of the waiting tasks of its step.
@@ -272,6 +289,8 @@
     // Executors (SchedulerExecutors.cpp)
     Incarnation& addIncarnation(const ExecutorEntry& entry, Instant now);
     Incarnation* incarnationOf(const std::string& id);
+    std::int64_t epochOf(const Incarnation& incarnation) const;
+    void raiseEpoch(const Incarnation& incarnation, std::int64_t epoch);
     void replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now);
     Run& moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
     void closePredecessor(Incarnation& incarnation, const ExecutorReport& report, Instant now);
@@ -337,6 +356,8 @@
     std::uint64_t nextJobNumber = 1;
     std::deque<Incarnation> incarnations; // indexed by IncarnationId; closed ones are never erased
     std::unordered_map<std::string, IncarnationId> currentIncarnations; // by executor id
+    // By executor id; kept when an incarnation is closed, because its orders may reach the next one.
+    std::unordered_map<std::string, std::int64_t> epochs;
     std::map<std::string, internal::ServicePool> pools; // by service
     std::vector<std::string> domains; // failure domains of all executors so far
     std::map<std::string, Resources> teamUsage;
