A task isn't started while an executor lists a run of it that was given up (TWICE)

Callers saw a task run again after a run of it had ended as done.

Cause: a run that had been given up and was listed by an executor again was stopped, but its task was placed at once, so both ran until the stop arrived, and the first one could end as done before. A report that told of a restart was dropped with the runs it listed. The lease of a process that had just answered for the first time was taken for expired after the time of a stop, though late orders may have granted it a whole one.

Change: tasks with a listed run that was given up are neither placed nor started until an executor has reported its end, or until its lease has expired. The first answer of a process bounds its lease by the maximum.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -190,6 +190,7 @@
             step.gangCheckpoint = it.checkpoint;
         }
     }
+    setStrayTasks(incarnation, strayTasks(incarnation, report));
     if (report.ended.size() >= maxEndsPerReport)
         return; // the report is truncated: a missing run may have ended
     std::vector<RunKey> absent;
@@ -224,6 +225,47 @@
     }
 }
 
+// Returns the tasks with a listed run that is not, or no longer, one of the incarnation's.
+std::set<TaskRef> FleetScheduler::Impl::strayTasks(
+    const Incarnation& incarnation, const ExecutorReport& report) const
+{
+    std::set<TaskRef> tasks;
+    for (const auto& it : report.running) {
+        const auto key = keyOf(it.task, it.run);
+        const auto run = key ? incarnation.runs.find(*key) : incarnation.runs.end();
+        if (key && (run == incarnation.runs.end() || run->second.isOrphan))
+            tasks.insert(it.task);
+    }
+    return tasks;
+}
+
+void FleetScheduler::Impl::setStrayTasks(Incarnation& incarnation, std::set<TaskRef> tasks)
+{
+    for (const auto& task : std::exchange(incarnation.strayTasks, std::move(tasks))) {
+        if (--strayRuns[task] == 0) {
+            strayRuns.erase(task);
+            isPlacementDue = true;
+        }
+    }
+    for (const auto& task : incarnation.strayTasks)
+        ++strayRuns[task];
+}
+
+// Whether an executor still lists a run of the task, or of its gang, that was given up. It may be done before
+// its stop arrives.
+bool FleetScheduler::Impl::hasStrayRun(const StepState& step, int index) const
+{
+    if (strayRuns.empty())
+        return false;
+    const bool isGang = step.request().isGang;
+    auto it
+        = strayRuns.lower_bound({ step.job->request.id, step.occurrence, step.number, isGang ? 0 : index });
+    if (it == strayRuns.end() || it->first.job != step.job->request.id
+        || it->first.occurrence != step.occurrence || it->first.step != step.number)
+        return false;
+    return isGang || it->first.index == index;
+}
+
 void FleetScheduler::Impl::applyReport(
     Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now)
 {
@@ -382,7 +424,9 @@
                 && it.incarnationOf(incarnation.entry.id) == &incarnation) {
                 auto entry = incarnation.entry;
                 entry.startedUnixMs = report->startedUnixMs;
-                it.replaceIncarnation(incarnation, entry, false, now);
+                auto& next = it.replaceIncarnation(incarnation, entry, false, now);
+                it.boundLease(next, now);
+                it.setStrayTasks(next, it.strayTasks(it.incarnations[number], *report));
             }
             return; // the next heartbeat goes to the new incarnation
         }
@@ -396,7 +440,8 @@
         incarnation.missedHeartbeats = 0;
         incarnation.lastAnswer = now;
         incarnation.lastAnswerSentAt = sentAt;
-        incarnation.hasAnswered = true;
+        if (!std::exchange(incarnation.hasAnswered, true))
+            it.boundLease(incarnation, now);
         incarnation.confirmedAcknowledgement
             = std::max(incarnation.confirmedAcknowledgement, incarnation.sentAcknowledgement);
         it.closePredecessor(incarnation, *report, now);
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -104,7 +104,7 @@
 // The executor has restarted. The runs of the old incarnation end in closePredecessor(), once the new one
 // has answered with our fencing token: from then on it refuses orders of earlier leaders. `isRegistered`:
 // `entry` is the registration of the new one, which may have other capacity and labels than the old one.
-void FleetScheduler::Impl::replaceIncarnation(
+FleetScheduler::Impl::Incarnation& FleetScheduler::Impl::replaceIncarnation(
     Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now)
 {
     const IncarnationId oldNumber = old.number;
@@ -120,6 +120,7 @@
         "executor=" + entry.id + " started=" + std::to_string(entry.startedUnixMs)
             + " before=" + std::to_string(incarnations[oldNumber].entry.startedUnixMs)
             + " runs_before=" + std::to_string(incarnations[oldNumber].runs.size()));
+    return incarnation;
 }
 
 // Moves a run to the later incarnation of its executor. Its start may have been carried out there.
@@ -191,6 +192,7 @@
 
 void FleetScheduler::Impl::loseRuns(Incarnation& incarnation, Instant now, std::string_view why)
 {
+    setStrayTasks(incarnation, {});
     if (incarnation.runs.empty())
         return;
     addEvent("runs_lost", {},
@@ -315,6 +317,7 @@
     incarnation.isRegistered = false;
     updatePool(incarnation);
     incarnation.unknownRuns.clear();
+    setStrayTasks(incarnation, {});
     auto it = currentIncarnations.find(incarnation.entry.id);
     if (it != currentIncarnations.end() && it->second == incarnation.number)
         currentIncarnations.erase(it);
@@ -366,6 +369,14 @@
     openOrders.insert({ incarnation.number, key });
 }
 
+// An executor may hold a lease that late orders to its previous process or an earlier leader have granted,
+// but none that is longer than the maximum.
+void FleetScheduler::Impl::boundLease(Incarnation& incarnation, Instant now) const
+{
+    incarnation.leaseEndsAt = std::max(incarnation.leaseEndsAt,
+        now + std::chrono::duration_cast<Duration>(bounds.maxLeaseDuration * maxClockRateRatio));
+}
+
 // Returns the end of the lease, on the executor's clock, that the next order may request, and records it as
 // granted. Returns 0 if no lease may be granted now.
 std::int64_t FleetScheduler::Impl::extendLease(Incarnation& incarnation, Instant now)
@@ -395,7 +406,7 @@
             continue;
         if (incarnation.entry.isDraining && !incarnation.runs.empty())
             evacuate(incarnation, now);
-        if (!incarnation.runs.empty() && incarnation.isUnresponsive
+        if (!(incarnation.runs.empty() && incarnation.strayTasks.empty()) && incarnation.isUnresponsive
             && now > incarnation.leaseEndsAt + bounds.maxStopDuration)
             loseRuns(incarnation, now, "lease expired");
         std::erase_if(incarnation.unansweredStarts,
@@ -442,6 +453,8 @@
         if (run.phase != RunPhase::Starting)
             continue;
         const auto& step = *key.job->occurrences[key.occurrence].steps[key.step];
+        if (hasStrayRun(step, key.index))
+            continue;
         // The executor would refuse the start. The step calls for a new ticket before it is placed again.
         const bool isTicketExpired = !run.ticket.empty() && run.ticketUntil < now;
         // The capacity may have shrunk since the placement, and the executor may not guard it.
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -335,8 +335,8 @@
 // Places all members of a gang or none; on one rack if the gang prefers that and a rack has enough capacity.
 bool FleetScheduler::Impl::placeGang(StepState& step, const std::vector<IncarnationId>& from, Instant now)
 {
-    if (step.active > 0 || step.waiting != static_cast<int>(step.tasks.size()))
-        return false; // a member of the previous run is still active
+    if (step.active > 0 || step.waiting != static_cast<int>(step.tasks.size()) || hasStrayRun(step, 0))
+        return false; // a member of a previous run is still active
     const auto& request = step.request();
     const auto demand = executorDemand(request);
     const auto chooseExecutors = [&](const std::string& rack) {
@@ -412,7 +412,7 @@
         perIncarnation = tasksPerIncarnation(step);
     for (std::size_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
         auto& task = step.tasks[i];
-        if (task.phase != TaskPhase::Waiting)
+        if (task.phase != TaskPhase::Waiting || hasStrayRun(step, static_cast<int>(i)))
             continue;
         if (!fitsQuota(step))
             return;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -186,6 +186,7 @@
     Resources used;
     std::map<RunKey, Run> runs;
     std::set<std::pair<TaskRef, int>> unknownRuns; // reported as running, but not in `runs`
+    std::set<TaskRef> strayTasks; // with a run in the last report that was given up; see Impl::hasStrayRun()
     std::int64_t clockMs = 0; // last reported reading of its clock
     Instant clockReceivedAt;
     std::int64_t requestedLeaseClockMs = 0; // end of the longest lease requested so far, on its clock
@@ -291,7 +292,8 @@
     Incarnation* incarnationOf(const std::string& id);
     std::int64_t epochOf(const Incarnation& incarnation) const;
     void raiseEpoch(const Incarnation& incarnation, std::int64_t epoch);
-    void replaceIncarnation(Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now);
+    Incarnation& replaceIncarnation(
+        Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now);
     Run& moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
     void closePredecessor(Incarnation& incarnation, const ExecutorReport& report, Instant now);
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
@@ -305,6 +307,9 @@
     void applyReport(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
     void applyEnd(Incarnation& incarnation, const EndedTask& end, Instant now);
     void applyRunning(Incarnation& incarnation, const ExecutorReport& report, Instant sentAt, Instant now);
+    std::set<TaskRef> strayTasks(const Incarnation& incarnation, const ExecutorReport& report) const;
+    void setStrayTasks(Incarnation& incarnation, std::set<TaskRef> tasks);
+    bool hasStrayRun(const StepState& step, int index) const;
     void updateThrottling(Incarnation& incarnation, const ExecutorReport& report);
     void endRun(Incarnation& incarnation, const RunKey& key, RunOutcome outcome,
         const std::string& checkpoint, Instant now);
@@ -316,6 +321,7 @@
     void requestStop(Incarnation& incarnation, const RunKey& key, Instant now);
     std::optional<RunKey> keyOf(const TaskRef& task, int run) const;
     TaskRef taskRefOf(const RunKey& key) const;
+    void boundLease(Incarnation& incarnation, Instant now) const;
     std::int64_t extendLease(Incarnation& incarnation, Instant now);
     void checkExecutors(Instant now);
     void sendOrders(Instant now, SchedulerActions& actions);
@@ -371,6 +377,7 @@
     Instant nextHeartbeatCheck;
     std::set<IncarnationId> unacknowledgedExecutors; // with processedEnds > acknowledgedEnds
     std::set<IncarnationId> executorsWithUnknownRuns;
+    std::map<TaskRef, int> strayRuns; // number of executors by task, see Incarnation::strayTasks
     std::set<IncarnationId> throttlesDue; // executors with a run whose CPU share has to change
     bool isPlacementDue = true;
     Instant nextPlacement;
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -463,3 +463,75 @@
     REQUIRE(fleet.heartbeats.size() == 1);
     CHECK(fleet.heartbeats[0].acknowledgedEnd == 1);
 }
+
+// Guards against TWICE: a task was started while an executor still listed an earlier run of it as running.
+TEST_CASE(
+    "an executor lists a run that was given up: its task is not started elsewhere before that run has ended")
+{
+    struct Row {
+        const char* name;
+        bool isDone; // the listed run ends as done, and not as stopped
+        bool isPlacedBefore; // the next run was placed, but its start not sent, when the report arrives
+    };
+    const Row rows[] = {
+        { "stopped", false, false },
+        { "done", true, false },
+        { "stopped, the next run is placed", false, true },
+        { "done, the next run is placed", true, true },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        HandFleet fleet;
+        fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+        fleet.pump();
+        fleet.answerAll(1000);
+        fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+        fleet.pumpUntilStarted(1);
+        const TaskRef task = fleet.starts[0].task;
+        fleet.acceptStart(0);
+        for (int i = 0; i < 100; ++i) { // the lease of the silent executor lapses
+            fleet.pump(100ms);
+            fleet.failAll();
+        }
+        auto other = fleet.entry;
+        other.id = "f";
+        other.address = "a:2";
+        other.startedUnixMs = 2000;
+        fleet.scheduler.executorRegistered(other, fleet.now);
+        fleet.pump(500ms);
+        const auto answerOther = [&] { fleet.answerAll(2000, {}, {}, "f"); };
+        answerOther();
+        const std::vector<RunningTask> running { { task, 1, {}, 10, 0 } };
+        if (row.isPlacedBefore) {
+            SchedulerActions actions;
+            fleet.scheduler.pump(fleet.now += 10ms, 0, actions);
+            REQUIRE(actions.commit);
+            REQUIRE(actions.starts.empty());
+            fleet.answerAll(1000, running);
+            fleet.scheduler.committed(actions.commit->number, fleet.now, fleet.now);
+        }
+        for (int i = 0; i < 5; ++i) {
+            fleet.answerAll(1000, running);
+            answerOther();
+            fleet.pump(20ms);
+            CHECK(fleet.starts.size() == 1);
+        }
+        CHECK(fleet.hasStop(1));
+        const std::vector<EndedTask> ends { { 1, task, 1, row.isDone ? RunOutcome::Done : RunOutcome::Stopped,
+            {} } };
+        for (int i = 0; i < 20; ++i) {
+            const bool isAcknowledged = std::any_of(fleet.heartbeats.begin(), fleet.heartbeats.end(),
+                [](const auto& it) { return it.executor == "e" && it.acknowledgedEnd >= 1; });
+            fleet.answerAll(1000, {}, isAcknowledged ? std::vector<EndedTask> {} : ends);
+            answerOther();
+            fleet.pump(50ms);
+        }
+        if (row.isDone) {
+            CHECK(fleet.starts.size() == 1);
+            CHECK(fleet.scheduler.durablePhase(job) == JobPhase::Completed);
+        } else {
+            REQUIRE(fleet.starts.size() == 2);
+            CHECK(fleet.starts[1].run == 2);
+        }
+    }
+}
