Runs that an executor lists without having been ordered count against its capacity (LIMIT)

Cause: a listed run that the scheduler did not order there was stopped, but its capacity was taken for free meanwhile; a start without an answer that the next process of an executor may run was barred there with no demand.

Change: nothing is placed on such an executor, nor started there, until its report lists no such run; a barred start has the demand of its task.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -191,6 +191,9 @@
         }
     }
     setStrayTasks(incarnation, strayTasks(incarnation, report));
+    const bool hasUncountedRuns = !incarnation.unknownRuns.empty();
+    if (std::exchange(incarnation.hasUncountedRuns, hasUncountedRuns) && !hasUncountedRuns)
+        isPlacementDue = true;
     if (report.ended.size() >= maxEndsPerReport)
         return; // the report is truncated: a missing run may have ended
     std::vector<RunKey> absent;
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -176,10 +176,16 @@
         incarnation.unansweredStarts.emplace(key, sentAt); // the executor may restart again
         if (incarnation.runs.count(key))
             continue; // listed
-        Run orphan;
-        orphan.isOrphan = true;
-        auto& blockedRun = old.runs.count(key) ? moveRun(old, incarnation, key)
-                                               : incarnation.runs.emplace(key, orphan).first->second;
+        if (old.runs.count(key) == 0) {
+            Run orphan;
+            orphan.isOrphan = true;
+            orphan.demand = demandOf(key.job->request.steps[key.step]); // it may be running
+            incarnation.used += orphan.demand;
+            incarnation.runs.emplace(key, orphan);
+        } else {
+            moveRun(old, incarnation, key);
+        }
+        auto& blockedRun = incarnation.runs.at(key);
         blockedRun.phase = RunPhase::Starting;
         blockedRun.isStopRequested = true;
         blockedRun.nextSend = now;
@@ -453,7 +459,7 @@
         if (run.phase != RunPhase::Starting)
             continue;
         const auto& step = *key.job->occurrences[key.occurrence].steps[key.step];
-        if (hasStrayRun(step, key.index))
+        if (incarnation.hasUncountedRuns || hasStrayRun(step, key.index))
             continue;
         // The executor would refuse the start. The step calls for a new ticket before it is placed again.
         const bool isTicketExpired = !run.ticket.empty() && run.ticketUntil < now;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -180,7 +180,7 @@
     if (!incarnation.isRegistered || incarnation.isUnresponsive || incarnation.entry.isDraining
         || incarnation.entry.service != step.queue->service || now < incarnation.backoffUntil
         || now - incarnation.lastAnswer > maxHeartbeatAge || incarnation.predecessor >= 0
-        || now < incarnation.staleAcknowledgementUntil)
+        || incarnation.hasUncountedRuns || now < incarnation.staleAcknowledgementUntil)
         return false;
     if (incarnation.reservedFor && incarnation.reservedFor != &step)
         return false;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -186,6 +186,7 @@
     Resources used;
     std::map<RunKey, Run> runs;
     std::set<std::pair<TaskRef, int>> unknownRuns; // reported as running, but not in `runs`
+    bool hasUncountedRuns = false; // the last report listed runs that are not in `runs`, nor in `used`
     std::set<TaskRef> strayTasks; // with a run in the last report that was given up; see Impl::hasStrayRun()
     std::int64_t clockMs = 0; // last reported reading of its clock
     Instant clockReceivedAt;
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -535,3 +535,48 @@
         }
     }
 }
+
+// Guards against LIMIT: the runs that an executor lists and that were not ordered there were not counted
+// against its capacity.
+TEST_CASE("an executor lists a run that was not ordered there: no task is started beside it")
+{
+    struct Row {
+        const char* name;
+        TaskRef listed;
+        bool isPlacedBefore; // a run was placed there, but its start not sent, when the report arrives
+    };
+    const Row rows[] = {
+        { "of a known job", { job, 0, 0, 1 }, false },
+        { "of an unknown job", { "00000000000000cc", 0, 0, 0 }, false },
+        { "of a known job, a run is placed", { job, 0, 0, 1 }, true },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        HandFleet fleet;
+        fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+        fleet.pump();
+        const std::vector<RunningTask> running { { row.listed, 7, {}, 10, 0 } };
+        fleet.answerAll(1000, row.isPlacedBefore ? std::vector<RunningTask> {} : running);
+        fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+        if (row.isPlacedBefore) {
+            SchedulerActions actions;
+            fleet.scheduler.pump(fleet.now += 10ms, 0, actions);
+            REQUIRE(actions.commit);
+            for (const auto& it : actions.heartbeats)
+                fleet.heartbeats.push_back(it);
+            fleet.answerAll(1000, running);
+            fleet.scheduler.committed(actions.commit->number, fleet.now, fleet.now);
+        }
+        for (int i = 0; i < 5; ++i) {
+            fleet.pump(20ms);
+            fleet.answerAll(1000, running);
+            CHECK(fleet.starts.empty());
+        }
+        CHECK(fleet.hasStop(7));
+        for (int i = 0; i < 5; ++i) {
+            fleet.pump(20ms);
+            fleet.answerAll(1000);
+        }
+        CHECK(fleet.starts.size() == 1);
+    }
+}
