A start in flight is barred when its run is given up with the lease (TWICE)

Cause: a run whose executor was silent beyond its lease was given up while a start of it was in flight. The epoch was raised only once that start had timed out, so the next heartbeat could renew the lease with the same token, and the late start was carried out in the renewed lease, beside the next run elsewhere. Found by an audit of the paths from an end to the next start.

Evidence: 'the lease of an executor expires: a start that is in flight ...' failed before (epoch 1, not above 1), passes.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -207,6 +207,9 @@
     while (!incarnation.runs.empty()) {
         ++totals.lostRuns;
         const RunKey key = incarnation.runs.begin()->first;
+        const Run& run = incarnation.runs.begin()->second;
+        if (run.isInFlight && !run.isStopRequested)
+            raiseEpoch(incarnation, run.sentEpoch); // bars the start, which may still be carried out
         endRun(incarnation, key, RunOutcome::LeaseExpired, {}, now);
     }
 }
--- a/tests/cores/OrderEpochTest.cpp
+++ b/tests/cores/OrderEpochTest.cpp
@@ -231,3 +231,27 @@
     for (const auto& it : fleet.events)
         CHECK_FALSE(it.starts_with("executor_silent"));
 }
+
+// Guards against TWICE: a start in flight was carried out after its run had been given up with the lease of
+// its executor, within a lease that the executor was granted once it had answered again.
+TEST_CASE("the lease of an executor expires: a start that is in flight is barred by the next order")
+{
+    StartedFleet fleet;
+    fleet.pump();
+    fleet.failAll();
+    fleet.failStart(0);
+    const auto isLost = [&] {
+        return std::any_of(fleet.events.begin(), fleet.events.end(),
+            [](const auto& it) { return it.starts_with("runs_lost"); });
+    };
+    for (int i = 0; i < 200 && !isLost(); ++i)
+        fleet.pump(100ms);
+    REQUIRE(isLost());
+    REQUIRE(fleet.starts.size() == 2);
+    const auto& late = fleet.starts[1]; // not answered yet
+    REQUIRE(fleet.heartbeats.size() == 1);
+    fleet.answerAll(1000);
+    fleet.pump();
+    REQUIRE(fleet.heartbeats.size() == 1); // renews the lease
+    CHECK(fleet.heartbeats[0].epoch > late.epoch);
+}
