A stop that is refused as malformed doesn't end its run (TWICE)

Cause: the answer 400, or 409 with an unknown reason, to a stop counted as a stop that bars the run. With a start without an answer before, the next report omitted the run, its task was started again, and the late start could still be carried out. Such a stop is now repeated.

Evidence: 'a stop is refused ...' failed on its row 'malformed' before, passes.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -391,7 +391,7 @@
     run.isInFlight = false;
     if (result == OrderResult::NoAnswer)
         it.raiseEpoch(incarnation, run.sentEpoch);
-    if (result == OrderResult::Ok || result == OrderResult::Outdated || result == OrderResult::Malformed) {
+    if (result == OrderResult::Ok || result == OrderResult::Outdated) {
         run.isStopAcknowledged = true;
         run.confirmedAt = now;
         it.openOrders.erase({ number, *key });
--- a/tests/cores/OrderEpochTest.cpp
+++ b/tests/cores/OrderEpochTest.cpp
@@ -255,3 +255,36 @@
     REQUIRE(fleet.heartbeats.size() == 1); // renews the lease
     CHECK(fleet.heartbeats[0].epoch > late.epoch);
 }
+
+// Guards against TWICE: a stop that was refused as malformed was taken for one that bars its run.
+TEST_CASE(
+    "a stop is refused: its run isn't taken for ended unless the refusal says that it can't start any more")
+{
+    struct Row {
+        OrderResult answer;
+        bool isBarred;
+    };
+    const Row rows[] = {
+        { OrderResult::Ok, true },
+        { OrderResult::Outdated, true },
+        { OrderResult::Malformed, false },
+        { OrderResult::Unhealthy, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(text(row.answer)));
+        StartedFleet fleet;
+        fleet.pump();
+        fleet.failStart(0);
+        fleet.scheduler.cancel(job, fleet.now);
+        fleet.pump();
+        REQUIRE(fleet.hasStop(1));
+        fleet.scheduler.stopAnswered(0, fleet.task, 1, row.answer, fleet.now);
+        fleet.answerAll(1000);
+        fleet.pump(500ms);
+        fleet.answerAll(1000);
+        fleet.pump();
+        const bool isAbsent = std::any_of(fleet.events.begin(), fleet.events.end(),
+            [](const auto& it) { return it.starts_with("run_absent"); });
+        CHECK(isAbsent == row.isBarred);
+    }
+}
