--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -206,7 +206,7 @@
         const std::vector<Approval>& approved, Duration ticketValidity, Instant now);
     /** Sets the number of nodes that call the approval service; each has one call in flight at a time. */
     void setApprovalCallers(int count);
-    /** Commit `number` is durable. `sentAt`: when its last attempt was sent. */
+    /** Commit `number` is durable. `sentAt`: the store executed it no earlier than this. */
     void committed(std::uint64_t number, Instant sentAt, Instant now);
 
     /**
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -2,6 +2,7 @@
 
 #include "StoreClient.h"
 #include "edge/ApprovalBroker.h"
+#include "edge/CommitAttempts.h"
 #include "edge/JobRows.h"
 #include "edge/NodeLog.h"
 #include "edge/OrderDispatcher.h"
@@ -152,8 +153,8 @@
     void deleteIntakeRows(const std::string& id);
     void commitHeartbeatIfIdle();
     void sendCommit();
-    void commitAnswered(const platform::StoreResult& result, Instant sentAt);
-    void commitDone(std::int64_t version, Instant sentAt);
+    void commitAnswered(const platform::StoreResult& result);
+    void commitDone(std::int64_t version, Instant executedAfter);
     void loseLeadership(std::string_view why);
 
     static constexpr int maxConsecutiveCommitFailures = 3;
@@ -202,6 +203,7 @@
     std::vector<PendingAccept> m_acceptsInFlight; // part of the commit in flight
     bool m_isRelinquishing = false;
     std::function<void()> m_onRelinquished;
+    CommitAttempts m_commitAttempts; // of the commit in flight
     Duration m_commitTimeout {};
     Instant m_lastCommitAt;
     Duration m_lastCommitLatency {};
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -41,6 +41,7 @@
     }
     m_commitInFlight = std::move(action);
     ++m_leadership.sequence;
+    m_commitAttempts = {};
     m_commitTimeout = std::clamp<Duration>(
         m_lastCommitLatency * commitTimeoutFactor, initialCommitTimeout, maxCommitTimeout);
     addAcceptsToCommit();
@@ -175,18 +176,17 @@
         transaction.conditions.push_back({ jobTable, cellPartition, it.job.id, {}, 0, false });
         transaction.puts.push_back({ jobTable, cellPartition, it.job.id, encode(it.job), 0, false });
     }
-    const auto sentAt = clockNow();
-    m_services.store.transact(
-        transaction, m_commitTimeout, [self = shared_from_this(), sentAt](StoreResult result) {
-            if (!self->m_isStopped)
-                self->commitAnswered(result, sentAt);
-        });
+    m_commitAttempts.send(clockNow());
+    m_services.store.transact(transaction, m_commitTimeout, [self = shared_from_this()](StoreResult result) {
+        if (!self->m_isStopped)
+            self->commitAnswered(result);
+    });
 }
 
-void CellLeader::commitAnswered(const StoreResult& result, Instant sentAt)
+void CellLeader::commitAnswered(const StoreResult& result)
 {
     if (result.outcome == StoreOutcome::Ok) {
-        commitDone(result.version, sentAt);
+        commitDone(result.version, m_commitAttempts.executedAfter(true));
         return;
     }
     if (result.outcome == StoreOutcome::ConditionFailed) {
@@ -205,7 +205,7 @@
             return;
         }
         if (leadership->sequence == m_leadership.sequence) { // an earlier attempt succeeded
-            commitDone(leadershipVersion, sentAt);
+            commitDone(leadershipVersion, m_commitAttempts.executedAfter(false));
             return;
         }
         for (const auto& row : result.rows) {
@@ -226,20 +226,20 @@
     runLater(commitRetryDelay, [self = shared_from_this()] { self->sendCommit(); });
 }
 
-void CellLeader::commitDone(std::int64_t version, Instant sentAt)
+void CellLeader::commitDone(std::int64_t version, Instant executedAfter)
 {
     const auto now = clockNow();
     m_leadershipVersion = version;
     m_lastCommitAt = now;
     m_consecutiveCommitFailures = 0;
     m_commits.add();
-    m_commitLatency.record(now - sentAt);
-    m_lastCommitLatency = now - sentAt;
+    m_commitLatency.record(now - m_commitAttempts.lastSentAt());
+    m_lastCommitLatency = now - m_commitAttempts.lastSentAt();
     ++m_load.commits;
-    m_load.commitTime += now - sentAt;
+    m_load.commitTime += now - m_commitAttempts.lastSentAt();
     m_load.commitRecords += static_cast<int>(m_commitInFlight->records.size());
     const auto commit = std::exchange(m_commitInFlight, std::nullopt);
-    m_scheduler.committed(commit->number, sentAt, now);
+    m_scheduler.committed(commit->number, executedAfter, now);
     for (auto& it : std::exchange(m_acceptsInFlight, {})) {
         submit(it.job);
         it.answer(AcceptOutcome::Accepted);
