The report that tells of a restart holds back the tasks whose ends it lists (TWICE)

Cause: the first report of a new process that answers in place of the previous one was used for its start time only.

Evidence: 'the report that tells of a restart ...' failed on its row 'done' before (150 ms), passes.

--- a/src/fleet/SchedulerAnswers.cpp
+++ b/src/fleet/SchedulerAnswers.cpp
@@ -431,7 +431,10 @@
                 entry.startedUnixMs = report->startedUnixMs;
                 auto& next = it.replaceIncarnation(incarnation, entry, false, now);
                 it.boundLease(next, now);
-                it.setStrayTasks(next, it.strayTasks(it.incarnations[number], *report));
+                auto strays = it.strayTasks(it.incarnations[number], *report);
+                for (const auto& end : report->ended) // applied with the next report
+                    strays.insert(end.task);
+                it.setStrayTasks(next, std::move(strays));
             }
             return; // the next heartbeat goes to the new incarnation
         }
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -580,3 +580,45 @@
         CHECK(fleet.starts.size() == 1);
     }
 }
+
+// Guards against TWICE: the ends in the report that told of a restart were dropped, and the task was started
+// again before the next report.
+TEST_CASE(
+    "the report that tells of a restart lists a run of the task: it is not started before the next report")
+{
+    struct Row {
+        const char* name;
+        bool isDone;
+    };
+    const Row rows[] = { { "running", false }, { "done", true } };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        HandFleet fleet;
+        fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+        fleet.pump();
+        fleet.answerAll(1000);
+        fleet.pump(700ms);
+        fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+        const TaskRef task { job, 0, 0, 0 };
+        std::vector<RunningTask> running;
+        std::vector<EndedTask> ends;
+        if (row.isDone)
+            ends.push_back({ 1, task, 1, RunOutcome::Done, {} });
+        else
+            running.push_back({ task, 1, {}, 10, 0 });
+        fleet.answerAll(5000, running, ends);
+        auto other = fleet.entry;
+        other.id = "f";
+        other.address = "a:2";
+        other.startedUnixMs = 2000;
+        fleet.scheduler.executorRegistered(other, fleet.now);
+        const auto toldAt = fleet.now;
+        while (fleet.starts.empty() && fleet.now - toldAt < 20s) { // the new process falls silent
+            fleet.pump(50ms);
+            fleet.failAll();
+            fleet.answerAll(2000, {}, {}, "f");
+        }
+        REQUIRE(fleet.starts.size() == 1);
+        CHECK(fleet.now - toldAt >= SchedulerBounds {}.maxLeaseDuration);
+    }
+}
