Runs of a replaced process are given up with its lease

Cause: a process that has been replaced gets no heartbeat, so it never became silent, and its runs were given up only once the next process answered. If that one never did, its tasks waited for ever.

Evidence: 'an executor starts again and never answers ...' failed in both rows before, passes.

--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -429,7 +429,8 @@
         if (incarnation.entry.isDraining && !incarnation.runs.empty())
             evacuate(incarnation, now);
         if (now > incarnation.leaseEndsAt + bounds.maxStopDuration
-            && !(incarnation.runs.empty() && incarnation.strayTasks.empty()) && incarnation.isUnresponsive)
+            && !(incarnation.runs.empty() && incarnation.strayTasks.empty())
+            && (incarnation.isUnresponsive || incarnationOf(incarnation.entry.id) != &incarnation))
             loseRuns(incarnation, now, "lease expired");
         std::erase_if(incarnation.unansweredStarts,
             [&](const auto& unansweredStart) { return now - unansweredStart.second > maxOrderDelay; });
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -622,3 +622,39 @@
         CHECK(fleet.now - toldAt >= SchedulerBounds {}.maxLeaseDuration);
     }
 }
+
+TEST_CASE(
+    "an executor starts again and never answers: its tasks are started elsewhere once its lease has expired")
+{
+    for (const bool doesHeartbeatTell : { true, false }) {
+        CAPTURE(doesHeartbeatTell);
+        HandFleet fleet;
+        fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+        fleet.pump();
+        fleet.answerAll(1000);
+        fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+        fleet.pumpUntilStarted(1);
+        fleet.acceptStart(0);
+        fleet.pump(500ms);
+        REQUIRE(!fleet.heartbeats.empty());
+        if (doesHeartbeatTell) {
+            fleet.answerAll(5000);
+        } else {
+            fleet.answerAll(1000, { { fleet.starts[0].task, 1, {}, 10, 0 } });
+            fleet.entry.startedUnixMs = 5000;
+            fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+        }
+        auto other = fleet.entry;
+        other.id = "f";
+        other.address = "a:2";
+        other.startedUnixMs = 2000;
+        fleet.scheduler.executorRegistered(other, fleet.now);
+        fleet.scheduler.executorDeregistered("e", fleet.now);
+        for (int i = 0; i < 100 && fleet.starts.size() < 2; ++i) {
+            fleet.failAll();
+            fleet.answerAll(2000, {}, {}, "f");
+            fleet.pump(100ms);
+        }
+        CHECK(fleet.starts.size() == 2);
+    }
+}
