--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -138,8 +138,8 @@
         "and the run goes on",
         "nothing to do" },
     CataloguedEvent { 2611, "start_withdrawn",
-        "a start is not sent because its ticket has expired or the executor's capacity has shrunk since the "
-        "placement (why); the task waits again",
+        "a start is not sent because since the placement its ticket has expired, the executor's capacity has "
+        "shrunk, or a run that was given up is listed (why); the task waits again",
         "nothing to do" },
     CataloguedEvent { 2612, "order_superseded",
         "an executor refused an order because it has seen a later one of this leader; the order is sent "
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -658,3 +658,35 @@
         CHECK(fleet.starts.size() == 2);
     }
 }
+
+TEST_CASE("an executor that lists a run not ordered there falls silent: a start placed there is sent "
+          "elsewhere soon")
+{
+    HandFleet fleet;
+    fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
+    fleet.pump();
+    fleet.answerAll(1000);
+    fleet.scheduler.submit(jobOf(job, 1), fleet.now);
+    SchedulerActions actions;
+    fleet.scheduler.pump(fleet.now += 10ms, 0, actions);
+    REQUIRE(actions.commit);
+    for (const auto& it : actions.heartbeats)
+        fleet.heartbeats.push_back(it);
+    fleet.answerAll(1000, { { { "00000000000000cc", 0, 0, 0 }, 7, {}, 10, 0 } });
+    fleet.scheduler.committed(actions.commit->number, fleet.now, fleet.now);
+    auto other = fleet.entry;
+    other.id = "f";
+    other.address = "a:2";
+    other.startedUnixMs = 2000;
+    fleet.scheduler.executorRegistered(other, fleet.now);
+    fleet.scheduler.executorDeregistered("e", fleet.now);
+    const auto silentAt = fleet.now;
+    while (fleet.starts.empty() && fleet.now - silentAt < 20s) {
+        fleet.pump(50ms);
+        fleet.failAll();
+        fleet.answerAll(2000, {}, {}, "f");
+    }
+    REQUIRE(fleet.starts.size() == 1);
+    CHECK(fleet.starts[0].executor == "f");
+    CHECK(fleet.now - silentAt < 1s); // and not after its lease
+}
