--- a/tests/cores/OrderEpochTest.cpp
+++ b/tests/cores/OrderEpochTest.cpp
@@ -167,7 +167,7 @@
         REQUIRE(fleet.starts.size() == 2);
         for (const auto& it : fleet.heartbeats)
             CHECK(it.acknowledgedEnd == 0); // the start has no answer yet
-        const auto& second = fleet.starts[1];
+        const auto second = fleet.starts[1];
         const auto clockMs = row.clockMs < 0 ? toMilliseconds(fleet.now.time_since_epoch()) : row.clockMs;
         fleet.scheduler.startAnswered(second.incarnation, second.task, 1, { row.result, clockMs }, fleet.now);
         fleet.answerAll(1000, {}, ends);
@@ -248,7 +248,7 @@
         fleet.pump(100ms);
     REQUIRE(isLost());
     REQUIRE(fleet.starts.size() == 2);
-    const auto& late = fleet.starts[1]; // not answered yet
+    const auto late = fleet.starts[1]; // not answered yet
     REQUIRE(fleet.heartbeats.size() == 1);
     fleet.answerAll(1000);
     fleet.pump();
