--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -15,8 +15,8 @@
 // Limits a large cell to 500 heartbeats per second, as long as the wait stays within a quarter of the lease.
 constexpr Duration heartbeatWaitPerExecutor = 2ms;
 constexpr Duration maxHeartbeatWait = 1500ms;
-// A heartbeat waits this long for an open start, so that it can carry the acknowledgement: the timeout of an
-// order. It is a twentieth of the maximum lease.
+// A heartbeat waits at most the timeout of an order for a start in flight, so that it can carry the
+// acknowledgement.
 constexpr Duration maxAcknowledgementWait = 300ms;
 // Intervals of the passes over all executors. They bound the cost of a scheduling round in a large cell.
 constexpr auto heartbeatCheckInterval = 8ms;
--- a/tests/cores/ExecutorRestartTest.cpp
+++ b/tests/cores/ExecutorRestartTest.cpp
@@ -493,11 +493,7 @@
             fleet.pump(100ms);
             fleet.failAll();
         }
-        auto other = fleet.entry;
-        other.id = "f";
-        other.address = "a:2";
-        other.startedUnixMs = 2000;
-        fleet.scheduler.executorRegistered(other, fleet.now);
+        fleet.registerOther();
         fleet.pump(500ms);
         const auto answerOther = [&] { fleet.answerAll(2000, {}, {}, "f"); };
         answerOther();
@@ -607,11 +603,7 @@
         else
             running.push_back({ task, 1, {}, 10, 0 });
         fleet.answerAll(5000, running, ends);
-        auto other = fleet.entry;
-        other.id = "f";
-        other.address = "a:2";
-        other.startedUnixMs = 2000;
-        fleet.scheduler.executorRegistered(other, fleet.now);
+        fleet.registerOther();
         const auto toldAt = fleet.now;
         while (fleet.starts.empty() && fleet.now - toldAt < 20s) { // the new process falls silent
             fleet.pump(50ms);
@@ -644,11 +636,7 @@
             fleet.entry.startedUnixMs = 5000;
             fleet.scheduler.executorRegistered(fleet.entry, fleet.now);
         }
-        auto other = fleet.entry;
-        other.id = "f";
-        other.address = "a:2";
-        other.startedUnixMs = 2000;
-        fleet.scheduler.executorRegistered(other, fleet.now);
+        fleet.registerOther();
         fleet.scheduler.executorDeregistered("e", fleet.now);
         for (int i = 0; i < 100 && fleet.starts.size() < 2; ++i) {
             fleet.failAll();
@@ -674,11 +662,7 @@
         fleet.heartbeats.push_back(it);
     fleet.answerAll(1000, { { { "00000000000000cc", 0, 0, 0 }, 7, {}, 10, 0 } });
     fleet.scheduler.committed(actions.commit->number, fleet.now, fleet.now);
-    auto other = fleet.entry;
-    other.id = "f";
-    other.address = "a:2";
-    other.startedUnixMs = 2000;
-    fleet.scheduler.executorRegistered(other, fleet.now);
+    fleet.registerOther();
     fleet.scheduler.executorDeregistered("e", fleet.now);
     const auto silentAt = fleet.now;
     while (fleet.starts.empty() && fleet.now - silentAt < 20s) {
--- a/tests/cores/HandFleet.h
+++ b/tests/cores/HandFleet.h
@@ -70,6 +70,16 @@
         REQUIRE(starts.size() == count);
     }
 
+    // Registers a second executor "f", started at 2000, that is like the first one.
+    void registerOther()
+    {
+        auto other = entry;
+        other.id = "f";
+        other.address = "a:2";
+        other.startedUnixMs = 2000;
+        scheduler.executorRegistered(other, now);
+    }
+
     // The executor has carried out the start.
     void acceptStart(std::size_t index)
     {
