--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -136,7 +136,7 @@
 }
 
 // Moves a run to the later incarnation of its executor. Its start may have been carried out there.
-internal::Run& FleetScheduler::Impl::moveRun(Incarnation& from, Incarnation& to, const RunKey& key)
+void FleetScheduler::Impl::moveRun(Incarnation& from, Incarnation& to, const RunKey& key)
 {
     auto run = from.runs.extract(key);
     from.used -= run.mapped().demand;
@@ -148,7 +148,7 @@
     run.mapped().isStopAcknowledged = false; // by the earlier process
     if (!run.mapped().isOrphan)
         key.job->occurrences[key.occurrence].steps[key.step]->tasks[key.index].incarnation = to.number;
-    return to.runs.insert(std::move(run)).position->second;
+    to.runs.insert(std::move(run));
 }
 
 // Ends the runs of earlier incarnations, except those that this one lists or may still start: it accepts
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -301,7 +301,7 @@
     void raiseEpoch(const Incarnation& incarnation, std::int64_t epoch);
     Incarnation& replaceIncarnation(
         Incarnation& old, const ExecutorEntry& entry, bool isRegistered, Instant now);
-    Run& moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
+    void moveRun(Incarnation& from, Incarnation& to, const RunKey& key);
     void closePredecessor(Incarnation& incarnation, const ExecutorReport& report, Instant now);
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
     void closeIncarnation(Incarnation& incarnation);
