--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -619,6 +619,10 @@
     // Ends the runs whose time or whose lease is over.
     void advance()
     {
+        const bool isLapsed = clockMs() > m_leaseUntil;
+        if (isLapsed && !std::exchange(m_isLapsed, isLapsed))
+            note("lapse");
+        m_isLapsed = isLapsed;
         std::vector<std::pair<std::string, std::string>> over;
         for (const auto& [task, run] : m_running) {
             std::istringstream words(run.spec);
@@ -689,7 +693,11 @@
     {
         extendLease(numberOf(body, "deadlineMs"));
         const auto seen = numberOf(body, "seenUpto");
-        std::erase_if(m_ended, [&](const End& it) { return it.number <= seen; });
+        std::erase_if(m_ended, [&](const End& it) {
+            if (it.number <= seen)
+                note("seen task=" + it.task + " run=" + std::to_string(it.run) + " how=" + it.how);
+            return it.number <= seen;
+        });
         const auto until = Clock::now() + std::chrono::milliseconds(std::min<std::int64_t>(2000, numberOf(body, "waitMs")));
         while (m_ended.empty() && Clock::now() < until)
             m_changed.wait_until(lock, until);
@@ -714,6 +722,7 @@
     std::vector<End> m_ended;
     std::int64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
+    bool m_isLapsed = true;
     std::int64_t m_lastEnd = 0;
     std::int64_t m_sequence = 0;
 };
