--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -Wall -pthread review/standin-2/standin.cpp -o target/review-2/standin -lboost_json -lboost_container
+g++ -std=c++20 -O1 -Wall -pthread review/standin-2/standin.cpp -o target/review-2/standin -lboost_json
