Log steps that are held back by a reserve (step_held)

Whether a waiting step lacks room, or room is withheld from it, was not visible in the log. A step that has waited a second although it would fit now leaves a line with the reserve that holds it back: the share of its team's limit that is kept for urgent work, or the step for which an executor is reserved, and how long that one has waited. At most one line a second.

The check for a reservation moves out of isUsable() into a function of its own.

--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -145,6 +145,10 @@
         "an executor refused an order because it has seen a later one of this leader; the order is sent "
         "again",
         "nothing to do" },
+    CataloguedEvent { 2613, "step_held",
+        "a step has waited a second or more although there is room for it, because that room is reserved for "
+        "other steps (why); at most one line a second",
+        "if waited_ms goes beyond three seconds, raise the limit or add executors" },
     CataloguedEvent { 2701, "executor_seen", "an executor has registered", "nothing to do" },
     CataloguedEvent {
         2702, "executor_leaving", "an executor is draining: it gets no new starts", "nothing to do" },
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -90,6 +90,12 @@
     const auto hasRoom = [&](IncarnationId number) {
         return isBelowLimit(number) && isCandidate(step, incarnations[number], demand, now);
     };
+    // Before an overdue step has room, it asks about the executors on which it could be reserved some.
+    const auto mayGetRoom = [&](IncarnationId number) {
+        const auto& incarnation = incarnations[number];
+        return overdue && isBelowLimit(number) && isUsable(step, incarnation, now)
+            && !isReservedForOther(step, incarnation);
+    };
     // An approval is final and only its ticket expires, so approved executors come first to have their
     // tickets renewed. Then come undecided ones, those of the job's failure domain before others, and of each
     // those with the most free CPU first.
@@ -106,7 +112,7 @@
             continue;
         if (hasRoom(number))
             chosen.push_back(number);
-        else if (overdue && isBelowLimit(number) && isUsable(step, incarnations[number], now))
+        else if (mayGetRoom(number))
             full.push_back(number);
     }
     const auto hasMoreRoom = [&](IncarnationId a, IncarnationId b) {
@@ -133,9 +139,7 @@
                 if ((!preferred || incarnation.domain == *preferred) != inPreferredDomain
                     || isClaimed(it->first, incarnation) != claimed)
                     continue;
-                if (!step.approvals.count(it->second)
-                    && (hasRoom(it->second)
-                        || (overdue && isBelowLimit(it->second) && isUsable(step, incarnation, now))))
+                if (!step.approvals.count(it->second) && (hasRoom(it->second) || mayGetRoom(it->second)))
                     chosen.push_back(it->second);
             }
         };
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -27,6 +27,8 @@
 constexpr double urgentQuotaReserve = 0.12;
 // Share of a service's executors that overdue steps may reserve.
 constexpr std::size_t reservableDivisor = 8;
+constexpr auto minReportedHold = 1s; // shorter waits behind a reserve are not reported
+constexpr auto holdReportInterval = 1s; // bounds the log
 
 struct PrioritizedStep {
     StepState* step;
@@ -109,11 +111,53 @@
         if (it.isOverdue && it.step->waiting > 0)
             reserveExecutors(*it.step, now);
     }
+    if (now >= nextHoldReport) {
+        nextHoldReport = now + holdReportInterval;
+        std::any_of(prioritizedSteps.begin(), prioritizedSteps.end(),
+            [&](const auto& it) { return reportHold(*it.step, now); });
+    }
     for (IncarnationId number : reservedExecutors)
         incarnations[number].reservedFor = nullptr;
     reservedExecutors.clear();
 }
 
+// Reports a step that waits although there is room for it, because the room is reserved for other steps.
+// Called at the end of a pass, while the reservations of executors stand. Returns whether there was a report.
+bool FleetScheduler::Impl::reportHold(const StepState& step, Instant now)
+{
+    const auto waited = now - step.waitingSince;
+    if (step.waiting == 0 || waited < minReportedHold)
+        return false;
+    const auto demand = executorDemand(step.request());
+    const auto reserved
+        = std::find_if(reservedExecutors.begin(), reservedExecutors.end(), [&](IncarnationId number) {
+              const auto& incarnation = incarnations[number];
+              return isReservedForOther(step, incarnation) && isUsable(step, incarnation, now)
+                  && (incarnation.used + demand).fitsIn(incarnation.entry.capacity);
+          });
+    std::string why;
+    if (!fitsQuota(step)) {
+        const auto used = teamUsage.find(step.job->request.team);
+        const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
+        if (!after.fitsIn(effectiveLimit(step.team->upperLimit)))
+            return false; // the limit itself
+        why = "why=team_limit_reserve cpu_after=" + std::to_string(after.cpuMilli)
+            + " cpu_limit=" + std::to_string(step.team->upperLimit.cpuMilli);
+    } else if (reserved != reservedExecutors.end()) {
+        const auto& executor = incarnations[*reserved];
+        const auto& holder = *executor.reservedFor;
+        why = "why=executor_reserved executor=" + executor.entry.id
+            + " for=" + stepText(TaskRef { holder.job->request.id, holder.occurrence, holder.number, 0 })
+            + " for_ms=" + std::to_string(toMilliseconds(now - holder.waitingSince));
+    } else {
+        return false;
+    }
+    addEvent("step_held", step.job->request.id,
+        "step=" + stepText(TaskRef { step.job->request.id, step.occurrence, step.number, 0 })
+            + " waited_ms=" + std::to_string(toMilliseconds(waited)) + " " + why);
+    return true;
+}
+
 bool FleetScheduler::Impl::isOverdue(const StepState& step, Instant now) const
 {
     return step.request().isLongRunning && step.waiting > 0 && now - step.waitingSince >= overdueAfter;
@@ -142,7 +186,8 @@
         const auto here = tasksByIncarnation.find(incarnation.number);
         const int running = here == tasksByIncarnation.end() ? 0 : here->second;
         if ((step.queue->approval && !step.isApproved(incarnation.number))
-            || !isUsable(step, incarnation, now) || !demand.fitsIn(incarnation.entry.capacity)
+            || !isUsable(step, incarnation, now) || isReservedForOther(step, incarnation)
+            || !demand.fitsIn(incarnation.entry.capacity)
             || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor))
             continue;
         incarnation.reservedFor = &step;
@@ -173,7 +218,12 @@
         && fits(after.accelerators, limit.accelerators);
 }
 
-// Returns whether tasks of the step may be placed on the executor, apart from its capacity and
+bool FleetScheduler::Impl::isReservedForOther(const StepState& step, const Incarnation& incarnation) const
+{
+    return incarnation.reservedFor && incarnation.reservedFor != &step;
+}
+
+// Returns whether tasks of the step may be placed on the executor, apart from its capacity, reservations and
 // maxPerExecutor.
 bool FleetScheduler::Impl::isUsable(const StepState& step, const Incarnation& incarnation, Instant now) const
 {
@@ -182,8 +232,6 @@
         || now - incarnation.lastAnswer > maxHeartbeatAge || incarnation.predecessor >= 0
         || incarnation.hasUncountedRuns || now < incarnation.staleAcknowledgementUntil)
         return false;
-    if (incarnation.reservedFor && incarnation.reservedFor != &step)
-        return false;
     const auto& label = step.request().requiredLabel;
     const auto& labels = incarnation.entry.labels;
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -194,7 +242,8 @@
     const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const
 {
     const auto& request = step.request();
-    if (!isUsable(step, incarnation, now) || !(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
+    if (!isUsable(step, incarnation, now) || isReservedForOther(step, incarnation)
+        || !(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
         return false;
     // At least a quarter of the CPU demand of a task on spare CPU must be idle.
     return !request.usesSpareCpu
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -343,6 +343,8 @@
     void rejectTicket(StepState& step, IncarnationId number, const std::string& ticket, Instant now) const;
     bool isOverdue(const StepState& step, Instant now) const;
     void reserveExecutors(StepState& step, Instant now);
+    bool isReservedForOther(const StepState& step, const Incarnation& incarnation) const;
+    bool reportHold(const StepState& step, Instant now);
     bool hasCallerCapacityForOverdueStep() const;
     bool hasCallerCapacityForApproval(double expectedMs) const;
     bool hasExecutorCapacityForApproval(const StepState& step) const;
@@ -394,6 +396,7 @@
     double longApprovalsInFlightMs = 0; // sum over the long calls
     int overdueApprovalsInFlight = 0; // calls for overdue steps
     std::vector<IncarnationId> reservedExecutors; // with reservedFor set
+    Instant nextHoldReport; // earliest time of the next step_held event
     Instant nextExpiry;
     std::vector<DecisionEvent> events;
     SchedulerTimes times;
