--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -70,10 +70,10 @@
     m_impl->approvalCallerCount = std::max(1, count);
 }
 
-void FleetScheduler::Impl::requestApproval(StepState& step, Instant now, SchedulerActions& actions)
+void FleetScheduler::Impl::requestApproval(
+    StepState& step, bool overdue, Instant now, SchedulerActions& actions)
 {
     const auto& policy = *step.queue->approval;
-    const bool overdue = isOverdue(step, now);
     if (step.isApprovalInFlight || now < step.nextApprovalCall
         || !(overdue
                 ? hasCallerCapacityForOverdueStep()
@@ -94,7 +94,7 @@
     const auto mayGetRoom = [&](IncarnationId number) {
         const auto& incarnation = incarnations[number];
         return overdue && isBelowLimit(number) && isUsable(step, incarnation, now)
-            && !isReservedForOther(step, incarnation);
+            && !isReservedForOther(step, incarnation) && canGetRoom(step, incarnation);
     };
     // An approval is final and only its ticket expires, so approved executors come first to have their
     // tickets renewed. Then come undecided ones, those of the job's failure domain before others, and of each
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -59,6 +59,20 @@
     return incarnation;
 }
 
+void internal::Incarnation::addUsage(const Run& run)
+{
+    used += run.demand;
+    if (run.isLasting)
+        usedByLastingRuns += run.demand;
+}
+
+void internal::Incarnation::removeUsage(const Run& run)
+{
+    used -= run.demand;
+    if (run.isLasting)
+        usedByLastingRuns -= run.demand;
+}
+
 bool internal::Incarnation::hasStartInFlight() const
 {
     return std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.isStartInFlight; });
@@ -139,8 +153,8 @@
 void FleetScheduler::Impl::moveRun(Incarnation& from, Incarnation& to, const RunKey& key)
 {
     auto run = from.runs.extract(key);
-    from.used -= run.mapped().demand;
-    to.used += run.mapped().demand;
+    from.removeUsage(run.mapped());
+    to.addUsage(run.mapped());
     openOrders.erase({ from.number, key });
     run.mapped().phase = RunPhase::Starting;
     run.mapped().isInFlight = run.mapped().isStartInFlight = false;
@@ -193,14 +207,14 @@
             Run orphan;
             orphan.isOrphan = true;
             orphan.demand = demandOf(key.job->request.steps[key.step]); // it may be running
-            incarnation.used += orphan.demand;
+            incarnation.addUsage(orphan);
             incarnation.runs.emplace(key, orphan);
         } else {
             moveRun(old, incarnation, key);
         }
         auto& blockedRun = incarnation.runs.at(key);
         blockedRun.phase = RunPhase::Starting;
-        blockedRun.isStopRequested = true;
+        markStopRequested(incarnation, blockedRun);
         blockedRun.nextSend = now;
         openOrders.insert({ incarnation.number, key });
     }
@@ -363,7 +377,7 @@
     auto it = incarnation.runs.find(key);
     if (it == incarnation.runs.end())
         return;
-    incarnation.used -= it->second.demand;
+    incarnation.removeUsage(it->second);
     updatePool(incarnation);
     teamUsage[key.job->request.team] -= it->second.charged;
     openOrders.erase({ incarnation.number, key });
@@ -386,11 +400,18 @@
         endRun(incarnation, key, RunOutcome::Stopped, {}, now);
         return;
     }
-    run.isStopRequested = true;
+    markStopRequested(incarnation, run);
     run.nextSend = now;
     openOrders.insert({ incarnation.number, key });
 }
 
+void FleetScheduler::Impl::markStopRequested(Incarnation& incarnation, Run& run) const
+{
+    run.isStopRequested = true;
+    if (std::exchange(run.isLasting, false))
+        incarnation.usedByLastingRuns -= run.demand;
+}
+
 // An executor may hold a lease that late orders to its previous process or an earlier leader have granted,
 // but none that is longer than the maximum.
 void FleetScheduler::Impl::boundLease(Incarnation& incarnation, Instant now) const
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -323,7 +323,8 @@
     run.phase = RunPhase::Inherited;
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
-    incarnation->used += run.demand;
+    run.isLasting = step.request().isLongRunning;
+    incarnation->addUsage(run);
     updatePool(*incarnation);
     teamUsage[job.request.team] += run.charged;
     incarnation->runs.emplace(RunKey { &job, record.occurrence, record.step, record.index, record.run }, run);
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -27,6 +27,7 @@
 constexpr double urgentQuotaReserve = 0.12;
 // Share of a service's executors that overdue steps may reserve.
 constexpr std::size_t reservableDivisor = 8;
+constexpr auto roomCheckInterval = 100ms; // a check looks at all executors of a service in the worst case
 constexpr auto minReportedHold = 1s; // shorter waits behind a reserve are not reported
 constexpr auto holdReportInterval = 1s; // bounds the log
 
@@ -56,6 +57,26 @@
     return demand;
 }
 
+// At least a quarter of the CPU demand of a task on spare CPU must be idle.
+bool hasEnoughIdleCpu(const StepRequest& request, const Resources& used, const Resources& capacity)
+{
+    return !request.usesSpareCpu || used.cpuMilli + request.perTask.cpuMilli / 4 <= capacity.cpuMilli;
+}
+
+// How many tasks with this demand fit into the room.
+std::int64_t countFitting(const Resources& demand, const Resources& room)
+{
+    auto count = std::numeric_limits<std::int64_t>::max();
+    const auto bound = [&](std::int64_t each, std::int64_t all) {
+        if (each > 0)
+            count = std::min(count, std::max<std::int64_t>(0, all) / each);
+    };
+    bound(demand.cpuMilli, room.cpuMilli);
+    bound(demand.memoryMb, room.memoryMb);
+    bound(demand.accelerators, room.accelerators);
+    return count;
+}
+
 } // namespace
 
 std::unordered_map<IncarnationId, int> internal::tasksPerIncarnation(const StepState& step)
@@ -107,14 +128,16 @@
     for (const auto& it : prioritizedSteps) {
         if (++checkedSteps > stepsPerPass)
             break;
-        placeStep(*it.step, now, actions);
+        placeStep(*it.step, it.isOverdue, now, actions);
         if (it.isOverdue && it.step->waiting > 0)
             reserveExecutors(*it.step, now);
     }
     if (now >= nextHoldReport) {
         nextHoldReport = now + holdReportInterval;
-        std::any_of(prioritizedSteps.begin(), prioritizedSteps.end(),
-            [&](const auto& it) { return reportHold(*it.step, now); });
+        for (const auto& it : prioritizedSteps) {
+            if (reportHold(*it.step, now))
+                break;
+        }
     }
     for (IncarnationId number : reservedExecutors)
         incarnations[number].reservedFor = nullptr;
@@ -158,14 +181,21 @@
     return true;
 }
 
-bool FleetScheduler::Impl::isOverdue(const StepState& step, Instant now) const
+bool FleetScheduler::Impl::isOverdue(StepState& step, Instant now) const
 {
-    return step.request().isLongRunning && step.waiting > 0 && now - step.waitingSince >= overdueAfter;
+    if (!step.request().isLongRunning || step.waiting == 0 || now - step.waitingSince < overdueAfter)
+        return false;
+    if (now >= step.nextRoomCheck) {
+        step.nextRoomCheck = now + roomCheckInterval;
+        step.canGetRoom = canServiceGetRoom(step);
+    }
+    return step.canGetRoom;
 }
 
 // In a full service, shorter tasks of other steps would take each part of an executor that becomes free, so a
 // large task of an overdue step would never find room. Until the end of the pass only this step may be placed
-// on the executors that are closest to having room for its waiting tasks.
+// on the executors that are closest to having room for its waiting tasks. Long-running tasks that are active
+// don't end in the foreseeable future, so where they leave too little room, none is reserved.
 void FleetScheduler::Impl::reserveExecutors(StepState& step, Instant now)
 {
     const auto& request = step.request();
@@ -185,9 +215,8 @@
         auto& incarnation = incarnations[it->second];
         const auto here = tasksByIncarnation.find(incarnation.number);
         const int running = here == tasksByIncarnation.end() ? 0 : here->second;
-        if ((step.queue->approval && !step.isApproved(incarnation.number))
+        if ((step.queue->approval && !step.isApproved(incarnation.number)) || !canGetRoom(step, incarnation)
             || !isUsable(step, incarnation, now) || isReservedForOther(step, incarnation)
-            || !demand.fitsIn(incarnation.entry.capacity)
             || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor))
             continue;
         incarnation.reservedFor = &step;
@@ -197,6 +226,38 @@
     }
 }
 
+// Returns whether the step will find room once all active tasks have ended that end by themselves: for one of
+// its tasks, or for all members of a gang.
+bool FleetScheduler::Impl::canServiceGetRoom(const StepState& step) const
+{
+    const auto pool = step.queue ? pools.find(step.queue->service) : pools.end();
+    if (pool == pools.end())
+        return false;
+    const auto& request = step.request();
+    const auto demand = executorDemand(request);
+    std::int64_t missing = request.isGang ? request.taskCount : 1;
+    const auto& byFreeCpu = pool->second.byFreeCpu;
+    for (auto it = byFreeCpu.rbegin(); it != byFreeCpu.rend() && missing > 0; ++it) {
+        const auto& incarnation = incarnations[it->second];
+        if (!isEligible(step, incarnation) || !canGetRoom(step, incarnation))
+            continue;
+        const auto places = countFitting(demand, incarnation.entry.capacity - incarnation.usedByLastingRuns);
+        missing -= request.maxPerExecutor > 0 ? std::min<std::int64_t>(places, request.maxPerExecutor)
+                                              : std::min(places, missing);
+    }
+    return missing <= 0;
+}
+
+// Returns whether the executor would have room for a task of the step once all active tasks have ended that
+// end by themselves.
+bool FleetScheduler::Impl::canGetRoom(const StepState& step, const Incarnation& incarnation) const
+{
+    const auto& request = step.request();
+    const auto& capacity = incarnation.entry.capacity;
+    return (incarnation.usedByLastingRuns + executorDemand(request)).fitsIn(capacity)
+        && hasEnoughIdleCpu(request, incarnation.usedByLastingRuns, capacity);
+}
+
 bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
 {
     const double usable
@@ -223,31 +284,34 @@
     return incarnation.reservedFor && incarnation.reservedFor != &step;
 }
 
-// Returns whether tasks of the step may be placed on the executor, apart from its capacity, reservations and
-// maxPerExecutor.
-bool FleetScheduler::Impl::isUsable(const StepState& step, const Incarnation& incarnation, Instant now) const
+// Returns whether the executor is one of those that the step may use, whatever its present state.
+bool FleetScheduler::Impl::isEligible(const StepState& step, const Incarnation& incarnation) const
 {
-    if (!incarnation.isRegistered || incarnation.isUnresponsive || incarnation.entry.isDraining
-        || incarnation.entry.service != step.queue->service || now < incarnation.backoffUntil
-        || now - incarnation.lastAnswer > maxHeartbeatAge || incarnation.predecessor >= 0
-        || incarnation.hasUncountedRuns || now < incarnation.staleAcknowledgementUntil)
+    if (!incarnation.isRegistered || incarnation.entry.isDraining
+        || incarnation.entry.service != step.queue->service)
         return false;
     const auto& label = step.request().requiredLabel;
     const auto& labels = incarnation.entry.labels;
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+// Returns whether tasks of the step may be placed on the executor, apart from its capacity, reservations and
+// maxPerExecutor.
+bool FleetScheduler::Impl::isUsable(const StepState& step, const Incarnation& incarnation, Instant now) const
+{
+    return isEligible(step, incarnation) && !incarnation.isUnresponsive && now >= incarnation.backoffUntil
+        && now - incarnation.lastAnswer <= maxHeartbeatAge && incarnation.predecessor < 0
+        && !incarnation.hasUncountedRuns && now >= incarnation.staleAcknowledgementUntil;
+}
+
 // Returns whether a task of the step may be placed on the executor now, apart from maxPerExecutor.
 bool FleetScheduler::Impl::isCandidate(
     const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const
 {
-    const auto& request = step.request();
-    if (!isUsable(step, incarnation, now) || isReservedForOther(step, incarnation)
-        || !(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
-        return false;
-    // At least a quarter of the CPU demand of a task on spare CPU must be idle.
-    return !request.usesSpareCpu
-        || incarnation.used.cpuMilli + request.perTask.cpuMilli / 4 <= incarnation.entry.capacity.cpuMilli;
+    const auto& capacity = incarnation.entry.capacity;
+    return isUsable(step, incarnation, now) && !isReservedForOther(step, incarnation)
+        && (incarnation.used + demand).fitsIn(capacity)
+        && hasEnoughIdleCpu(step.request(), incarnation.used, capacity);
 }
 
 // Executors of the service with capacity for a task of the step. The search starts with the least free CPU
@@ -358,12 +422,13 @@
     Run run;
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
+    run.isLasting = step.request().isLongRunning;
     run.nextSend = now;
     if (auto it = step.approvals.find(number); it != step.approvals.end()) {
         run.ticket = it->second.ticket;
         run.ticketUntil = it->second.ticketUntil;
     }
-    incarnation.used += run.demand;
+    incarnation.addUsage(run);
     updatePool(incarnation);
     teamUsage[step.job->request.team] += run.charged;
     if (task.run == 0)
@@ -436,13 +501,12 @@
     return true;
 }
 
-void FleetScheduler::Impl::placeStep(StepState& step, Instant now, SchedulerActions& actions)
+void FleetScheduler::Impl::placeStep(StepState& step, bool overdue, Instant now, SchedulerActions& actions)
 {
     const auto& request = step.request();
     if (!fitsQuota(step))
         return;
     const auto found = pools.find(step.queue->service);
-    const bool overdue = isOverdue(step, now);
     if (found == pools.end() || (!overdue && found->second.largestFreeCpu() < demandOf(request).cpuMilli))
         return;
     const auto& pool = found->second;
@@ -453,7 +517,7 @@
     const auto from = needsApproval ? approvedCandidates(step, now) : candidates(step, now);
     if (request.isGang) {
         if (!placeGang(step, from, now) && step.active == 0 && needsApproval)
-            requestApproval(step, now, actions);
+            requestApproval(step, overdue, now, actions);
         return;
     }
     std::unordered_map<IncarnationId, int> perIncarnation;
@@ -472,7 +536,7 @@
         assign(step, static_cast<int>(i), incarnation, task.run + 1, now);
     }
     if (step.waiting > 0 && needsApproval)
-        requestApproval(step, now, actions);
+        requestApproval(step, overdue, now, actions);
 }
 
 // Tasks on spare CPU slow down the tasks that serve requests on the same executor. They are throttled at once
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -17,8 +17,9 @@
 // published bound is 2 %.
 constexpr double maxClockRateRatio = 1.0205;
 
-// A long-running step that has waited this long comes before all others: a user has done without it since,
-// and an approval, a commit and the ends of running tasks have to fit into the rest of six seconds.
+// A long-running step that has waited this long comes before all others if it can get room: a user has done
+// without it since, and an approval, a commit and the ends of running tasks have to fit into the rest of six
+// seconds.
 constexpr auto overdueAfter = 1500ms;
 
 // How long an order without an answer may still be carried out; delays of 12 s were observed.
@@ -69,6 +70,8 @@
     bool isReady = false; // the steps it depends on are complete, and its occurrence is due
     Instant readySince;
     Instant waitingSince; // since when it has had waiting tasks; meaningful only while it is ready
+    Instant nextRoomCheck; // of an overdue step
+    bool canGetRoom = false; // result of the last check, see Impl::canServiceGetRoom()
     int criticalPathMs = 0; // sum of estimates on the longest path from this step to the end of the job
 
     const StepRequest& request() const;
@@ -134,6 +137,7 @@
     RunPhase phase = RunPhase::Recording;
     Resources demand; // counted against the executor's capacity
     Resources charged; // counted against the team's upper limit
+    bool isLasting = false; // of a long-running step, and not asked to stop: its end is not in sight
     std::string ticket;
     Instant ticketUntil; // afterwards the executor refuses a start with this ticket
     Instant nextSend; // earliest time of the next start, or stop if isStopRequested, that is sent
@@ -186,6 +190,7 @@
     bool hasAnswered = false; // with our fencing token, so it refuses orders of earlier leaders
     bool isUnresponsive = true; // the last heartbeat failed, or none was answered yet
     Resources used;
+    Resources usedByLastingRuns; // part of `used`, see Run::isLasting
     std::map<RunKey, Run> runs;
     std::set<std::pair<TaskRef, int>> unknownRuns; // reported as running, but not in `runs`
     bool hasUncountedRuns = false; // the last report listed runs that are not in `runs`, nor in `used`
@@ -230,6 +235,8 @@
     bool hasOpenStart() const;
     bool isAcknowledgementOverdue(Instant now) const;
     bool isSameProcess(std::int64_t clock) const;
+    void addUsage(const Run& run);
+    void removeUsage(const Run& run);
     bool mayHaveStartedInLaterProcess() const;
     // An acknowledgement was sent and not answered yet.
     bool isAcknowledgementInFlight() const { return isHeartbeatInFlight && sentAcknowledgement > 0; }
@@ -326,6 +333,7 @@
     void requeue(Incarnation& incarnation, const RunKey& key, Instant now);
     void releaseRun(Incarnation& incarnation, const RunKey& key);
     void requestStop(Incarnation& incarnation, const RunKey& key, Instant now);
+    void markStopRequested(Incarnation& incarnation, Run& run) const;
     std::optional<RunKey> keyOf(const TaskRef& task, int run) const;
     TaskRef taskRefOf(const RunKey& key) const;
     void boundLease(Incarnation& incarnation, Instant now) const;
@@ -337,11 +345,11 @@
 
     // Placement (SchedulerPlacement.cpp)
     void place(Instant now, SchedulerActions& actions);
-    void placeStep(StepState& step, Instant now, SchedulerActions& actions);
+    void placeStep(StepState& step, bool overdue, Instant now, SchedulerActions& actions);
     bool placeGang(StepState& step, const std::vector<IncarnationId>& candidates, Instant now);
-    void requestApproval(StepState& step, Instant now, SchedulerActions& actions);
+    void requestApproval(StepState& step, bool overdue, Instant now, SchedulerActions& actions);
     void rejectTicket(StepState& step, IncarnationId number, const std::string& ticket, Instant now) const;
-    bool isOverdue(const StepState& step, Instant now) const;
+    bool isOverdue(StepState& step, Instant now) const;
     void reserveExecutors(StepState& step, Instant now);
     bool isReservedForOther(const StepState& step, const Incarnation& incarnation) const;
     bool reportHold(const StepState& step, Instant now);
@@ -360,6 +368,9 @@
     bool fitsQuota(const StepState& step) const;
     void assign(StepState& step, int index, IncarnationId incarnation, int run, Instant now);
     Resources demandOf(const StepRequest& request) const;
+    bool canGetRoom(const StepState& step, const Incarnation& incarnation) const;
+    bool canServiceGetRoom(const StepState& step) const;
+    bool isEligible(const StepState& step, const Incarnation& incarnation) const;
 
     void addEvent(std::string eventName, std::string job, std::string detail);
 
--- a/tests/cores/FleetSimulation.cpp
+++ b/tests/cores/FleetSimulation.cpp
@@ -423,6 +423,14 @@
     scheduler->executorRegistered(entry, now);
 }
 
+void FleetSimulation::reregister(const std::string& id, Resources capacity, std::vector<std::string> labels)
+{
+    auto& entry = executors.at(id).entry;
+    entry.capacity = capacity;
+    entry.labels = std::move(labels);
+    storeRegistration(entry);
+}
+
 void FleetSimulation::drain(const std::string& id, Duration remaining)
 {
     auto& entry = executors.at(id).entry;
--- a/tests/cores/FleetSimulation.h
+++ b/tests/cores/FleetSimulation.h
@@ -82,6 +82,8 @@
     /** Restarts the executor under the same id, without any state. */
     void restart(const std::string& id);
     void deregister(const std::string& id);
+    /** Changes the capacity and the labels with which the executor is registered. */
+    void reregister(const std::string& id, Resources capacity, std::vector<std::string> labels);
     /** Registers the executor as draining, for `remaining` at least. */
     void drain(const std::string& id, Duration remaining);
     /** Drains the executor. It exits after `after`: its runs end, it deregisters and closes its port. */
--- /dev/null
+++ b/tests/cores/ReservedExecutorTest.cpp
@@ -0,0 +1,183 @@
+#include "FleetSimulation.h"
+
+#include <doctest/doctest.h>
+
+// Executors that are reserved for an overdue step: what the other steps of the service lose by it.
+using namespace quay;
+using namespace quay::fleet;
+using namespace quay::fleet::test;
+
+namespace {
+
+constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
+constexpr auto submitInterval = 500ms;
+const std::string occupantJob = "00000000000000a1";
+const std::string waiterJob = "00000000000000a2";
+
+/** Tasks of one step. */
+struct Work {
+    int tasks = 1;
+    Resources each;
+    bool isLongRunning = false;
+    bool isGang = false;
+    const char* label = "b";
+};
+
+// Executors, some of them with the label "b". What needs the label competes for these.
+class LabelledService {
+public:
+    LabelledService(int executors, int labelled, bool needsApproval)
+        : simulation(11, executors)
+    {
+        const auto queue = [&](const char* name, int priority, double decisionMs) {
+            QueuePolicy policy { name, "host", "/", "service", priority, 3, 1.5, 300, false, {} };
+            if (needsApproval)
+                policy.approval = ApprovalPolicy { decisionMs, 5, 2000 };
+            return policy;
+        };
+        simulation.configuration.queues
+            = { queue("urgent", 0, 20), queue("watch", 1, 400), queue("batch", 2, 400) };
+        simulation.scheduler->configure(simulation.configuration);
+        simulation.hasIdleCommits = true;
+        int number = 0;
+        for (const auto& [id, executor] : std::map(simulation.executors)) {
+            simulation.approved.insert(id);
+            if (number++ < labelled) {
+                simulation.reregister(id, executor.entry.capacity, { "b" });
+                m_labelled.push_back(id);
+            }
+        }
+        simulation.behaviour = [this](const TaskRef& task, int) {
+            FakeRun started;
+            started.endsAt = simulation.now + 400ms;
+            if (task.job == occupantJob)
+                started.endsAt = simulation.now + occupantRunTime;
+            else if (m_endlessJobs.count(task.job))
+                started.endsAt = Instant::max();
+            m_waits.erase(task.job);
+            return started;
+        };
+    }
+
+    void submit(const std::string& id, const char* queue, const Work& work)
+    {
+        auto request = jobOf(id, work.tasks, work.each);
+        request.queue = queue;
+        request.steps[0].isLongRunning = work.isLongRunning;
+        request.steps[0].isGang = work.isGang;
+        request.steps[0].requiredLabel = work.label;
+        if (work.isLongRunning)
+            m_endlessJobs.insert(id);
+        simulation.submit(request);
+    }
+
+    // Submits such a job at intervals, and records the longest time that one waited for its first start.
+    void run(Duration span, const Work& work, const char* queue = "urgent")
+    {
+        const auto end = simulation.now + span;
+        while (simulation.now < end) {
+            char id[17];
+            std::snprintf(id, sizeof id, "%016x", 0x1000 + ++m_submitted);
+            m_waits[id] = simulation.now;
+            submit(id, queue, work);
+            simulation.run(submitInterval);
+            for (const auto& [job, since] : m_waits)
+                longest = std::max(longest, simulation.now - since);
+        }
+    }
+
+    void resize(Resources capacity)
+    {
+        for (const auto& id : m_labelled)
+            simulation.reregister(id, capacity, { "b" });
+    }
+
+    bool isRunning(const std::string& job) const { return simulation.runsOf({ job, 0, 0, 0 }) > 0; }
+
+    FleetSimulation simulation;
+    Duration occupantRunTime = Duration::max() / 4;
+    Duration longest {};
+
+private:
+    std::vector<std::string> m_labelled;
+    std::set<std::string> m_endlessJobs;
+    std::map<std::string, Instant> m_waits; // of jobs without a start, since their submission
+    int m_submitted = 0;
+};
+
+} // namespace
+
+// Guards against review/6: an overdue step that can never have room kept all other work off the executor
+// reserved for it.
+TEST_CASE("an overdue step that can't get room doesn't keep other steps off their only executors")
+{
+    struct Row {
+        const char* name;
+        int labelled;
+        Work occupant;
+        Work waiter;
+        Work other;
+        Resources shrunk; // capacity after the occupant has started; zero: unchanged
+        bool needsApproval;
+        bool isTakenOver;
+    };
+    // An executor has 8 cores, 8000 MB and 2 accelerators.
+    const Resources small { 500, 100, 0 };
+    const Row rows[] = {
+        { "CPU held by a long-running task", 1, { 1, { 5000, 100, 0 }, true }, { 1, { 5000, 100, 0 }, true },
+            { 1, small }, {}, false, false },
+        { "and approvals", 1, { 1, { 5000, 100, 0 }, true }, { 1, { 5000, 100, 0 }, true }, { 1, small }, {},
+            true, false },
+        { "and a new leader", 1, { 1, { 5000, 100, 0 }, true }, { 1, { 5000, 100, 0 }, true }, { 1, small },
+            {}, true, true },
+        { "two executors", 2, { 2, { 5000, 100, 0 }, true }, { 2, { 5000, 100, 0 }, true },
+            { 4, { 1500, 100, 0 } }, {}, false, false },
+        { "memory", 1, { 1, { 100, 5000, 0 }, true }, { 1, { 100, 5000, 0 }, true }, { 1, small }, {}, false,
+            false },
+        { "accelerators", 1, { 1, { 100, 100, 1 }, true }, { 1, { 100, 100, 2 }, true }, { 1, small }, {},
+            false, false },
+        { "a gang waits", 1, { 1, { 5000, 100, 0 }, true }, { 2, { 2000, 100, 0 }, true, true }, { 1, small },
+            {}, false, false },
+        { "a gang is kept off", 1, { 1, { 5000, 100, 0 }, true }, { 1, { 5000, 100, 0 }, true },
+            { 2, small, false, true }, {}, false, false },
+        { "a long-running step is kept off", 1, { 1, { 2000, 100, 0 }, true }, { 1, { 7000, 100, 0 }, true },
+            { 1, { 10, 1, 0 }, true }, {}, false, false },
+        { "the capacity has shrunk", 1, { 1, { 5000, 100, 0 }, true }, { 1, { 3000, 100, 0 }, true },
+            { 1, small }, { 7000, 8000, 2 }, false, false },
+        { "larger than the executor after it has shrunk", 1, { 1, { 100, 100, 0 }, true },
+            { 1, { 7500, 100, 0 }, true }, { 1, small }, { 7000, 8000, 2 }, false, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        LabelledService service(6, row.labelled, row.needsApproval);
+        service.submit(occupantJob, "watch", row.occupant);
+        service.simulation.run(3s);
+        REQUIRE(service.isRunning(occupantJob));
+        if (row.shrunk != Resources())
+            service.resize(row.shrunk);
+        service.submit(waiterJob, "watch", row.waiter);
+        service.run(6s, row.other);
+        if (row.isTakenOver)
+            service.simulation.takeover();
+        service.run(6s, row.other);
+        CHECK(service.longest < longestWait);
+        CHECK_FALSE(service.isRunning(waiterJob));
+        CHECK(service.simulation.violations.empty());
+    }
+}
+
+// Guards against overdue steps that can never have room and yet keep all callers of the approval service
+// busy.
+TEST_CASE("overdue steps that can't get room don't hold back the approval calls of other steps")
+{
+    LabelledService service(6, 6, true);
+    service.simulation.approvalDelay = 400ms;
+    service.simulation.scheduler->setApprovalCallers(2);
+    service.submit(occupantJob, "watch", { 6, { 3000, 100, 0 }, true });
+    service.simulation.run(3s);
+    REQUIRE(service.isRunning(occupantJob));
+    for (int i = 0; i < 8; ++i)
+        service.submit("00000000000000b" + std::to_string(i), "watch", { 1, { 6000, 100, 0 }, true });
+    service.run(12s, { 1, { 1000, 100, 0 } }, "batch");
+    CHECK(service.longest < longestWait);
+}
