--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -305,8 +305,8 @@
     }
     counts.approvalsInFlight = m_impl->approvalsInFlight.size();
     for (const auto& [service, pool] : m_impl->pools) {
-        counts.totalCpuMilli += pool.totalCpu;
-        counts.usedCpuMilli += pool.usedCpu;
+        counts.totalCpuMilli += pool.total.cpuMilli;
+        counts.usedCpuMilli += pool.used.cpuMilli;
     }
     counts.uncommittedJobs = m_impl->dirtyJobs.size();
     counts.teamUsage = m_impl->teamUsage;
--- a/src/fleet/SchedulerApprovals.cpp
+++ b/src/fleet/SchedulerApprovals.cpp
@@ -116,7 +116,7 @@
             full.push_back(number);
     }
     const auto hasMoreRoom = [&](IncarnationId a, IncarnationId b) {
-        return std::pair(incarnations[a].pooledFreeCpu, a) > std::pair(incarnations[b].pooledFreeCpu, b);
+        return std::pair(incarnations[a].pooledFreeCpu(), a) > std::pair(incarnations[b].pooledFreeCpu(), b);
     };
     std::sort(chosen.begin(), chosen.end(), hasMoreRoom);
     if (chosen.size() > maxApprovalBatchSize)
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -332,19 +332,29 @@
 void FleetScheduler::Impl::updatePool(Incarnation& incarnation)
 {
     if (incarnation.pool) {
-        incarnation.pool->byFreeCpu.erase({ incarnation.pooledFreeCpu, incarnation.number });
-        incarnation.pool->totalCpu -= incarnation.pooledTotalCpu;
-        incarnation.pool->usedCpu -= incarnation.pooledTotalCpu - incarnation.pooledFreeCpu;
+        incarnation.pool->byFreeCpu.erase({ incarnation.pooledFreeCpu(), incarnation.number });
+        incarnation.pool->total -= incarnation.pooledTotal;
+        incarnation.pool->used -= incarnation.pooledUsed;
+        for (auto* group : incarnation.groups)
+            --group->size;
+        incarnation.groups.clear();
         incarnation.pool = nullptr;
     }
     if (!incarnation.isRegistered)
         return;
     incarnation.pool = &pools[incarnation.entry.service];
-    incarnation.pooledTotalCpu = incarnation.entry.capacity.cpuMilli;
-    incarnation.pooledFreeCpu = incarnation.pooledTotalCpu - incarnation.used.cpuMilli;
-    incarnation.pool->byFreeCpu.insert({ incarnation.pooledFreeCpu, incarnation.number });
-    incarnation.pool->totalCpu += incarnation.pooledTotalCpu;
-    incarnation.pool->usedCpu += incarnation.pooledTotalCpu - incarnation.pooledFreeCpu;
+    incarnation.pooledTotal = incarnation.entry.capacity;
+    incarnation.pooledUsed = incarnation.used;
+    incarnation.pool->byFreeCpu.insert({ incarnation.pooledFreeCpu(), incarnation.number });
+    incarnation.pool->total += incarnation.pooledTotal;
+    incarnation.pool->used += incarnation.pooledUsed;
+    incarnation.groups.push_back(&incarnation.pool->all);
+    if (incarnation.entry.capacity.accelerators > 0)
+        incarnation.groups.push_back(&incarnation.pool->withAccelerators);
+    for (const auto& label : incarnation.entry.labels)
+        incarnation.groups.push_back(&incarnation.pool->byLabel[label]);
+    for (auto* group : incarnation.groups)
+        ++group->size;
 }
 
 void FleetScheduler::Impl::closeIncarnation(Incarnation& incarnation)
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -25,8 +25,11 @@
 // Share of a team's upper limit that only priority 0 and long-running steps may use. Larger, because tasks of
 // other priorities run ten times as long.
 constexpr double urgentQuotaReserve = 0.12;
-// Share of a service's executors that overdue steps may reserve.
+// Share of a service's executors, and of those with the same label, that overdue steps may reserve.
 constexpr std::size_t reservableDivisor = 8;
+// In a service that is under half used, a step is kept from reserved room for this long at most. The rest of
+// the three seconds in which it has to start is for its approval, a commit and the start.
+constexpr auto maxReservationWait = 1500ms;
 constexpr auto roomCheckInterval = 100ms; // a check looks at all executors of a service in the worst case
 constexpr auto minReportedHold = 1s; // shorter waits behind a reserve are not reported
 constexpr auto holdReportInterval = 1s; // bounds the log
@@ -63,6 +66,18 @@
     return !request.usesSpareCpu || used.cpuMilli + request.perTask.cpuMilli / 4 <= capacity.cpuMilli;
 }
 
+Resources lesser(const Resources& a, const Resources& b)
+{
+    return { std::min(a.cpuMilli, b.cpuMilli), std::min(a.memoryMb, b.memoryMb),
+        std::min(a.accelerators, b.accelerators) };
+}
+
+// Returns whether one more executor of the group may be reserved.
+bool isReservable(const ExecutorGroup& group)
+{
+    return group.reserved < std::max<std::size_t>(1, group.size / reservableDivisor);
+}
+
 // How many tasks with this demand fit into the room.
 std::int64_t countFitting(const Resources& demand, const Resources& room)
 {
@@ -139,8 +154,11 @@
                 break;
         }
     }
-    for (IncarnationId number : reservedExecutors)
+    for (IncarnationId number : reservedExecutors) {
         incarnations[number].reservedFor = nullptr;
+        for (auto* group : incarnations[number].groups)
+            group->reserved = 0;
+    }
     reservedExecutors.clear();
 }
 
@@ -156,7 +174,8 @@
         = std::find_if(reservedExecutors.begin(), reservedExecutors.end(), [&](IncarnationId number) {
               const auto& incarnation = incarnations[number];
               return isReservedForOther(step, incarnation) && isUsable(step, incarnation, now)
-                  && (incarnation.used + demand).fitsIn(incarnation.entry.capacity);
+                  && demand.fitsIn(incarnation.entry.capacity - incarnation.used)
+                  && !demand.fitsIn(roomFor(step, incarnation, now));
           });
     std::string why;
     if (!fitsQuota(step)) {
@@ -193,36 +212,51 @@
 }
 
 // In a full service, shorter tasks of other steps would take each part of an executor that becomes free, so a
-// large task of an overdue step would never find room. Until the end of the pass only this step may be placed
-// on the executors that are closest to having room for its waiting tasks. Long-running tasks that are active
-// don't end in the foreseeable future, so where they leave too little room, none is reserved.
+// large task of an overdue step would never find room. Until the end of the pass the room for its waiting
+// tasks is reserved on the executors that are closest to having it, and other steps get what is left beside
+// it. Long-running tasks that are active don't end in the foreseeable future, so where they leave too little
+// room, none is reserved.
 void FleetScheduler::Impl::reserveExecutors(StepState& step, Instant now)
 {
     const auto& request = step.request();
     if (!fitsQuota(step))
         return;
-    const auto pool = pools.find(step.queue->service);
-    if (pool == pools.end())
+    const auto found = pools.find(step.queue->service);
+    if (found == pools.end())
         return;
+    const auto& pool = found->second;
     const auto demand = executorDemand(request);
     const auto tasksByIncarnation
         = request.maxPerExecutor > 0 ? tasksPerIncarnation(step) : std::unordered_map<IncarnationId, int>();
-    const auto& byFreeCpu = pool->second.byFreeCpu;
-    const auto maxReserved = std::max<std::size_t>(1, byFreeCpu.size() / reservableDivisor);
-    std::int64_t places = 0;
-    for (auto it = byFreeCpu.rbegin();
-         it != byFreeCpu.rend() && places < step.waiting && reservedExecutors.size() < maxReserved; ++it) {
+    std::int64_t missing = step.waiting;
+    for (auto it = pool.byFreeCpu.rbegin();
+         it != pool.byFreeCpu.rend() && missing > 0 && isReservable(pool.all); ++it) {
         auto& incarnation = incarnations[it->second];
         const auto here = tasksByIncarnation.find(incarnation.number);
         const int running = here == tasksByIncarnation.end() ? 0 : here->second;
         if ((step.queue->approval && !step.isApproved(incarnation.number)) || !canGetRoom(step, incarnation)
-            || !isUsable(step, incarnation, now) || isReservedForOther(step, incarnation)
-            || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor))
+            || !isUsable(step, incarnation, now) || incarnation.reservedFor
+            || (request.maxPerExecutor > 0 && running >= request.maxPerExecutor)
+            || !std::all_of(incarnation.groups.begin(), incarnation.groups.end(),
+                [](const auto* group) { return isReservable(*group); }))
             continue;
+        auto unreserved = incarnation.entry.capacity - incarnation.usedByLastingRuns;
+        auto places = std::min(missing, countFitting(demand, unreserved));
+        if (request.maxPerExecutor > 0)
+            places = std::min<std::int64_t>(places, request.maxPerExecutor - running);
+        missing -= places;
+        for (; places > 0; --places)
+            unreserved -= demand;
+        // Tasks that were placed beside the reservation may outlast those whose room it waits for.
+        for (const auto& [key, run] : incarnation.runs) {
+            if (!run.isLasting && run.placedAt >= step.waitingSince + overdueAfter)
+                unreserved -= run.demand;
+        }
         incarnation.reservedFor = &step;
+        incarnation.unreserved = atLeastZero(unreserved);
         reservedExecutors.push_back(incarnation.number);
-        const auto fitting = incarnation.entry.capacity.cpuMilli / std::max<std::int64_t>(1, demand.cpuMilli);
-        places += request.maxPerExecutor > 0 ? request.maxPerExecutor - running : fitting;
+        for (auto* group : incarnation.groups)
+            ++group->reserved;
     }
 }
 
@@ -284,6 +318,16 @@
     return incarnation.reservedFor && incarnation.reservedFor != &step;
 }
 
+// Returns what tasks of the step may take of the executor: what is free and not reserved for another step.
+Resources FleetScheduler::Impl::roomFor(
+    const StepState& step, const Incarnation& incarnation, Instant now) const
+{
+    const auto room = incarnation.entry.capacity - incarnation.used;
+    const bool ignoresReservation = !isReservedForOther(step, incarnation)
+        || (incarnation.pool->isUnderHalfUsed() && now - step.waitingSince >= maxReservationWait);
+    return ignoresReservation ? room : lesser(room, incarnation.unreserved);
+}
+
 // Returns whether the executor is one of those that the step may use, whatever its present state.
 bool FleetScheduler::Impl::isEligible(const StepState& step, const Incarnation& incarnation) const
 {
@@ -308,10 +352,8 @@
 bool FleetScheduler::Impl::isCandidate(
     const StepState& step, const Incarnation& incarnation, const Resources& demand, Instant now) const
 {
-    const auto& capacity = incarnation.entry.capacity;
-    return isUsable(step, incarnation, now) && !isReservedForOther(step, incarnation)
-        && (incarnation.used + demand).fitsIn(capacity)
-        && hasEnoughIdleCpu(step.request(), incarnation.used, capacity);
+    return isUsable(step, incarnation, now) && demand.fitsIn(roomFor(step, incarnation, now))
+        && hasEnoughIdleCpu(step.request(), incarnation.used, incarnation.entry.capacity);
 }
 
 // Executors of the service with capacity for a task of the step. The search starts with the least free CPU
@@ -377,8 +419,8 @@
 }
 
 int FleetScheduler::Impl::pickExecutor(const StepState& step, const TaskState& task,
-    const std::vector<IncarnationId>& from,
-    const std::unordered_map<IncarnationId, int>& perIncarnation) const
+    const std::vector<IncarnationId>& from, const std::unordered_map<IncarnationId, int>& perIncarnation,
+    Instant now) const
 {
     const auto& request = step.request();
     const auto demand = executorDemand(request);
@@ -387,7 +429,7 @@
     double bestScore = 0;
     for (IncarnationId number : from) {
         const auto& incarnation = incarnations[number];
-        if (!(incarnation.used + demand).fitsIn(incarnation.entry.capacity))
+        if (!demand.fitsIn(roomFor(step, incarnation, now)))
             continue;
         auto it = perIncarnation.find(number);
         const int tasksOnExecutor = it == perIncarnation.end() ? 0 : it->second;
@@ -423,12 +465,14 @@
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
     run.isLasting = step.request().isLongRunning;
-    run.nextSend = now;
+    run.placedAt = run.nextSend = now;
     if (auto it = step.approvals.find(number); it != step.approvals.end()) {
         run.ticket = it->second.ticket;
         run.ticketUntil = it->second.ticketUntil;
     }
     incarnation.addUsage(run);
+    if (isReservedForOther(step, incarnation))
+        incarnation.unreserved = atLeastZero(incarnation.unreserved - run.demand);
     updatePool(incarnation);
     teamUsage[step.job->request.team] += run.charged;
     if (task.run == 0)
@@ -459,11 +503,11 @@
             const auto& incarnation = incarnations[number];
             if (!rack.empty() && incarnation.rack != rack)
                 continue;
-            auto used = incarnation.used;
+            auto room = roomFor(step, incarnation, now);
             int here = 0;
-            while (chosen.size() < step.tasks.size() && (used + demand).fitsIn(incarnation.entry.capacity)
+            while (chosen.size() < step.tasks.size() && demand.fitsIn(room)
                 && (request.maxPerExecutor == 0 || here < request.maxPerExecutor)) {
-                used += demand;
+                room -= demand;
                 ++here;
                 chosen.push_back(number);
             }
@@ -511,7 +555,8 @@
         return;
     const auto& pool = found->second;
     if (step.queue->priority > 0 && !overdue // the reserve is for priority 0 only
-        && static_cast<double>(pool.freeCpu()) < urgentCapacityReserve * static_cast<double>(pool.totalCpu))
+        && static_cast<double>(pool.freeCpu())
+            < urgentCapacityReserve * static_cast<double>(pool.total.cpuMilli))
         return;
     const bool needsApproval = step.queue->approval.has_value();
     const auto from = needsApproval ? approvedCandidates(step, now) : candidates(step, now);
@@ -529,7 +574,7 @@
             continue;
         if (!fitsQuota(step))
             return;
-        const int incarnation = pickExecutor(step, task, from, perIncarnation);
+        const int incarnation = pickExecutor(step, task, from, perIncarnation, now);
         if (incarnation < 0)
             break;
         ++perIncarnation[incarnation];
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -138,6 +138,7 @@
     Resources demand; // counted against the executor's capacity
     Resources charged; // counted against the team's upper limit
     bool isLasting = false; // of a long-running step, and not asked to stop: its end is not in sight
+    Instant placedAt; // zero if an earlier leader placed it
     std::string ticket;
     Instant ticketUntil; // afterwards the executor refuses a start with this ticket
     Instant nextSend; // earliest time of the next start, or stop if isStopRequested, that is sent
@@ -167,15 +168,25 @@
     bool isStartOpen() const { return isStartInFlight || openEpoch >= 0; }
 };
 
+// Executors of one service to which a step may be limited, such as those with a label.
+struct ExecutorGroup {
+    std::size_t size = 0;
+    std::size_t reserved = 0; // during one placement pass: those with reservedFor set
+};
+
 // The registered executors of one service.
 struct ServicePool {
     std::set<std::pair<std::int64_t, IncarnationId>> byFreeCpu; // free CPU in millicores, least first
-    std::int64_t totalCpu = 0;
-    std::int64_t usedCpu = 0;
+    ExecutorGroup all;
+    ExecutorGroup withAccelerators;
+    std::map<std::string, ExecutorGroup> byLabel;
+    Resources total;
+    Resources used;
     // Demand of the waiting tasks of steps with an approval call in flight.
     std::int64_t awaitingApprovalCpu = 0;
 
-    std::int64_t freeCpu() const { return totalCpu - usedCpu; }
+    std::int64_t freeCpu() const { return total.cpuMilli - used.cpuMilli; }
+    bool isUnderHalfUsed() const { return (used + used).fitsIn(total); }
     std::int64_t largestFreeCpu() const { return byFreeCpu.empty() ? 0 : byFreeCpu.rbegin()->first; }
 };
 
@@ -225,9 +236,12 @@
     // The pool that contains this executor, with the values under which it was added; null: none.
     ServicePool* pool = nullptr;
     std::int64_t claimedCpu = 0; // expected by the approval calls in flight that name it
-    const StepState* reservedFor = nullptr; // during one placement pass: only this step may be placed here
-    std::int64_t pooledFreeCpu = 0;
-    std::int64_t pooledTotalCpu = 0;
+    // During one placement pass: an overdue step for which room is reserved here, and what others may take.
+    const StepState* reservedFor = nullptr;
+    Resources unreserved;
+    std::vector<ExecutorGroup*> groups; // those of `pool` that contain this executor
+    Resources pooledTotal;
+    Resources pooledUsed;
     // An earlier incarnation of the executor, whose runs are known to have ended once this one answers.
     IncarnationId predecessor = -1;
 
@@ -235,6 +249,7 @@
     bool hasOpenStart() const;
     bool isAcknowledgementOverdue(Instant now) const;
     bool isSameProcess(std::int64_t clock) const;
+    std::int64_t pooledFreeCpu() const { return pooledTotal.cpuMilli - pooledUsed.cpuMilli; }
     void addUsage(const Run& run);
     void removeUsage(const Run& run);
     bool mayHaveStartedInLaterProcess() const;
@@ -352,6 +367,7 @@
     bool isOverdue(StepState& step, Instant now) const;
     void reserveExecutors(StepState& step, Instant now);
     bool isReservedForOther(const StepState& step, const Incarnation& incarnation) const;
+    Resources roomFor(const StepState& step, const Incarnation& incarnation, Instant now) const;
     bool reportHold(const StepState& step, Instant now);
     bool hasCallerCapacityForOverdueStep() const;
     bool hasCallerCapacityForApproval(double expectedMs) const;
@@ -363,7 +379,7 @@
     std::vector<IncarnationId> approvedCandidates(const StepState& step, Instant now) const;
     void lookUpPolicies(StepState& step) const;
     int pickExecutor(const StepState& step, const TaskState& task, const std::vector<IncarnationId>& from,
-        const std::unordered_map<IncarnationId, int>& perIncarnation) const;
+        const std::unordered_map<IncarnationId, int>& perIncarnation, Instant now) const;
     std::optional<std::size_t> preferredDomain(const StepState& step) const;
     bool fitsQuota(const StepState& step) const;
     void assign(StepState& step, int index, IncarnationId incarnation, int run, Instant now);
--- a/tests/cores/ReservedExecutorTest.cpp
+++ b/tests/cores/ReservedExecutorTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
+constexpr auto longestWaitOfLongRunning = 6s; // the bound of the platform for a long-running task
 constexpr auto submitInterval = 500ms;
 const std::string occupantJob = "00000000000000a1";
 const std::string waiterJob = "00000000000000a2";
@@ -181,3 +182,52 @@
     service.run(12s, { 1, { 1000, 100, 0 } }, "batch");
     CHECK(service.longest < longestWait);
 }
+
+// Guards against a reservation that turns other steps away for as long as the tasks run that it waits for.
+TEST_CASE("steps get what is left beside a reservation, and all of it after a while in a half-empty service")
+{
+    struct Row {
+        const char* name;
+        int executors;
+        int labelled;
+        Duration occupantRunTime; // the occupant's tasks end by themselves
+        Work occupant;
+        Work waiter;
+        Work other;
+        bool isRestFull; // long-running tasks fill the executors without the label
+        bool isWaiterStarted;
+    };
+    const Row rows[] = {
+        { "others fit beside it", 6, 1, 60s, { 1, { 5000, 100, 0 } }, { 1, { 5000, 100, 0 }, true },
+            { 1, { 500, 100, 0 } }, false, false },
+        { "others don't fit beside it", 6, 1, 60s, { 1, { 3000, 100, 0 } }, { 1, { 7000, 100, 0 }, true },
+            { 1, { 2000, 100, 0 } }, false, false },
+        { "a gang doesn't fit beside it", 6, 1, 60s, { 1, { 3000, 100, 0 } }, { 1, { 7000, 100, 0 }, true },
+            { 2, { 1000, 100, 0 }, false, true }, false, false },
+        { "memory", 6, 1, 60s, { 1, { 100, 3000, 0 } }, { 1, { 100, 7000, 0 }, true },
+            { 1, { 100, 2000, 0 } }, false, false },
+        { "the occupant ends in time", 6, 1, 4s, { 1, { 5000, 100, 0 } }, { 1, { 5000, 100, 0 }, true },
+            { 3, { 1000, 100, 0 } }, false, true },
+        { "a full service: the waiter may reserve half of the executors with the label", 16, 2, 60s,
+            { 2, { 5000, 100, 0 } }, { 2, { 7000, 100, 0 }, true, false, "" }, { 1, { 2000, 100, 0 } }, true,
+            false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        LabelledService service(row.executors, row.labelled, false);
+        service.occupantRunTime = row.occupantRunTime;
+        if (row.isRestFull) {
+            const Work filler { row.executors - row.labelled, { 8000, 100, 0 }, true, false, "a" };
+            service.submit("00000000000000a3", "watch", filler);
+        }
+        service.submit(occupantJob, "watch", row.occupant);
+        service.simulation.run(500ms);
+        REQUIRE(service.isRunning(occupantJob));
+        service.submit(waiterJob, "watch", row.waiter);
+        service.run(longestWaitOfLongRunning, row.other);
+        CHECK(service.isRunning(waiterJob) == row.isWaiterStarted);
+        service.run(6s, row.other);
+        CHECK(service.longest < longestWait);
+        CHECK(service.simulation.violations.empty());
+    }
+}
