--- a/include/quay/core/Resources.h
+++ b/include/quay/core/Resources.h
@@ -39,6 +39,10 @@
 
 inline Resources operator+(Resources a, const Resources& b) { return a += b; }
 inline Resources operator-(Resources a, const Resources& b) { return a -= b; }
+inline Resources operator*(const Resources& each, std::int64_t count)
+{
+    return { each.cpuMilli * count, each.memoryMb * count, each.accelerators * count };
+}
 
 /** Clamps every dimension to at least zero. */
 inline Resources atLeastZero(Resources amount)
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -309,7 +309,8 @@
         counts.usedCpuMilli += pool.used.cpuMilli;
     }
     counts.uncommittedJobs = m_impl->dirtyJobs.size();
-    counts.teamUsage = m_impl->teamUsage;
+    for (const auto& [team, usage] : m_impl->teamUsage)
+        counts.teamUsage[team] = usage.total;
     return counts;
 }
 
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -214,7 +214,7 @@
         }
         auto& blockedRun = incarnation.runs.at(key);
         blockedRun.phase = RunPhase::Starting;
-        markStopRequested(incarnation, blockedRun);
+        markStopRequested(incarnation, key, blockedRun);
         blockedRun.nextSend = now;
         openOrders.insert({ incarnation.number, key });
     }
@@ -389,7 +389,10 @@
         return;
     incarnation.removeUsage(it->second);
     updatePool(incarnation);
-    teamUsage[key.job->request.team] -= it->second.charged;
+    auto& usage = teamUsage[key.job->request.team];
+    usage.total -= it->second.charged;
+    if (it->second.isLasting)
+        usage.lasting -= it->second.charged;
     openOrders.erase({ incarnation.number, key });
     incarnation.runs.erase(it);
     isPlacementDue = true;
@@ -410,16 +413,26 @@
         endRun(incarnation, key, RunOutcome::Stopped, {}, now);
         return;
     }
-    markStopRequested(incarnation, run);
+    markStopRequested(incarnation, key, run);
     run.nextSend = now;
     openOrders.insert({ incarnation.number, key });
 }
 
-void FleetScheduler::Impl::markStopRequested(Incarnation& incarnation, Run& run) const
+void FleetScheduler::Impl::markStopRequested(Incarnation& incarnation, const RunKey& key, Run& run)
 {
     run.isStopRequested = true;
-    if (std::exchange(run.isLasting, false))
-        incarnation.usedByLastingRuns -= run.demand;
+    if (!std::exchange(run.isLasting, false))
+        return;
+    incarnation.usedByLastingRuns -= run.demand;
+    teamUsage[key.job->request.team].lasting -= run.charged;
+}
+
+void FleetScheduler::Impl::chargeTeam(const std::string& team, const Run& run)
+{
+    auto& usage = teamUsage[team];
+    usage.total += run.charged;
+    if (run.isLasting)
+        usage.lasting += run.charged;
 }
 
 // An executor may hold a lease that late orders to its previous process or an earlier leader have granted,
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -180,7 +180,8 @@
     std::string why;
     if (!fitsQuota(step)) {
         const auto used = teamUsage.find(step.job->request.team);
-        const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
+        const auto after
+            = (used == teamUsage.end() ? Resources() : used->second.total) + step.request().perTask;
         if (!after.fitsIn(effectiveLimit(step.team->upperLimit)))
             return false; // the limit itself
         why = "why=team_limit_reserve cpu_after=" + std::to_string(after.cpuMilli)
@@ -245,8 +246,7 @@
         if (request.maxPerExecutor > 0)
             places = std::min<std::int64_t>(places, request.maxPerExecutor - running);
         missing -= places;
-        for (; places > 0; --places)
-            unreserved -= demand;
+        unreserved -= demand * places;
         // Tasks that were placed beside the reservation may outlast those whose room it waits for.
         for (const auto& [key, run] : incarnation.runs) {
             if (!run.isLasting && run.placedAt >= step.waitingSince + overdueAfter)
@@ -288,29 +288,40 @@
 {
     const auto& request = step.request();
     const auto& capacity = incarnation.entry.capacity;
-    return (incarnation.usedByLastingRuns + executorDemand(request)).fitsIn(capacity)
+    return executorDemand(request).fitsIn(capacity - incarnation.usedByLastingRuns)
         && hasEnoughIdleCpu(request, incarnation.usedByLastingRuns, capacity);
 }
 
+// Returns whether a task of the step, or all members of a gang, may start under the upper limit of its team.
 bool FleetScheduler::Impl::fitsQuota(const StepState& step) const
 {
-    const double usable
-        = step.queue->priority > 0 && !step.request().isLongRunning ? 1 - urgentQuotaReserve : 1;
-    const auto fits = [&](std::int64_t after, std::int64_t limit) {
-        return limit == 0 || static_cast<double>(after) <= usable * static_cast<double>(limit);
-    };
-    const auto* team = step.team;
-    if (!team)
+    if (!step.team)
         return true;
-    const auto& limit = team->upperLimit;
-    const auto used = teamUsage.find(team->name);
-    const auto after = (used == teamUsage.end() ? Resources() : used->second) + step.request().perTask;
-    // A team without active tasks may use the reserve, so a task that is larger than the rest of the limit
-    // still runs.
-    if (used == teamUsage.end() || used->second == Resources())
-        return step.request().perTask.fitsIn(effectiveLimit(limit));
-    return fits(after.cpuMilli, limit.cpuMilli) && fits(after.memoryMb, limit.memoryMb)
-        && fits(after.accelerators, limit.accelerators);
+    const auto& request = step.request();
+    const bool mayUseReserve = step.queue->priority == 0 || request.isLongRunning || request.isGang;
+    const double count = request.isGang ? request.taskCount : 1;
+    // In floating point, because a caller may demand any amount.
+    const auto fits = [&](double perTask, double used, double lasting, double limit) {
+        if (limit == 0)
+            return true;
+        const double demand = count * perTask;
+        const double unreserved = (1 - urgentQuotaReserve) * limit;
+        // The reserve can't be kept from a task that is too large for the rest of the limit beside the team's
+        // long-running tasks: it would never start. Below half of the limit nothing needs the reserve.
+        const bool isReserveOpen = mayUseReserve || used <= limit / 2 || lasting + demand > unreserved;
+        return used + demand <= (isReserveOpen ? limit : unreserved);
+    };
+    const auto found = teamUsage.find(step.team->name);
+    const auto& [used, lasting] = found == teamUsage.end() ? TeamUsage() : found->second;
+    const auto& limit = step.team->upperLimit;
+    const auto& each = request.perTask;
+    const auto amount = [](std::int64_t value) { return static_cast<double>(value); };
+    return fits(
+               amount(each.cpuMilli), amount(used.cpuMilli), amount(lasting.cpuMilli), amount(limit.cpuMilli))
+        && fits(
+            amount(each.memoryMb), amount(used.memoryMb), amount(lasting.memoryMb), amount(limit.memoryMb))
+        && fits(amount(each.accelerators), amount(used.accelerators), amount(lasting.accelerators),
+            amount(limit.accelerators));
 }
 
 bool FleetScheduler::Impl::isReservedForOther(const StepState& step, const Incarnation& incarnation) const
@@ -474,7 +485,7 @@
     if (isReservedForOther(step, incarnation))
         incarnation.unreserved = atLeastZero(incarnation.unreserved - run.demand);
     updatePool(incarnation);
-    teamUsage[step.job->request.team] += run.charged;
+    chargeTeam(step.job->request.team, run);
     if (task.run == 0)
         times.placementWait.push_back(now - step.readySince);
     task.run = runNumber;
@@ -529,14 +540,6 @@
         chosen = chooseExecutors({});
     if (chosen.size() < step.tasks.size())
         return false;
-    // The team's upper limit applies to the sum of all members.
-    if (const auto* team = step.team) {
-        auto after = teamUsage[team->name];
-        for (std::size_t i = 0; i < step.tasks.size(); ++i)
-            after += request.perTask;
-        if (!after.fitsIn(effectiveLimit(team->upperLimit)))
-            return false;
-    }
     int run = 0;
     for (const auto& task : step.tasks)
         run = std::max(run, task.run);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -275,6 +275,12 @@
     std::vector<std::string> removedJobs;
 };
 
+// What the active tasks of a team are charged, of which long-running ones, see Run::isLasting.
+struct TeamUsage {
+    Resources total;
+    Resources lasting;
+};
+
 std::string rackOf(const ExecutorEntry& entry);
 // Number of active tasks of the step by executor.
 std::unordered_map<IncarnationId, int> tasksPerIncarnation(const StepState& step);
@@ -348,7 +354,8 @@
     void requeue(Incarnation& incarnation, const RunKey& key, Instant now);
     void releaseRun(Incarnation& incarnation, const RunKey& key);
     void requestStop(Incarnation& incarnation, const RunKey& key, Instant now);
-    void markStopRequested(Incarnation& incarnation, Run& run) const;
+    void markStopRequested(Incarnation& incarnation, const RunKey& key, Run& run);
+    void chargeTeam(const std::string& team, const Run& run);
     std::optional<RunKey> keyOf(const TaskRef& task, int run) const;
     TaskRef taskRefOf(const RunKey& key) const;
     void boundLease(Incarnation& incarnation, Instant now) const;
@@ -402,7 +409,7 @@
     std::unordered_map<std::string, std::int64_t> epochs;
     std::map<std::string, internal::ServicePool> pools; // by service
     std::vector<std::string> domains; // failure domains of all executors so far
-    std::map<std::string, Resources> teamUsage;
+    std::map<std::string, internal::TeamUsage> teamUsage;
     std::set<StepState*> readySteps; // steps with waiting tasks
     std::vector<JobState*> scheduledJobs; // jobs with occurrences that are not due yet
     std::vector<JobState*> dirtyJobs;
