The CPU that a service keeps for urgent steps is not kept from all others for ever

In a service of which long-running tasks hold over 94 % of the CPU, a batch task was never started, although an executor had room for it. Nor was it on idle executors with the label that it requires, while the rest of the service was full.

Cause: 6 % of a service's CPU is for steps of priority 0, measured against all executors of the service and against tasks of which some never end.

Now the reserve is not kept from a step that finds no other room beside the service's long-running tasks, and not on executors of a label that have more than 6 % free. It is only relaxed: a step that could start before still can. step_held reports it as why=service_reserve.

--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -305,8 +305,8 @@
     }
     counts.approvalsInFlight = m_impl->approvalsInFlight.size();
     for (const auto& [service, pool] : m_impl->pools) {
-        counts.totalCpuMilli += pool.total.cpuMilli;
-        counts.usedCpuMilli += pool.used.cpuMilli;
+        counts.totalCpuMilli += pool.all.total.cpuMilli;
+        counts.usedCpuMilli += pool.all.used.cpuMilli;
     }
     counts.uncommittedJobs = m_impl->dirtyJobs.size();
     for (const auto& [team, usage] : m_impl->teamUsage)
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -333,10 +333,12 @@
 {
     if (incarnation.pool) {
         incarnation.pool->byFreeCpu.erase({ incarnation.pooledFreeCpu(), incarnation.number });
-        incarnation.pool->total -= incarnation.pooledTotal;
-        incarnation.pool->used -= incarnation.pooledUsed;
-        for (auto* group : incarnation.groups)
+        for (auto* group : incarnation.groups) {
             --group->size;
+            group->total -= incarnation.pooledTotal;
+            group->used -= incarnation.pooledUsed;
+            group->usedByLastingRuns -= incarnation.pooledUsedByLastingRuns;
+        }
         incarnation.groups.clear();
         incarnation.pool = nullptr;
     }
@@ -345,16 +347,19 @@
     incarnation.pool = &pools[incarnation.entry.service];
     incarnation.pooledTotal = incarnation.entry.capacity;
     incarnation.pooledUsed = incarnation.used;
+    incarnation.pooledUsedByLastingRuns = incarnation.usedByLastingRuns;
     incarnation.pool->byFreeCpu.insert({ incarnation.pooledFreeCpu(), incarnation.number });
-    incarnation.pool->total += incarnation.pooledTotal;
-    incarnation.pool->used += incarnation.pooledUsed;
     incarnation.groups.push_back(&incarnation.pool->all);
     if (incarnation.entry.capacity.accelerators > 0)
         incarnation.groups.push_back(&incarnation.pool->withAccelerators);
     for (const auto& label : incarnation.entry.labels)
         incarnation.groups.push_back(&incarnation.pool->byLabel[label]);
-    for (auto* group : incarnation.groups)
+    for (auto* group : incarnation.groups) {
         ++group->size;
+        group->total += incarnation.pooledTotal;
+        group->used += incarnation.pooledUsed;
+        group->usedByLastingRuns += incarnation.pooledUsedByLastingRuns;
+    }
 }
 
 void FleetScheduler::Impl::closeIncarnation(Incarnation& incarnation)
@@ -424,6 +429,7 @@
     if (!std::exchange(run.isLasting, false))
         return;
     incarnation.usedByLastingRuns -= run.demand;
+    updatePool(incarnation);
     teamUsage[key.job->request.team].lasting -= run.charged;
 }
 
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -164,7 +164,7 @@
 
 // Reports a step that waits although there is room for it, because the room is reserved for other steps.
 // Called at the end of a pass, while the reservations of executors stand. Returns whether there was a report.
-bool FleetScheduler::Impl::reportHold(const StepState& step, Instant now)
+bool FleetScheduler::Impl::reportHold(StepState& step, Instant now)
 {
     const auto waited = now - step.waitingSince;
     if (step.waiting == 0 || waited < minReportedHold)
@@ -192,6 +192,11 @@
         why = "why=executor_reserved executor=" + executor.entry.id
             + " for=" + stepText(TaskRef { holder.job->request.id, holder.occurrence, holder.number, 0 })
             + " for_ms=" + std::to_string(toMilliseconds(now - holder.waitingSince));
+    } else if (const auto pool = pools.find(step.queue->service); pool != pools.end() && !isOverdue(step, now)
+               && demand.cpuMilli <= pool->second.largestFreeCpu()
+               && isKeptForUrgentSteps(step, pool->second)) {
+        why = "why=service_reserve free_cpu=" + std::to_string(pool->second.freeCpu())
+            + " total_cpu=" + std::to_string(pool->second.all.total.cpuMilli);
     } else {
         return false;
     }
@@ -324,6 +329,26 @@
             amount(limit.accelerators));
 }
 
+// Returns whether the CPU that is free for the step is reserved for urgent ones. It can't be kept from a step
+// that would find no other room beside long-running tasks, nor on executors with a label that have more free
+// than the whole service.
+bool FleetScheduler::Impl::isKeptForUrgentSteps(const StepState& step, const ServicePool& pool) const
+{
+    if (step.queue->priority == 0)
+        return false;
+    const auto& request = step.request();
+    const auto isKept = [&](const ExecutorGroup& group) {
+        const auto total = static_cast<double>(group.total.cpuMilli);
+        const auto most = (1 - urgentCapacityReserve) * total;
+        return static_cast<double>(group.used.cpuMilli) > most
+            && static_cast<double>(group.usedByLastingRuns.cpuMilli)
+                + static_cast<double>(executorDemand(request).cpuMilli)
+            <= most;
+    };
+    const auto labelled = pool.byLabel.find(request.requiredLabel);
+    return isKept(pool.all) && (labelled == pool.byLabel.end() || isKept(labelled->second));
+}
+
 bool FleetScheduler::Impl::isReservedForOther(const StepState& step, const Incarnation& incarnation) const
 {
     return incarnation.reservedFor && incarnation.reservedFor != &step;
@@ -557,9 +582,7 @@
     if (found == pools.end() || (!overdue && found->second.largestFreeCpu() < demandOf(request).cpuMilli))
         return;
     const auto& pool = found->second;
-    if (step.queue->priority > 0 && !overdue // the reserve is for priority 0 only
-        && static_cast<double>(pool.freeCpu())
-            < urgentCapacityReserve * static_cast<double>(pool.total.cpuMilli))
+    if (!overdue && isKeptForUrgentSteps(step, pool))
         return;
     const bool needsApproval = step.queue->approval.has_value();
     const auto from = needsApproval ? approvedCandidates(step, now) : candidates(step, now);
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -172,6 +172,9 @@
 struct ExecutorGroup {
     std::size_t size = 0;
     std::size_t reserved = 0; // during one placement pass: those with reservedFor set
+    Resources total;
+    Resources used;
+    Resources usedByLastingRuns;
 };
 
 // The registered executors of one service.
@@ -180,13 +183,11 @@
     ExecutorGroup all;
     ExecutorGroup withAccelerators;
     std::map<std::string, ExecutorGroup> byLabel;
-    Resources total;
-    Resources used;
     // Demand of the waiting tasks of steps with an approval call in flight.
     std::int64_t awaitingApprovalCpu = 0;
 
-    std::int64_t freeCpu() const { return total.cpuMilli - used.cpuMilli; }
-    bool isUnderHalfUsed() const { return (used + used).fitsIn(total); }
+    std::int64_t freeCpu() const { return all.total.cpuMilli - all.used.cpuMilli; }
+    bool isUnderHalfUsed() const { return (all.used * 2).fitsIn(all.total); }
     std::int64_t largestFreeCpu() const { return byFreeCpu.empty() ? 0 : byFreeCpu.rbegin()->first; }
 };
 
@@ -242,6 +243,7 @@
     std::vector<ExecutorGroup*> groups; // those of `pool` that contain this executor
     Resources pooledTotal;
     Resources pooledUsed;
+    Resources pooledUsedByLastingRuns;
     // An earlier incarnation of the executor, whose runs are known to have ended once this one answers.
     IncarnationId predecessor = -1;
 
@@ -375,7 +377,7 @@
     void reserveExecutors(StepState& step, Instant now);
     bool isReservedForOther(const StepState& step, const Incarnation& incarnation) const;
     Resources roomFor(const StepState& step, const Incarnation& incarnation, Instant now) const;
-    bool reportHold(const StepState& step, Instant now);
+    bool reportHold(StepState& step, Instant now);
     bool hasCallerCapacityForOverdueStep() const;
     bool hasCallerCapacityForApproval(double expectedMs) const;
     bool hasExecutorCapacityForApproval(const StepState& step) const;
@@ -389,6 +391,7 @@
         const std::unordered_map<IncarnationId, int>& perIncarnation, Instant now) const;
     std::optional<std::size_t> preferredDomain(const StepState& step) const;
     bool fitsQuota(const StepState& step) const;
+    bool isKeptForUrgentSteps(const StepState& step, const internal::ServicePool& pool) const;
     void assign(StepState& step, int index, IncarnationId incarnation, int run, Instant now);
     Resources demandOf(const StepRequest& request) const;
     bool canGetRoom(const StepState& step, const Incarnation& incarnation) const;
