quayd: no tokens are reserved for a gang that services leave no tokens or no workers

A gang that waits for longer than the reservation delay reserves tokens of its team's quota. When services of the team held the tokens that were missing, or services held the workers, the gang could never start, and the team's other jobs were refused with "quota is reserved for an older job of the team" for as long as it waited.

Cause: all running tasks of the team were taken for tasks that release their tokens, services too; and tokens were reserved for a job that lacks workers without asking whether it could get any. (Reservations of workers always counted services as staying.)

--- a/include/quay/core/Placement.h
+++ b/include/quay/core/Placement.h
@@ -167,6 +167,8 @@
     std::mt19937_64& random() { return m_random; }
     std::optional<CapacityReservation>& reservation() { return m_reservation; }
     std::unordered_map<JobId, Instant>& unplacedSince() { return m_unplacedSince; }
+    /** How many of a team's running tasks belong to services, which don't end by themselves. */
+    std::uint32_t serviceTasksOf(const TeamId& team) const;
     /** The racks that hold tasks of a service; null if there are none. */
     const RackCounts* racksOfService(const JobId& job) const;
 
@@ -179,6 +181,7 @@
     std::optional<CapacityReservation> m_reservation;
     // Jobs for which placement found no capacity or too few tokens.
     std::unordered_map<JobId, Instant> m_unplacedSince;
+    std::unordered_map<TeamId, std::uint32_t> m_serviceTasks;
     std::unordered_map<JobId, RackCounts> m_serviceRacks; // spreads services over racks
 };
 
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -330,15 +330,16 @@
     }
 
     // Without a reservation, smaller jobs of the team would take every token that is released, and a gang
-    // would starve. Tokens are reserved only if those that the team's running tasks release can be enough.
+    // would starve. Tokens are reserved only if those that the team's running tasks release can be enough;
+    // its services release none.
     void reserveTokens(const PendingWork& work, std::uint32_t count)
     {
         if (!m_policy.rules.reserveCapacity || !isReservationDue(work)
             || m_reservedTokens.contains(work.team))
             return;
-        const auto reachable
-            = std::uint64_t { tokensLeft(work.team) } + m_state.usageOf(work.team).runningTasks;
-        if (reachable >= count)
+        const auto running = m_state.usageOf(work.team).runningTasks;
+        const auto releasable = running - std::min(running, m_state.serviceTasksOf(work.team));
+        if (std::uint64_t { tokensLeft(work.team) } + releasable >= count)
             m_reservedTokens.emplace(work.team, ReservedTokens { &work, count });
     }
 
@@ -366,9 +367,12 @@
         if (alreadyPlaced > 0)
             return;
         recordUnplaced(work);
-        reserveTokens(work, tasksPerPlacement(work));
-        if (isReservationDue(work))
-            m_starvedJobs.push_back({ m_stillUnplacedSince[work.job], work.submittedAtMs, &work });
+        if (!isReservationDue(work))
+            return;
+        // Tokens would be of no use to a job that services leave no workers.
+        if (!m_reservedTokens.contains(work.team) && findDrainedWorkers(work))
+            reserveTokens(work, tasksPerPlacement(work));
+        m_starvedJobs.push_back({ m_stillUnplacedSince[work.job], work.submittedAtMs, &work });
     }
 
     void recordUnplaced(const PendingWork& work)
@@ -431,14 +435,20 @@
         }
     }
 
-    bool reserve(const PendingWork& work)
+    // Workers that could hold the work once all tasks have ended that end by themselves.
+    std::optional<std::vector<std::uint32_t>> findDrainedWorkers(const PendingWork& work)
     {
         const GangRequest need { work.perTask, tasksPerPlacement(work), true };
         const internal::UsableCapacity drained
             = [&](std::uint32_t worker) { return m_index.at(worker).capacity - m_index.at(worker).pinned; };
         const WorkerIndex::WorkerFilter accept
             = [&](std::uint32_t worker) { return mayUseWorker(work, worker); };
-        const auto workers = internal::findGangWorkers(m_index, need, drained, accept);
+        return internal::findGangWorkers(m_index, need, drained, accept);
+    }
+
+    bool reserve(const PendingWork& work)
+    {
+        const auto workers = findDrainedWorkers(work);
         if (!workers)
             return false;
         CapacityReservation reservation { work.job, { workers->begin(), workers->end() }, m_now, {} };
--- a/src/core/PlacementState.cpp
+++ b/src/core/PlacementState.cpp
@@ -56,6 +56,8 @@
 void PlacementState::taskStarted(const RunningTask& task, Instant now)
 {
     charge(task.team, task.amount, now);
+    if (task.kind == JobKind::Service)
+        ++m_serviceTasks[task.team];
     const auto worker = m_index.find(task.worker);
     if (!worker)
         return;
@@ -71,6 +73,9 @@
 void PlacementState::taskEnded(const RunningTask& task, Instant now)
 {
     release(task.team, task.amount, now);
+    if (const auto it = m_serviceTasks.find(task.team);
+        task.kind == JobKind::Service && it != m_serviceTasks.end() && --it->second == 0)
+        m_serviceTasks.erase(it);
     const auto worker = m_index.find(task.worker);
     if (!worker)
         return;
@@ -88,6 +93,12 @@
         m_serviceRacks.erase(racks);
 }
 
+std::uint32_t PlacementState::serviceTasksOf(const TeamId& team) const
+{
+    const auto it = m_serviceTasks.find(team);
+    return it == m_serviceTasks.end() ? 0 : it->second;
+}
+
 const RackCounts* PlacementState::racksOfService(const JobId& job) const
 {
     const auto it = m_serviceRacks.find(job);
--- a/tests/cores/PlacementTest.cpp
+++ b/tests/cores/PlacementTest.cpp
@@ -331,6 +331,46 @@
     FAIL("the gang never got enough tokens");
 }
 
+// Guards against tokens that are kept for a gang which can never start: the team's other jobs waited with it.
+TEST_CASE("a team's tokens are not reserved for a gang that its services leave no tokens or no workers")
+{
+    struct Row {
+        const char* what;
+        const char* teamOfServices;
+        Resources service; // of each of two services on each of two workers
+        std::uint32_t tokens;
+        std::uint32_t gangTasks;
+        Resources gang;
+        bool isPlaced; // the small job
+    };
+    const Row rows[] = {
+        { "services hold the tokens", "t", { 1'000, 1, 0 }, 2, 4, { 1'000, 1, 0 }, true },
+        { "services hold the workers", "other", { 10'000, 1, 0 }, 2, 2, { 20'000, 1, 0 }, true },
+        { "services hold neither", "other", { 1'000, 1, 0 }, 2, 3, { 1'000, 1, 0 }, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        PlacementPolicy policy;
+        policy.reservationDelay = 5s;
+        PlacementState state(policy);
+        state.setWorkers(makeFleet(2), true);
+        for (const auto* worker : { "w0", "w0", "w1", "w1" }) {
+            auto service = makeWork("service", JobKind::Service, row.service, 1);
+            service.team = TeamId { row.teamOfServices };
+            state.taskStarted(runningTask(service, ServerId { worker }), start);
+        }
+        // One task that ends some time, so that the third gang can get its tokens.
+        state.taskStarted(
+            runningTask(makeWork("old", JobKind::Batch, { 1, 1, 0 }, 1), ServerId { "w0" }), start);
+        const auto gang = makeWork("gang", JobKind::Gang, row.gang, row.gangTasks);
+        place(state, { gang }, tokensForAll(row.tokens), start, 9);
+        auto small = makeWork("small", JobKind::Batch, { 1'000, 1, 0 }, 1);
+        small.submittedAtMs = 1;
+        const auto result = place(state, { small, gang }, tokensForAll(row.tokens), start + 10s, 9);
+        CHECK(result.placements.size() == (row.isPlaced ? 1 : 0));
+    }
+}
+
 TEST_CASE("tasks are placed by the rules of their job kind")
 {
     PlacementState state;
