--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -179,12 +179,12 @@
           });
     std::string why;
     if (!fitsQuota(step)) {
-        const auto used = teamUsage.find(step.job->request.team);
-        const auto after
-            = (used == teamUsage.end() ? Resources() : used->second.total) + step.request().perTask;
-        if (!after.fitsIn(effectiveLimit(step.team->upperLimit)))
+        const auto& charged = step.request().perTask;
+        const auto found = teamUsage.find(step.job->request.team);
+        const auto used = found == teamUsage.end() ? Resources() : found->second.total;
+        if (step.request().isGang || !charged.fitsIn(effectiveLimit(step.team->upperLimit) - used))
             return false; // the limit itself
-        why = "why=team_limit_reserve cpu_after=" + std::to_string(after.cpuMilli)
+        why = "why=team_limit_reserve cpu_after=" + std::to_string(used.cpuMilli + charged.cpuMilli)
             + " cpu_limit=" + std::to_string(step.team->upperLimit.cpuMilli);
     } else if (reserved != reservedExecutors.end()) {
         const auto& executor = incarnations[*reserved];
