--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -62,15 +62,15 @@
 void internal::Incarnation::addUsage(const Run& run)
 {
     used += run.demand;
-    if (run.isLasting)
-        usedByLastingRuns += run.demand;
+    if (run.isOpenEnded)
+        usedByOpenEndedRuns += run.demand;
 }
 
 void internal::Incarnation::removeUsage(const Run& run)
 {
     used -= run.demand;
-    if (run.isLasting)
-        usedByLastingRuns -= run.demand;
+    if (run.isOpenEnded)
+        usedByOpenEndedRuns -= run.demand;
 }
 
 bool internal::Incarnation::hasStartInFlight() const
@@ -337,7 +337,7 @@
             --group->size;
             group->total -= incarnation.pooledTotal;
             group->used -= incarnation.pooledUsed;
-            group->usedByLastingRuns -= incarnation.pooledUsedByLastingRuns;
+            group->usedByOpenEndedRuns -= incarnation.pooledUsedByOpenEndedRuns;
         }
         incarnation.groups.clear();
         incarnation.pool = nullptr;
@@ -347,7 +347,7 @@
     incarnation.pool = &pools[incarnation.entry.service];
     incarnation.pooledTotal = incarnation.entry.capacity;
     incarnation.pooledUsed = incarnation.used;
-    incarnation.pooledUsedByLastingRuns = incarnation.usedByLastingRuns;
+    incarnation.pooledUsedByOpenEndedRuns = incarnation.usedByOpenEndedRuns;
     incarnation.pool->byFreeCpu.insert({ incarnation.pooledFreeCpu(), incarnation.number });
     incarnation.groups.push_back(&incarnation.pool->all);
     if (incarnation.entry.capacity.accelerators > 0)
@@ -358,7 +358,7 @@
         ++group->size;
         group->total += incarnation.pooledTotal;
         group->used += incarnation.pooledUsed;
-        group->usedByLastingRuns += incarnation.pooledUsedByLastingRuns;
+        group->usedByOpenEndedRuns += incarnation.pooledUsedByOpenEndedRuns;
     }
 }
 
@@ -396,8 +396,8 @@
     updatePool(incarnation);
     auto& usage = teamUsage[key.job->request.team];
     usage.total -= it->second.charged;
-    if (it->second.isLasting)
-        usage.lasting -= it->second.charged;
+    if (it->second.isOpenEnded)
+        usage.openEnded -= it->second.charged;
     openOrders.erase({ incarnation.number, key });
     incarnation.runs.erase(it);
     isPlacementDue = true;
@@ -426,19 +426,19 @@
 void FleetScheduler::Impl::markStopRequested(Incarnation& incarnation, const RunKey& key, Run& run)
 {
     run.isStopRequested = true;
-    if (!std::exchange(run.isLasting, false))
+    if (!std::exchange(run.isOpenEnded, false))
         return;
-    incarnation.usedByLastingRuns -= run.demand;
+    incarnation.usedByOpenEndedRuns -= run.demand;
     updatePool(incarnation);
-    teamUsage[key.job->request.team].lasting -= run.charged;
+    teamUsage[key.job->request.team].openEnded -= run.charged;
 }
 
 void FleetScheduler::Impl::chargeTeam(const std::string& team, const Run& run)
 {
     auto& usage = teamUsage[team];
     usage.total += run.charged;
-    if (run.isLasting)
-        usage.lasting += run.charged;
+    if (run.isOpenEnded)
+        usage.openEnded += run.charged;
 }
 
 // An executor may hold a lease that late orders to its previous process or an earlier leader have granted,
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -323,7 +323,7 @@
     run.phase = RunPhase::Inherited;
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
-    run.isLasting = step.request().isLongRunning;
+    run.isOpenEnded = step.request().isLongRunning;
     incarnation->addUsage(run);
     updatePool(*incarnation);
     chargeTeam(job.request.team, run);
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -212,9 +212,9 @@
         return false;
     if (now >= step.nextRoomCheck) {
         step.nextRoomCheck = now + roomCheckInterval;
-        step.canGetRoom = canServiceGetRoom(step);
+        step.hasPossibleRoom = canServiceGetRoom(step);
     }
-    return step.canGetRoom;
+    return step.hasPossibleRoom;
 }
 
 // In a full service, shorter tasks of other steps would take each part of an executor that becomes free, so a
@@ -246,7 +246,7 @@
             || !std::all_of(incarnation.groups.begin(), incarnation.groups.end(),
                 [](const auto* group) { return isReservable(*group); }))
             continue;
-        auto unreserved = incarnation.entry.capacity - incarnation.usedByLastingRuns;
+        auto unreserved = incarnation.entry.capacity - incarnation.usedByOpenEndedRuns;
         auto places = std::min(missing, countFitting(demand, unreserved));
         if (request.maxPerExecutor > 0)
             places = std::min<std::int64_t>(places, request.maxPerExecutor - running);
@@ -254,7 +254,7 @@
         unreserved -= demand * places;
         // Tasks that were placed beside the reservation may outlast those whose room it waits for.
         for (const auto& [key, run] : incarnation.runs) {
-            if (!run.isLasting && run.placedAt >= step.waitingSince + overdueAfter)
+            if (!run.isOpenEnded && run.placedAt >= step.waitingSince + overdueAfter)
                 unreserved -= run.demand;
         }
         incarnation.reservedFor = &step;
@@ -280,7 +280,8 @@
         const auto& incarnation = incarnations[it->second];
         if (!isEligible(step, incarnation) || !canGetRoom(step, incarnation))
             continue;
-        const auto places = countFitting(demand, incarnation.entry.capacity - incarnation.usedByLastingRuns);
+        const auto places
+            = countFitting(demand, incarnation.entry.capacity - incarnation.usedByOpenEndedRuns);
         missing -= request.maxPerExecutor > 0 ? std::min<std::int64_t>(places, request.maxPerExecutor)
                                               : std::min(places, missing);
     }
@@ -293,8 +294,8 @@
 {
     const auto& request = step.request();
     const auto& capacity = incarnation.entry.capacity;
-    return executorDemand(request).fitsIn(capacity - incarnation.usedByLastingRuns)
-        && hasEnoughIdleCpu(request, incarnation.usedByLastingRuns, capacity);
+    return executorDemand(request).fitsIn(capacity - incarnation.usedByOpenEndedRuns)
+        && hasEnoughIdleCpu(request, incarnation.usedByOpenEndedRuns, capacity);
 }
 
 // Returns whether a task of the step, or all members of a gang, may start under the upper limit of its team.
@@ -306,26 +307,26 @@
     const bool mayUseReserve = step.queue->priority == 0 || request.isLongRunning || request.isGang;
     const double count = request.isGang ? request.taskCount : 1;
     // In floating point, because a caller may demand any amount.
-    const auto fits = [&](double perTask, double used, double lasting, double limit) {
+    const auto fits = [&](double perTask, double used, double openEnded, double limit) {
         if (limit == 0)
             return true;
         const double demand = count * perTask;
         const double unreserved = (1 - urgentQuotaReserve) * limit;
         // The reserve can't be kept from a task that is too large for the rest of the limit beside the team's
         // long-running tasks: it would never start. Below half of the limit nothing needs the reserve.
-        const bool isReserveOpen = mayUseReserve || used <= limit / 2 || lasting + demand > unreserved;
+        const bool isReserveOpen = mayUseReserve || used <= limit / 2 || openEnded + demand > unreserved;
         return used + demand <= (isReserveOpen ? limit : unreserved);
     };
     const auto found = teamUsage.find(step.team->name);
-    const auto& [used, lasting] = found == teamUsage.end() ? TeamUsage() : found->second;
+    const auto& [used, openEnded] = found == teamUsage.end() ? TeamUsage() : found->second;
     const auto& limit = step.team->upperLimit;
     const auto& each = request.perTask;
     const auto amount = [](std::int64_t value) { return static_cast<double>(value); };
-    return fits(
-               amount(each.cpuMilli), amount(used.cpuMilli), amount(lasting.cpuMilli), amount(limit.cpuMilli))
+    return fits(amount(each.cpuMilli), amount(used.cpuMilli), amount(openEnded.cpuMilli),
+               amount(limit.cpuMilli))
         && fits(
-            amount(each.memoryMb), amount(used.memoryMb), amount(lasting.memoryMb), amount(limit.memoryMb))
-        && fits(amount(each.accelerators), amount(used.accelerators), amount(lasting.accelerators),
+            amount(each.memoryMb), amount(used.memoryMb), amount(openEnded.memoryMb), amount(limit.memoryMb))
+        && fits(amount(each.accelerators), amount(used.accelerators), amount(openEnded.accelerators),
             amount(limit.accelerators));
 }
 
@@ -341,7 +342,7 @@
         const auto total = static_cast<double>(group.total.cpuMilli);
         const auto most = (1 - urgentCapacityReserve) * total;
         return static_cast<double>(group.used.cpuMilli) > most
-            && static_cast<double>(group.usedByLastingRuns.cpuMilli)
+            && static_cast<double>(group.usedByOpenEndedRuns.cpuMilli)
                 + static_cast<double>(executorDemand(request).cpuMilli)
             <= most;
     };
@@ -500,7 +501,7 @@
     Run run;
     run.demand = demandOf(step.request());
     run.charged = step.request().perTask;
-    run.isLasting = step.request().isLongRunning;
+    run.isOpenEnded = step.request().isLongRunning;
     run.placedAt = run.nextSend = now;
     if (auto it = step.approvals.find(number); it != step.approvals.end()) {
         run.ticket = it->second.ticket;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -71,7 +71,7 @@
     Instant readySince;
     Instant waitingSince; // since when it has had waiting tasks; meaningful only while it is ready
     Instant nextRoomCheck; // of an overdue step
-    bool canGetRoom = false; // result of the last check, see Impl::canServiceGetRoom()
+    bool hasPossibleRoom = false; // result of the last check, see Impl::canServiceGetRoom()
     int criticalPathMs = 0; // sum of estimates on the longest path from this step to the end of the job
 
     const StepRequest& request() const;
@@ -137,7 +137,7 @@
     RunPhase phase = RunPhase::Recording;
     Resources demand; // counted against the executor's capacity
     Resources charged; // counted against the team's upper limit
-    bool isLasting = false; // of a long-running step, and not asked to stop: its end is not in sight
+    bool isOpenEnded = false; // of a long-running step, and not asked to stop: its end is not in sight
     Instant placedAt; // zero if an earlier leader placed it
     std::string ticket;
     Instant ticketUntil; // afterwards the executor refuses a start with this ticket
@@ -174,7 +174,7 @@
     std::size_t reserved = 0; // during one placement pass: those with reservedFor set
     Resources total;
     Resources used;
-    Resources usedByLastingRuns;
+    Resources usedByOpenEndedRuns;
 };
 
 // The registered executors of one service.
@@ -202,7 +202,7 @@
     bool hasAnswered = false; // with our fencing token, so it refuses orders of earlier leaders
     bool isUnresponsive = true; // the last heartbeat failed, or none was answered yet
     Resources used;
-    Resources usedByLastingRuns; // part of `used`, see Run::isLasting
+    Resources usedByOpenEndedRuns; // part of `used`, see Run::isOpenEnded
     std::map<RunKey, Run> runs;
     std::set<std::pair<TaskRef, int>> unknownRuns; // reported as running, but not in `runs`
     bool hasUncountedRuns = false; // the last report listed runs that are not in `runs`, nor in `used`
@@ -243,7 +243,7 @@
     std::vector<ExecutorGroup*> groups; // those of `pool` that contain this executor
     Resources pooledTotal;
     Resources pooledUsed;
-    Resources pooledUsedByLastingRuns;
+    Resources pooledUsedByOpenEndedRuns;
     // An earlier incarnation of the executor, whose runs are known to have ended once this one answers.
     IncarnationId predecessor = -1;
 
@@ -277,10 +277,10 @@
     std::vector<std::string> removedJobs;
 };
 
-// What the active tasks of a team are charged, of which long-running ones, see Run::isLasting.
+// What the active tasks of a team are charged, of which long-running ones, see Run::isOpenEnded.
 struct TeamUsage {
     Resources total;
-    Resources lasting;
+    Resources openEnded;
 };
 
 std::string rackOf(const ExecutorEntry& entry);
--- a/tests/cores/BoundedWaitTest.cpp
+++ b/tests/cores/BoundedWaitTest.cpp
@@ -52,7 +52,7 @@
         const auto end = m_simulation.now + span;
         while (m_simulation.now < end) {
             if (between(0, 60'000) < eventsPerMinute * toMilliseconds(checkInterval))
-                doRandomThing();
+                applyRandomEvent();
             m_simulation.run(checkInterval);
             checkWaits();
         }
@@ -76,7 +76,7 @@
     }
     bool chance(int percent) { return between(0, 99) < percent; }
 
-    void doRandomThing()
+    void applyRandomEvent()
     {
         const auto what = between(0, 99);
         if (what < 55)
