Placement uses fitCount() of the worker index instead of a copy

The copy counted tasks beyond 32 bits and where a dimension without demand is overcommitted; neither occurs at its two uses, which come after a check that one task fits.

--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -1,5 +1,7 @@
 #include "fleet/SchedulerState.h"
 
+#include "quay/core/WorkerIndex.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -78,20 +80,6 @@
     return group.reserved < std::max<std::size_t>(1, group.size / reservableDivisor);
 }
 
-// How many tasks with this demand fit into the room.
-std::int64_t countFitting(const Resources& demand, const Resources& room)
-{
-    auto count = std::numeric_limits<std::int64_t>::max();
-    const auto bound = [&](std::int64_t each, std::int64_t all) {
-        if (each > 0)
-            count = std::min(count, std::max<std::int64_t>(0, all) / each);
-    };
-    bound(demand.cpuMilli, room.cpuMilli);
-    bound(demand.memoryMb, room.memoryMb);
-    bound(demand.accelerators, room.accelerators);
-    return count;
-}
-
 } // namespace
 
 std::unordered_map<IncarnationId, int> internal::tasksPerIncarnation(const StepState& step)
@@ -247,7 +235,7 @@
                 [](const auto* group) { return isReservable(*group); }))
             continue;
         auto unreserved = incarnation.entry.capacity - incarnation.usedByOpenEndedRuns;
-        auto places = std::min(missing, countFitting(demand, unreserved));
+        auto places = std::min<std::int64_t>(missing, fitCount(demand, unreserved));
         if (request.maxPerExecutor > 0)
             places = std::min<std::int64_t>(places, request.maxPerExecutor - running);
         missing -= places;
@@ -280,10 +268,10 @@
         const auto& incarnation = incarnations[it->second];
         if (!isEligible(step, incarnation) || !canGetRoom(step, incarnation))
             continue;
-        const auto places
-            = countFitting(demand, incarnation.entry.capacity - incarnation.usedByOpenEndedRuns);
-        missing -= request.maxPerExecutor > 0 ? std::min<std::int64_t>(places, request.maxPerExecutor)
-                                              : std::min(places, missing);
+        const std::int64_t places
+            = fitCount(demand, incarnation.entry.capacity - incarnation.usedByOpenEndedRuns);
+        missing
+            -= request.maxPerExecutor > 0 ? std::min<std::int64_t>(places, request.maxPerExecutor) : places;
     }
     return missing <= 0;
 }
