An executor's groups are looked up when its registration changes, not at each start and end

Each placement and each end of a run looked up the executor's labels in its pool anew. They follow from its registration, so updatePool() keeps them until leavePool().

--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -146,6 +146,7 @@
                 + " remaining_ms=" + std::to_string(entry.remainingMs));
         incarnation->servesUntil = now + std::chrono::milliseconds(entry.remainingMs);
     }
+    m_impl->leavePool(*incarnation);
     const auto previousStart = incarnation->entry.startedUnixMs;
     incarnation->entry = entry;
     if (entry.startedUnixMs == 0)
--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -27,6 +27,16 @@
 constexpr std::int64_t minClockToIdentifyMs = 5000;
 constexpr std::int64_t maxEstimateMs = 3'600'000; // longer ones count as long
 
+void removeFromPool(Incarnation& incarnation)
+{
+    incarnation.pool->byFreeCpu.erase({ incarnation.pooledFreeCpu(), incarnation.number });
+    for (auto* group : incarnation.groups) {
+        group->total -= incarnation.pooledTotal;
+        group->used -= incarnation.pooledUsed;
+        group->usedByOpenEndedRuns -= incarnation.pooledUsedByOpenEndedRuns;
+    }
+}
+
 } // namespace
 
 std::string internal::rackOf(const ExecutorEntry& entry)
@@ -331,37 +341,45 @@
 // Must be called after each change of the registration, the capacity or the used resources of an executor.
 void FleetScheduler::Impl::updatePool(Incarnation& incarnation)
 {
-    if (incarnation.pool) {
-        incarnation.pool->byFreeCpu.erase({ incarnation.pooledFreeCpu(), incarnation.number });
-        for (auto* group : incarnation.groups) {
-            --group->size;
-            group->total -= incarnation.pooledTotal;
-            group->used -= incarnation.pooledUsed;
-            group->usedByOpenEndedRuns -= incarnation.pooledUsedByOpenEndedRuns;
-        }
-        incarnation.groups.clear();
-        incarnation.pool = nullptr;
-    }
-    if (!incarnation.isRegistered)
+    if (!incarnation.isRegistered) {
+        leavePool(incarnation);
         return;
-    incarnation.pool = &pools[incarnation.entry.service];
+    }
+    if (!incarnation.pool) {
+        incarnation.pool = &pools[incarnation.entry.service];
+        incarnation.groups.push_back(&incarnation.pool->all);
+        if (incarnation.entry.capacity.accelerators > 0)
+            incarnation.groups.push_back(&incarnation.pool->withAccelerators);
+        for (const auto& label : incarnation.entry.labels)
+            incarnation.groups.push_back(&incarnation.pool->byLabel[label]);
+        for (auto* group : incarnation.groups)
+            ++group->size;
+    } else {
+        removeFromPool(incarnation);
+    }
     incarnation.pooledTotal = incarnation.entry.capacity;
     incarnation.pooledUsed = incarnation.used;
     incarnation.pooledUsedByOpenEndedRuns = incarnation.usedByOpenEndedRuns;
     incarnation.pool->byFreeCpu.insert({ incarnation.pooledFreeCpu(), incarnation.number });
-    incarnation.groups.push_back(&incarnation.pool->all);
-    if (incarnation.entry.capacity.accelerators > 0)
-        incarnation.groups.push_back(&incarnation.pool->withAccelerators);
-    for (const auto& label : incarnation.entry.labels)
-        incarnation.groups.push_back(&incarnation.pool->byLabel[label]);
     for (auto* group : incarnation.groups) {
-        ++group->size;
         group->total += incarnation.pooledTotal;
         group->used += incarnation.pooledUsed;
         group->usedByOpenEndedRuns += incarnation.pooledUsedByOpenEndedRuns;
     }
 }
 
+// Also called before the executor's entry changes, because its groups follow from the entry.
+void FleetScheduler::Impl::leavePool(Incarnation& incarnation)
+{
+    if (!incarnation.pool)
+        return;
+    removeFromPool(incarnation);
+    for (auto* group : incarnation.groups)
+        --group->size;
+    incarnation.groups.clear();
+    incarnation.pool = nullptr;
+}
+
 void FleetScheduler::Impl::closeIncarnation(Incarnation& incarnation)
 {
     incarnation.isClosed = true;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -336,6 +336,7 @@
     void loseRuns(Incarnation& incarnation, Instant now, std::string_view why);
     void closeIncarnation(Incarnation& incarnation);
     void updatePool(Incarnation& incarnation);
+    void leavePool(Incarnation& incarnation);
     std::size_t domainIndex(const std::string& zone);
     void evacuate(Incarnation& incarnation, Instant now);
     std::int64_t cpuAwaitingPlacement(const std::string& service) const;
