--- a/src/fleet/SchedulerExecutors.cpp
+++ b/src/fleet/SchedulerExecutors.cpp
@@ -83,6 +83,20 @@
         usedByOpenEndedRuns -= run.demand;
 }
 
+void internal::TeamUsage::add(const Run& run)
+{
+    total += run.charged;
+    if (run.isOpenEnded)
+        openEnded += run.charged;
+}
+
+void internal::TeamUsage::remove(const Run& run)
+{
+    total -= run.charged;
+    if (run.isOpenEnded)
+        openEnded -= run.charged;
+}
+
 bool internal::Incarnation::hasStartInFlight() const
 {
     return std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.isStartInFlight; });
@@ -412,10 +426,7 @@
         return;
     incarnation.removeUsage(it->second);
     updatePool(incarnation);
-    auto& usage = teamUsage[key.job->request.team];
-    usage.total -= it->second.charged;
-    if (it->second.isOpenEnded)
-        usage.openEnded -= it->second.charged;
+    teamUsage[key.job->request.team].remove(it->second);
     openOrders.erase({ incarnation.number, key });
     incarnation.runs.erase(it);
     isPlacementDue = true;
@@ -451,14 +462,6 @@
     teamUsage[key.job->request.team].openEnded -= run.charged;
 }
 
-void FleetScheduler::Impl::chargeTeam(const std::string& team, const Run& run)
-{
-    auto& usage = teamUsage[team];
-    usage.total += run.charged;
-    if (run.isOpenEnded)
-        usage.openEnded += run.charged;
-}
-
 // An executor may hold a lease that late orders to its previous process or an earlier leader have granted,
 // but none that is longer than the maximum.
 void FleetScheduler::Impl::boundLease(Incarnation& incarnation, Instant now) const
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -326,7 +326,7 @@
     run.isOpenEnded = step.request().isLongRunning;
     incarnation->addUsage(run);
     updatePool(*incarnation);
-    chargeTeam(job.request.team, run);
+    teamUsage[job.request.team].add(run);
     incarnation->runs.emplace(RunKey { &job, record.occurrence, record.step, record.index, record.run }, run);
     task.phase = TaskPhase::Active;
     task.incarnation = incarnation->number;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -499,7 +499,7 @@
     if (isReservedForOther(step, incarnation))
         incarnation.unreserved = atLeastZero(incarnation.unreserved - run.demand);
     updatePool(incarnation);
-    chargeTeam(step.job->request.team, run);
+    teamUsage[step.job->request.team].add(run);
     if (task.run == 0)
         times.placementWait.push_back(now - step.readySince);
     task.run = runNumber;
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -281,6 +281,9 @@
 struct TeamUsage {
     Resources total;
     Resources openEnded;
+
+    void add(const Run& run);
+    void remove(const Run& run);
 };
 
 std::string rackOf(const ExecutorEntry& entry);
@@ -358,7 +361,6 @@
     void releaseRun(Incarnation& incarnation, const RunKey& key);
     void requestStop(Incarnation& incarnation, const RunKey& key, Instant now);
     void markStopRequested(Incarnation& incarnation, const RunKey& key, Run& run);
-    void chargeTeam(const std::string& team, const Run& run);
     std::optional<RunKey> keyOf(const TaskRef& task, int run) const;
     TaskRef taskRefOf(const RunKey& key) const;
     void boundLease(Incarnation& incarnation, Instant now) const;
