Tests of reserves share their jobs and queues; the seeded one takes stock once a check

Three new test files each had the same description of a step, queue and job. BoundedWaitTest added up all runs anew for each waiting job, and counted places where fitCount() does; now once for each check.

--- a/tests/cores/BoundedWaitTest.cpp
+++ b/tests/cores/BoundedWaitTest.cpp
@@ -1,4 +1,5 @@
-#include "FleetSimulation.h"
+#include "StepWork.h"
+#include "quay/core/WorkerIndex.h"
 
 #include <doctest/doctest.h>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
 constexpr auto checkInterval = 50ms;
 constexpr int eventsPerMinute = 150;
 
@@ -21,14 +21,12 @@
         , m_simulation(seed, 8)
     {
         const bool needsApproval = chance(50);
-        const auto queue = [&](const char* name, int priority, double decisionMs, double perWorkerMs) {
-            QueuePolicy policy { name, "host", "/", "service", priority, 3, 1.5, 300, false, {} };
-            if (needsApproval)
-                policy.approval = ApprovalPolicy { decisionMs, perWorkerMs, 2000 };
-            return policy;
+        const auto approval = [&](double decisionMs, double perWorkerMs) {
+            return needsApproval ? std::optional(ApprovalPolicy { decisionMs, perWorkerMs, 2000 })
+                                 : std::nullopt;
         };
-        m_simulation.configuration.queues
-            = { queue("urgent", 0, 21, 0.3), queue("watch", 1, 320, 4.6), queue("batch", 2, 440, 6.2) };
+        m_simulation.configuration.queues = { queueOf("urgent", 0, approval(21, 0.3)),
+            queueOf("watch", 1, approval(320, 4.6)), queueOf("batch", 2, approval(440, 6.2)) };
         m_simulation.configuration.teams
             = { { "team", { "key" }, 1, {} }, { "other", { "other-key" }, 1, {} } };
         m_simulation.scheduler->configure(m_simulation.configuration);
@@ -159,12 +157,29 @@
             job.owedSince = {};
     }
 
-    Resources usedOf(const FakeExecutor& executor) const
-    {
+    // What runs at one moment.
+    struct Usage {
+        Resources capacity;
         Resources used;
-        for (const auto& [task, run] : executor.running)
-            used += run.demand;
-        return used;
+        std::map<std::string, Resources> room; // by executor
+        std::map<std::string, Resources> usedByTeam;
+        std::set<std::string> runningJobs;
+    };
+
+    Usage currentUsage() const
+    {
+        Usage usage;
+        for (const auto& [id, executor] : m_simulation.executors) {
+            auto& room = usage.room[id] = executor.entry.capacity;
+            usage.capacity += executor.entry.capacity;
+            for (const auto& [task, run] : executor.running) {
+                room -= run.demand;
+                usage.used += run.demand;
+                usage.usedByTeam[m_jobs.at(task.job).request.team] += run.demand;
+                usage.runningJobs.insert(task.job);
+            }
+        }
+        return usage;
     }
 
     static bool isUnderHalf(const Resources& used, const Resources& all)
@@ -175,30 +190,22 @@
     }
 
     // Room for twice the tasks of the step, on the executors that it may use.
-    bool hasRoomTwice(const StepRequest& step) const
+    bool hasRoomTwice(const StepRequest& step, const Usage& usage) const
     {
-        int places = 0;
+        std::int64_t places = 0;
         for (const auto& [id, executor] : m_simulation.executors) {
             const auto& labels = executor.entry.labels;
-            if (!step.requiredLabel.empty()
-                && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
-                continue;
-            auto room = executor.entry.capacity - usedOf(executor);
-            for (; step.perTask.fitsIn(room); room -= step.perTask)
-                ++places;
+            if (step.requiredLabel.empty()
+                || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end())
+                places += fitCount(step.perTask, usage.room.at(id));
         }
         return places >= 2 * (step.isGang ? step.taskCount : 1);
     }
 
-    bool fitsLimit(const JobRequest& request) const
+    bool fitsLimit(const JobRequest& request, const Usage& usage) const
     {
-        Resources used;
-        for (const auto& [id, executor] : m_simulation.executors) {
-            for (const auto& [task, run] : executor.running) {
-                if (m_jobs.at(task.job).request.team == request.team)
-                    used += run.demand;
-            }
-        }
+        const auto found = usage.usedByTeam.find(request.team);
+        const auto used = found == usage.usedByTeam.end() ? Resources() : found->second;
         const auto& limit = m_simulation.configuration.teamNamed(request.team)->upperLimit;
         const auto& step = request.steps[0];
         const auto after = used + step.perTask * (step.isGang ? step.taskCount : 1);
@@ -208,21 +215,17 @@
 
     void checkWaits()
     {
-        Resources all;
-        Resources used;
-        for (const auto& [id, executor] : m_simulation.executors) {
-            all += executor.entry.capacity;
-            used += usedOf(executor);
-        }
+        const auto usage = currentUsage();
         for (auto it = m_jobs.begin(); it != m_jobs.end();) {
             auto& [id, job] = *it;
+            const bool isRunning = usage.runningJobs.count(id) > 0;
             if (isFinal(m_simulation.phase(id))) {
                 ++finished;
-                it = isRunning(id) ? std::next(it) : m_jobs.erase(it);
+                it = isRunning ? std::next(it) : m_jobs.erase(it);
                 continue;
             }
-            const bool isOwed = !isRunning(id) && isUnderHalf(used, all) && hasRoomTwice(job.request.steps[0])
-                && fitsLimit(job.request);
+            const bool isOwed = !isRunning && isUnderHalf(usage.used, usage.capacity)
+                && hasRoomTwice(job.request.steps[0], usage) && fitsLimit(job.request, usage);
             if (!isOwed)
                 job.owedSince = {};
             else if (job.owedSince == Instant {})
@@ -235,16 +238,6 @@
         }
     }
 
-    bool isRunning(const std::string& id) const
-    {
-        const auto tasks = m_jobs.at(id).request.steps[0].taskCount;
-        for (int i = 0; i < tasks; ++i) {
-            if (m_simulation.runsOf({ id, 0, 0, i }) > 0)
-                return true;
-        }
-        return false;
-    }
-
     std::mt19937 m_random;
     FleetSimulation m_simulation;
     std::map<std::string, Job> m_jobs;
--- a/tests/cores/ReservedExecutorTest.cpp
+++ b/tests/cores/ReservedExecutorTest.cpp
@@ -1,4 +1,4 @@
-#include "FleetSimulation.h"
+#include "StepWork.h"
 
 #include <doctest/doctest.h>
 
@@ -9,35 +9,22 @@
 
 namespace {
 
-constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
 constexpr auto longestWaitOfLongRunning = 6s; // the bound of the platform for a long-running task
 constexpr auto submitInterval = 500ms;
 const std::string occupantJob = "00000000000000a1";
 const std::string waiterJob = "00000000000000a2";
 
-/** Tasks of one step. */
-struct Work {
-    int tasks = 1;
-    Resources each;
-    bool isLongRunning = false;
-    bool isGang = false;
-    const char* label = "b";
-};
-
 // Executors, some of them with the label "b". What needs the label competes for these.
 class LabelledService {
 public:
     LabelledService(int executors, int labelled, bool needsApproval)
         : simulation(11, executors)
     {
-        const auto queue = [&](const char* name, int priority, double decisionMs) {
-            QueuePolicy policy { name, "host", "/", "service", priority, 3, 1.5, 300, false, {} };
-            if (needsApproval)
-                policy.approval = ApprovalPolicy { decisionMs, 5, 2000 };
-            return policy;
+        const auto approval = [&](double decisionMs) {
+            return needsApproval ? std::optional(ApprovalPolicy { decisionMs, 5, 2000 }) : std::nullopt;
         };
-        simulation.configuration.queues
-            = { queue("urgent", 0, 20), queue("watch", 1, 400), queue("batch", 2, 400) };
+        simulation.configuration.queues = { queueOf("urgent", 0, approval(20)),
+            queueOf("watch", 1, approval(400)), queueOf("batch", 2, approval(400)) };
         simulation.scheduler->configure(simulation.configuration);
         simulation.hasIdleCommits = true;
         int number = 0;
@@ -60,20 +47,18 @@
         };
     }
 
-    void submit(const std::string& id, const char* queue, const Work& work)
+    // Requires the label "b" unless `work` names another one.
+    void submit(const std::string& id, const char* queue, StepWork work)
     {
-        auto request = jobOf(id, work.tasks, work.each);
-        request.queue = queue;
-        request.steps[0].isLongRunning = work.isLongRunning;
-        request.steps[0].isGang = work.isGang;
-        request.steps[0].requiredLabel = work.label;
+        if (!work.label)
+            work.label = "b";
         if (work.isLongRunning)
             m_endlessJobs.insert(id);
-        simulation.submit(request);
+        simulation.submit(jobOf(id, queue, work));
     }
 
     // Submits such a job at intervals, and records the longest time that one waited for its first start.
-    void run(Duration span, const Work& work, const char* queue = "urgent")
+    void run(Duration span, const StepWork& work, const char* queue = "urgent")
     {
         const auto end = simulation.now + span;
         while (simulation.now < end) {
@@ -115,9 +100,9 @@
     struct Row {
         const char* name;
         int labelled;
-        Work occupant;
-        Work waiter;
-        Work other;
+        StepWork occupant;
+        StepWork waiter;
+        StepWork other;
         Resources shrunk; // capacity after the occupant has started; zero: unchanged
         bool needsApproval;
         bool isTakenOver;
@@ -191,9 +176,9 @@
         int executors;
         int labelled;
         Duration occupantRunTime; // the occupant's tasks end by themselves
-        Work occupant;
-        Work waiter;
-        Work other;
+        StepWork occupant;
+        StepWork waiter;
+        StepWork other;
         bool isRestFull; // long-running tasks fill the executors without the label
         bool isWaiterStarted;
     };
@@ -217,7 +202,7 @@
         LabelledService service(row.executors, row.labelled, false);
         service.occupantRunTime = row.occupantRunTime;
         if (row.isRestFull) {
-            const Work filler { row.executors - row.labelled, { 8000, 100, 0 }, true, false, "a" };
+            const StepWork filler { row.executors - row.labelled, { 8000, 100, 0 }, true, false, "a" };
             service.submit("00000000000000a3", "watch", filler);
         }
         service.submit(occupantJob, "watch", row.occupant);
--- a/tests/cores/ServiceReserveTest.cpp
+++ b/tests/cores/ServiceReserveTest.cpp
@@ -1,4 +1,4 @@
-#include "FleetSimulation.h"
+#include "StepWork.h"
 
 #include <doctest/doctest.h>
 
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
 const std::string activeJob = "00000000000000a1";
 const std::string batchJob = "00000000000000a2";
 const std::string urgentJob = "00000000000000a3";
@@ -37,10 +36,7 @@
     for (const auto& row : rows) {
         CAPTURE(std::string(row.name));
         FleetSimulation simulation(3, 6);
-        const auto queue = [](const char* name, int priority) {
-            return QueuePolicy { name, "host", "/", "service", priority, 3, 1.5, 300, false, {} };
-        };
-        simulation.configuration.queues = { queue("urgent", 0), queue("watch", 1), queue("batch", 2) };
+        simulation.configuration.queues = { queueOf("urgent", 0), queueOf("watch", 1), queueOf("batch", 2) };
         simulation.scheduler->configure(simulation.configuration);
         simulation.hasIdleCommits = true;
         const auto last = simulation.executors.rbegin()->first;
@@ -51,11 +47,8 @@
             return started;
         };
         const auto submit = [&](const std::string& id, const char* name, int tasks, const char* label) {
-            auto request = jobOf(id, tasks, { 1000, 100, 0 });
-            request.queue = name;
-            request.steps[0].isLongRunning = row.isActiveLongRunning && id == activeJob;
-            request.steps[0].requiredLabel = label;
-            simulation.submit(request);
+            const bool isLongRunning = row.isActiveLongRunning && id == activeJob;
+            simulation.submit(jobOf(id, name, { tasks, { 1000, 100, 0 }, isLongRunning, false, label }));
             simulation.run(longestWait);
         };
         const auto isRunning = [&](const std::string& id) { return simulation.runsOf({ id, 0, 0, 0 }) == 1; };
--- a/tests/cores/TeamLimitReserveTest.cpp
+++ b/tests/cores/TeamLimitReserveTest.cpp
@@ -1,4 +1,4 @@
-#include "FleetSimulation.h"
+#include "StepWork.h"
 
 #include <doctest/doctest.h>
 
@@ -9,27 +9,15 @@
 
 namespace {
 
-constexpr auto longestWait = 3s; // the bound of the platform for a step that there is room for
 const std::string activeJob = "00000000000000a1";
 const std::string waitingJob = "00000000000000a2";
 
-/** Tasks of one step. */
-struct Work {
-    int tasks = 1;
-    Resources each;
-    bool isLongRunning = false;
-    bool isGang = false;
-};
-
 class LimitedTeam {
 public:
     LimitedTeam()
         : simulation(5, 6)
     {
-        const auto queue = [](const char* name, int priority) {
-            return QueuePolicy { name, "host", "/", "service", priority, 3, 1.5, 300, false, {} };
-        };
-        simulation.configuration.queues = { queue("urgent", 0), queue("watch", 1), queue("batch", 2) };
+        simulation.configuration.queues = { queueOf("urgent", 0), queueOf("watch", 1), queueOf("batch", 2) };
         simulation.hasIdleCommits = true;
         simulation.behaviour = [this](const TaskRef&, int) {
             FakeRun started;
@@ -44,13 +32,9 @@
         simulation.scheduler->configure(simulation.configuration);
     }
 
-    void submit(const std::string& id, const char* queue, const Work& work)
+    void submit(const std::string& id, const char* queue, const StepWork& work)
     {
-        auto request = jobOf(id, work.tasks, work.each);
-        request.queue = queue;
-        request.steps[0].isLongRunning = work.isLongRunning;
-        request.steps[0].isGang = work.isGang;
-        simulation.submit(request);
+        simulation.submit(jobOf(id, queue, work));
     }
 
     int running(const std::string& job) const
@@ -74,8 +58,8 @@
         const char* name;
         Resources limitBefore;
         Resources limit;
-        Work active;
-        Work waiting;
+        StepWork active;
+        StepWork waiting;
         bool isTakenOver;
     };
     // Six executors of 8 cores, 8000 MB and 2 accelerators.
@@ -122,8 +106,8 @@
 {
     struct Row {
         const char* name;
-        Work active;
-        Work batch;
+        StepWork active;
+        StepWork batch;
         int batchRunning;
         bool isUrgentRunning;
     };
