--- /dev/null
+++ b/review/standin-3/main.cpp
@@ -0,0 +1,351 @@
+// The scripts of this review, one function each. Usage: cases CASE RECORD-FILE, from the repository's root.
+// TROUBLE=0 in the environment leaves the disruption out. Exit code: 1 the rule was broken, 0 it held, 2 the
+// case couldn't run.
+#include "platform.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <unistd.h>
+
+using namespace review;
+
+namespace {
+
+constexpr int broken = 1;
+constexpr int held = 0;
+constexpr int couldNotRun = 2;
+
+const std::string key = "6x73d3zji9n73hh2b9wu";
+const std::string host = "nony24.example";
+const std::string program = "target/daemons/quay-edge";
+
+bool hasTrouble()
+{
+    const char* value = std::getenv("TROUBLE");
+    return !value || std::string(value) != "0";
+}
+
+json::object route(const std::string& name, const std::string& prefix, int attempts)
+{
+    return { { "name", name }, { "host", host }, { "prefix", prefix }, { "routeType", "non_idempotent" },
+        { "timeoutMs", 3000 }, { "sloMs", 1200 }, { "priority", 1 }, { "service", "service" },
+        { "attempts", attempts }, { "stretch", 2.2 }, { "public", false } };
+}
+
+json::object tenant(const std::string& name, const std::vector<std::string>& keys)
+{
+    return { { "name", name }, { "apiKeys", json::array(keys.begin(), keys.end()) }, { "weight", 12 },
+        { "maxCount", json::object { { "cpu", 0 }, { "memMb", 0 }, { "gpu", 0 } } } };
+}
+
+std::string configuration(int version, json::array routes, json::array tenants)
+{
+    return json::serialize(json::object { { "version", version }, { "routes", std::move(routes) },
+        { "services",
+            json::array { json::object { { "name", "service" }, { "healthPath", "/healthz" }, { "maxConns", 64 },
+                { "protocol", "h1" }, { "enforcesCapacity", false }, { "standby", false } } } },
+        { "limits", json::object {} }, { "tenants", std::move(tenants) } });
+}
+
+// Three nodes, the store, and executors; the folder for settings is removed at the end.
+struct Cell {
+    Cell(int nodeCount, int executorCount, std::int64_t cpu)
+        : folder(makeFolder())
+        , store(ip(200))
+        , fleet(store)
+        , nodes(program, folder)
+    {
+        for (int i = 0; i < executorCount; ++i)
+            fleet.add("i-" + std::to_string(1000 + i), ip(100 + i), "service", cpu);
+        for (int i = 0; i < nodeCount; ++i)
+            nodes.add("edge-" + std::to_string(i + 1), ip(i + 1), "z", store.address());
+    }
+    // Ends the processes. The cell itself is never destroyed, because the stand-ins' threads go on until the exit.
+    void end()
+    {
+        nodes.endAll();
+        std::error_code ec;
+        if (!std::getenv("KEEP_LOGS"))
+            std::filesystem::remove_all(folder, ec);
+        else
+            std::cout << folder << "\n";
+    }
+
+    static std::string makeFolder()
+    {
+        char name[] = "/tmp/review-3-XXXXXX";
+        return mkdtemp(name);
+    }
+    // Loopback addresses of its own, so that the nodes' fixed port for metrics is free.
+    static std::string ip(int last)
+    {
+        const int pid = getpid();
+        return "127." + std::to_string(64 + pid % 128) + "." + std::to_string(1 + pid / 128 % 250) + "."
+            + std::to_string(last);
+    }
+
+    bool begin(const std::string& text)
+    {
+        store.put("op", "", "config", text);
+        for (const auto& name : nodes.names())
+            nodes.start(name);
+        if (!nodes.awaitReady(15'000))
+            return false;
+        sleepMs(2500); // a leader has read its tables and heard the executors
+        record("ready, leader=" + store.lastConditionalWriter());
+        return !store.lastConditionalWriter().empty();
+    }
+
+    Answer request(const std::string& node, const std::string& method, const std::string& path,
+        const std::string& body = {}, std::int64_t deadlineMs = 3000, std::int64_t leaveAfterMs = 0,
+        const std::string& withKey = key)
+    {
+        const auto answer = call(nodes.front(node), method, path,
+            { { "Host", host }, { "Authorization", "Bearer " + withKey },
+                { "Deadline-Ms", std::to_string(deadlineMs) }, { "Content-Type", "application/json" } },
+            body, leaveAfterMs ? leaveAfterMs : deadlineMs);
+        record("request node=" + node + " " + method + " " + path + " -> "
+            + (answer.status ? std::to_string(answer.status) + " " + answer.body.substr(0, 160) : "no answer")
+            + (body.empty() ? "" : " body=" + body));
+        return answer;
+    }
+
+    std::string folder;
+    Store store;
+    Fleet fleet;
+    Nodes nodes;
+};
+
+Cell* theCell = nullptr;
+
+Cell& makeCell(int nodeCount, int executorCount, std::int64_t cpu)
+{
+    theCell = new Cell(nodeCount, executorCount, cpu);
+    return *theCell;
+}
+
+std::string jobId(int number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", 0x5c0e7a21U + static_cast<unsigned>(number));
+    return text;
+}
+
+// --- A route is dropped, and the leader is replaced ---
+
+int droppedRoute()
+{
+    auto& cell = makeCell(3, 6, 8000);
+    json::array routes { route("r-kept", "/kept/", 2), route("r-old", "/old/", 2) };
+    const json::array tenants { tenant("kaje80", { key }) };
+    if (!cell.begin(configuration(7, routes, tenants)))
+        return couldNotRun;
+    const auto leader = cell.store.lastConditionalWriter();
+    // Two steps of 4 s and 1 s, the second after the first.
+    const std::string body = R"({"spec":"6000,1000","steps":[{"count":1,"cpu":1000,"memMb":256,"estimateMs":6000},)"
+                             R"({"count":1,"cpu":1000,"memMb":256,"estimateMs":1000,"after":[0]}]})";
+    const int jobs = 5;
+    for (int i = 0; i < jobs; ++i) {
+        if (cell.request("edge-1", "POST", "/old/" + jobId(i), body).status != 200)
+            return couldNotRun;
+    }
+    if (cell.request("edge-2", "POST", "/kept/" + jobId(jobs), body).status != 200)
+        return couldNotRun;
+    sleepMs(1500);
+    // Planned work: a version that drops the route.
+    cell.store.put("op", "", "config", configuration(9, { route("r-kept", "/kept/", 2) }, tenants));
+    record("configuration acknowledged version=9, without the route r-old");
+    sleepMs(2500); // configApplyMs is over
+    cell.request("edge-3", "GET", "/old/");
+    if (hasTrouble()) { // one machine is stopped and started again
+        cell.nodes.signal(leader, SIGTERM);
+        cell.nodes.await(leader);
+        cell.nodes.start(leader);
+    }
+    // finish_s (14 s) after the last hand-in and after the steps could be over, and 3 s more.
+    sleepMs(26'000);
+    record("at the end the leader is " + cell.store.lastConditionalWriter());
+    const auto events = cell.fleet.events();
+    int lost = 0;
+    for (int i = 0; i <= jobs; ++i) {
+        const auto has = [&](RunEvent::Kind kind, const std::string& task, const std::string& how) {
+            return std::any_of(events.begin(), events.end(), [&](const RunEvent& it) {
+                return it.kind == kind && it.task == task && it.how == how;
+            });
+        };
+        const bool isFirstNoted = has(RunEvent::Noted, jobId(i) + ".0.0.0", "done");
+        const bool isSecondStarted = has(RunEvent::Start, jobId(i) + ".0.1.0", "");
+        const bool isIdle = cell.fleet.running(jobId(i)) == 0;
+        record("job " + jobId(i) + (i == jobs ? " (kept route)" : " (dropped route)") + ": first step done and noted="
+            + (isFirstNoted ? "yes" : "no") + " second step started=" + (isSecondStarted ? "yes" : "no")
+            + " runs now=" + (isIdle ? "0" : "some"));
+        if (!isFirstNoted)
+            return couldNotRun;
+        lost += !isSecondStarted && isIdle ? 1 : 0;
+    }
+    record("jobs that were accepted, could run and don't: " + std::to_string(lost));
+    return lost > 0 ? broken : held;
+}
+
+// --- A call to cancel is answered 410, and the job runs afterwards ---
+
+int cancelledThenRun()
+{
+    constexpr std::int64_t cancelMs = 3000;
+    constexpr std::int64_t stopMs = 900;
+    constexpr std::int64_t stableMs = 3000;
+    constexpr std::int64_t troubleMs = 4500;
+    auto& cell = makeCell(3, 12, 32000);
+    const json::array routes { route("r-one", "/one/", 2) };
+    if (!cell.begin(configuration(7, routes, { tenant("kaje80", { key }) })))
+        return couldNotRun;
+    // One task of 1 core for 20 s.
+    const std::string body = R"({"spec":"20000","steps":[{"count":1,"cpu":1000,"memMb":256,"estimateMs":20000}]})";
+    std::atomic<int> writes = 0;
+    if (hasTrouble()) {
+        // platform_lost, late: 35 of 100 writes get no answer and are done 1 to 6 s later.
+        cell.store.setFate([&writes](const json::object&) {
+            const unsigned n = static_cast<unsigned>(writes++);
+            const unsigned draw = (n * 2654435761U) >> 16U;
+            Store::Fate fate;
+            if (draw % 100 < 35) {
+                fate.isAnswerLost = true;
+                fate.delayMs = 1000 + draw / 100 % 5000;
+            }
+            return fate;
+        });
+        record("from now on the store loses answers of writes");
+    }
+    const auto since = nowMs();
+    std::mutex mutex;
+    std::map<std::string, std::int64_t> cancelledAt;
+    std::vector<std::thread> callers;
+    int number = 0;
+    while (nowMs() - since < troubleMs) {
+        const auto id = jobId(number);
+        const bool leavesEarly = number % 5 < 2; // 0.4 of the callers
+        callers.emplace_back([&, id, number, leavesEarly] {
+            const auto node = "edge-" + std::to_string(number % 3 + 1);
+            const auto other = "edge-" + std::to_string((number + 1) % 3 + 1);
+            const auto answer = cell.request(node, "POST", "/one/" + id, body, 3000, leavesEarly ? 300 : 0);
+            if (!leavesEarly)
+                return;
+            sleepMs(50);
+            const auto cancel = cell.request(other, "DELETE", "/one/" + id);
+            if (cancel.status != 410 && cancel.status / 100 != 2)
+                return;
+            const std::lock_guard lock(mutex);
+            cancelledAt[id] = nowMs();
+            record("cancelling acknowledged id=" + id + " status=" + std::to_string(cancel.status)
+                + " hand-in=" + std::to_string(answer.status));
+        });
+        ++number;
+        sleepMs(100);
+    }
+    cell.store.setFate({});
+    const auto end = nowMs();
+    record("the store answers again");
+    for (auto& it : callers)
+        it.join();
+    // No disruption near: stableMs after the end of the disruption and of the last late write (6 s), and then
+    // cancel_ms + stopMs.
+    sleepMs(std::max<std::int64_t>(0, end + 6000 + stableMs + cancelMs + stopMs + 500 - nowMs()));
+    int broken = 0;
+    for (const auto& [id, at] : cancelledAt) {
+        if (cell.fleet.running(id) == 0)
+            continue;
+        const auto state = cell.request("edge-1", "GET", "/one/" + id);
+        record("runs on id=" + id + " " + std::to_string(nowMs() - at) + " ms after the acknowledgement; state "
+            + state.body);
+        ++broken;
+    }
+    record("cancelled jobs: " + std::to_string(cancelledAt.size()) + ", of which run on: " + std::to_string(broken));
+    if (cancelledAt.empty())
+        return couldNotRun;
+    return broken > 0 ? ::broken : held;
+}
+
+// --- An executor goes down and up, and a job fails without a failed run ---
+
+int flappingExecutor()
+{
+    auto& cell = makeCell(3, 10, 8000);
+    const json::array routes { route("r-one", "/one/", 2) };
+    if (!cell.begin(configuration(7, routes, { tenant("kaje80", { key }) })))
+        return couldNotRun;
+    // Nine lasting tasks that fill nine executors, one each.
+    const std::string filler
+        = R"({"spec":"0","steps":[{"count":9,"cpu":7000,"memMb":256,"longRunning":true,"maxPerServer":1}]})";
+    if (cell.request("edge-1", "POST", "/one/" + jobId(0), filler).status != 200)
+        return couldNotRun;
+    sleepMs(2000);
+    Executor* flapping = nullptr;
+    const auto events = cell.fleet.events();
+    for (const auto& it : cell.fleet.executors()) {
+        if (std::none_of(events.begin(), events.end(),
+                [&](const RunEvent& event) { return event.executor == it->id(); }))
+            flapping = it.get();
+    }
+    if (!flapping || cell.fleet.running(jobId(0)) != 9)
+        return couldNotRun;
+    record("the executor without a lasting task is " + flapping->id());
+    // A job with one task of 2 s, and while the executor flaps none besides.
+    const std::string body = R"({"spec":"2000","steps":[{"count":1,"cpu":2000,"memMb":256,"estimateMs":2000}]})";
+    if (cell.request("edge-2", "POST", "/one/" + jobId(1), body).status != 200)
+        return couldNotRun;
+    sleepMs(150);
+    std::thread flaps;
+    if (hasTrouble()) {
+        // srv_flap: a tenth of the executors go down and up by turns, with a period of 1.4 s, for 6.5 s.
+        flaps = std::thread([flapping] {
+            const auto since = nowMs();
+            while (nowMs() - since < 6500) {
+                flapping->crash();
+                sleepMs(900);
+                flapping->startAgain();
+                sleepMs(500);
+            }
+        });
+    }
+    if (flaps.joinable())
+        flaps.join();
+    sleepMs(14'000);
+    const auto state = cell.request("edge-1", "GET", "/one/" + jobId(1));
+    int failedEnds = 0;
+    for (const auto& it : cell.fleet.events())
+        failedEnds += it.kind == RunEvent::End && it.task.starts_with(jobId(1)) && it.how == "failed" ? 1 : 0;
+    record("job " + jobId(1) + " is shown as " + state.body + ", ends failed: " + std::to_string(failedEnds)
+        + ", attempts of its route: 2");
+    if (state.status != 200)
+        return couldNotRun;
+    return state.body.find("failed") != std::string::npos && failedEnds < 2 ? ::broken : held;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 3 || access(program.c_str(), X_OK) != 0)
+        return couldNotRun;
+    std::signal(SIGPIPE, SIG_IGN);
+    openRecord(argv[2]);
+    record(std::string("case ") + argv[1] + (hasTrouble() ? ", with" : ", without") + " the disruption");
+    const std::map<std::string, int (*)()> cases { { "dropped-route", droppedRoute },
+        { "cancelled-then-run", cancelledThenRun }, { "flapping-executor", flappingExecutor } };
+    const auto found = cases.find(argv[1]);
+    if (found == cases.end())
+        return couldNotRun;
+    int result = couldNotRun;
+    try {
+        result = found->second();
+    } catch (const std::exception& error) {
+        record(std::string("exception: ") + error.what());
+    }
+    if (theCell)
+        theCell->end();
+    record("exit " + std::to_string(result));
+    _exit(result); // the stand-ins' threads go on until then
+}
