review: case 12, new channels are refused during the cut

Cause: a partition lets no new channel through, while the stand-in accepted them and left them without an answer. Change: an executor that is cut off refuses new channels; the open ones stay silent.

--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -126,6 +126,14 @@
         ::shutdown(it->native_handle(), SHUT_RDWR);
 }
 
+void Server::stopListening()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_acceptor)
+        ::shutdown(m_acceptor->native_handle(), SHUT_RDWR);
+    m_acceptor = nullptr;
+}
+
 void Server::acceptLoop(std::shared_ptr<tcp::acceptor> acceptor)
 {
     for (;;) {
@@ -556,6 +564,10 @@
     const std::lock_guard lock(m_mutex);
     record(std::string(isCut ? "cut off" : "no longer cut off") + " executor=" + m_id);
     m_isCut = isCut;
+    if (isCut)
+        m_server->stopListening();
+    else if (m_isUp)
+        m_server->start();
 }
 
 std::string Executor::kind() const
@@ -575,7 +587,8 @@
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch())
                  .count();
-    m_server->start();
+    if (!m_isCut)
+        m_server->start();
     m_isUp = true;
     registerSelf();
 }
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -59,6 +59,8 @@
     // Closes all channels and refuses new ones until it is started again at the same address.
     void stop();
     void start();
+    // Refuses new channels; the open ones stay.
+    void stopListening();
 
 private:
     void acceptLoop(std::shared_ptr<tcp::acceptor> acceptor);
@@ -176,7 +178,8 @@
     // Starts again under the same id: it knows nothing of before. `kind` is its first label.
     void startAgain(const std::string& kind = "a");
     bool isUp() const { return m_isUp; }
-    // While it is cut off, nothing that is sent to it arrives, and it says nothing of itself.
+    // While it is cut off, nothing that is sent on open channels arrives, new ones are refused, and it says
+    // nothing of itself.
     void cutOff(bool isCut);
     std::string kind() const;
 
