--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -23,6 +23,8 @@
 
 // As in the pages of the smaller installations.
 constexpr std::int64_t maxHoldMs = 6000;
+constexpr std::int64_t readMs = 4; // what an answer of the store takes
+constexpr std::int64_t writeMs = 12; // with the transaction of 8 ms
 constexpr std::int64_t beatMs = 1500;
 
 std::int64_t integerOf(const json::object& object, std::string_view name)
@@ -275,13 +277,6 @@
     m_fate = std::move(fate);
 }
 
-void Store::setLatency(std::int64_t readMs, std::int64_t writeMs)
-{
-    const std::lock_guard lock(m_mutex);
-    m_readMs = readMs;
-    m_writeMs = writeMs;
-}
-
 std::string Store::lastConditionalWriter() const
 {
     const std::lock_guard lock(m_mutex);
@@ -299,13 +294,6 @@
 
 Response Store::serve(const Request& request)
 {
-    std::int64_t readMs = 0;
-    std::int64_t writeMs = 0;
-    {
-        const std::lock_guard lock(m_mutex);
-        readMs = m_readMs;
-        writeMs = m_writeMs;
-    }
     if (request.path == "/rows-tx") {
         const auto body = json::parse(request.body).as_object();
         Fate fate;
@@ -317,7 +305,7 @@
         if (decide)
             fate = decide(body);
         if (fate.isAnswerLost) {
-            std::thread([this, body, fate, writeMs] {
+            std::thread([this, body, fate] {
                 sleepMs(writeMs + fate.delayMs);
                 transact(body);
             }).detach();
@@ -380,11 +368,9 @@
     const auto after = std::stoll(request.query.at("after"));
     const auto wait = request.query.count("waitMs") ? std::stoll(request.query.at("waitMs")) : 0;
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
-    std::int64_t readMs = 0;
     Response response;
     {
         std::unique_lock lock(m_mutex);
-        readMs = m_readMs;
         for (;;) {
             std::map<std::int64_t, json::object> changed;
             for (const auto& [name, row] : m_rows) {
@@ -570,12 +556,6 @@
         m_server->start();
 }
 
-std::string Executor::kind() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_kind;
-}
-
 void Executor::startAgain(const std::string& kind)
 {
     const std::lock_guard lock(m_mutex);
@@ -848,12 +828,6 @@
     return result;
 }
 
-bool Nodes::isRunning(const std::string& name)
-{
-    const int pid = m_nodes.at(name).pid;
-    return pid > 0 && waitpid(pid, nullptr, WNOHANG) == 0;
-}
-
 bool Nodes::awaitReady(std::int64_t timeoutMs)
 {
     const auto until = nowMs() + timeoutMs;
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -100,7 +100,6 @@
     void drop(const std::string& table, const std::string& part, const std::string& key);
     // Decides the fate of each transaction; by default it is executed and answered.
     void setFate(std::function<Fate(const json::object&)> fate);
-    void setLatency(std::int64_t readMs, std::int64_t writeMs);
     // The node that last wrote under a condition on a row that names a node in its value.
     std::string lastConditionalWriter() const;
 
@@ -122,8 +121,6 @@
     std::map<Name, Row> m_rows;
     std::int64_t m_version = 0;
     std::function<Fate(const json::object&)> m_fate;
-    std::int64_t m_readMs = 4;
-    std::int64_t m_writeMs = 12;
     std::string m_lastWriter;
     std::unique_ptr<Server> m_server;
 };
@@ -181,7 +178,6 @@
     // While it is cut off, nothing that is sent on open channels arrives, new ones are refused, and it says
     // nothing of itself.
     void cutOff(bool isCut);
-    std::string kind() const;
 
 private:
     friend class Fleet;
@@ -247,7 +243,6 @@
     std::string front(const std::string& name) const;
     std::string readiness(const std::string& name) const;
     std::vector<std::string> names() const;
-    bool isRunning(const std::string& name);
     bool awaitReady(std::int64_t timeoutMs);
 
 private:
