A submission that arrives after its job was cancelled is refused

A node had frozen with the submissions unread in its sockets; their callers cancelled them at another node.

Cause: a 410 was given from a state that the submission had not reached yet, and left nothing behind. Neither a row nor the leader's memory told those who accepted the job later that it had been taken back. What the leader kept of early cancellations (of jobs with a row only) had no end and was not looked at when a job was accepted.

Change: the cancellation of a job that does not exist is stored before it is acknowledged, under the condition that the job has no row; a node's own write of a job has the opposite condition. The leader refuses submissions of such a job from the moment that a node asks it to cancel, and reads the stored ones when it loads its tables. They go after the retention of finished jobs, and are limited in rate and number for each team. The refusal is 410, job_cancelled, not run.

Why it works: a cancellation is refused or stored before its answer. From then on each way to an accepted job passes a check: the leader's list (which a successor restores), or the condition in the store. A job that gets past it, at a leader that only the store has told, is cancelled when the leader reads the row.

--- a/include/quay/core/Reason.h
+++ b/include/quay/core/Reason.h
@@ -44,6 +44,7 @@
     Overloaded = 27,
     SubmissionUnknown = 28,
     CursorTooOld = 29,
+    JobCancelled = 30,
 };
 
 /** One row of the error table. */
--- a/src/core/Reason.cpp
+++ b/src/core/Reason.cpp
@@ -75,6 +75,8 @@
         "send it again with the same request id; it is never done twice" },
     ErrorEntry { CursorTooOld, "cursor_too_old", 410, NotRun, "events after this cursor were removed",
         "list the jobs and watch again from cursor 0" },
+    ErrorEntry { JobCancelled, "job_cancelled", 410, NotRun, "this job was cancelled before it was accepted",
+        "submit new work under a new job id" },
 };
 
 } // namespace
--- a/src/edge/CellLeader.cpp
+++ b/src/edge/CellLeader.cpp
@@ -50,6 +50,7 @@
     , m_leadershipVersion(version)
     , m_term(version)
     , m_onLeadershipLost(std::move(onLeadershipLost))
+    , m_tombstones({ .lifetime = bounds.finishedJobRetention })
     , m_lastCommitAt(clockNow())
     , m_tickTimer(services.context)
     , m_starts(services.metrics.counter("quay_start_orders_total", "Orders to start a task"))
@@ -124,17 +125,51 @@
         return;
     Reason reason;
     if (const auto request = toJobRequest(job, reason)) {
-        m_scheduler.submit(*request, clockNow());
-        if (m_earlyCancels.erase(request->id))
-            m_scheduler.cancel(request->id, clockNow());
+        addJob(*request, false);
         runSchedulerSoon();
     }
 }
 
-void CellLeader::cancel(const std::string& id)
+void CellLeader::addJob(const JobRequest& request, bool isFound)
 {
-    if (!m_scheduler.cancel(id, clockNow()))
-        m_earlyCancels.insert(id);
+    const auto now = clockNow();
+    m_scheduler.submit(request, now, isFound);
+    if (m_tombstones.resolve(request.id))
+        m_scheduler.cancel(request.id, now);
+}
+
+// Whether the job has rows that only another version of the program can read.
+bool CellLeader::isStoredUnread(const std::string& id) const
+{
+    return m_heldJobs.count(id) || m_unreadableJobs.count(id);
+}
+
+CancelAnswer CellLeader::requestCancel(const std::string& id, const std::string& team)
+{
+    if (!m_isLoaded || m_isStopped || m_isRelinquishing)
+        return CancelAnswer::Unavailable;
+    if (m_scheduler.durablePhase(id) || isStoredUnread(id) || isBeingAccepted(id))
+        return CancelAnswer::JobKnown;
+    if (!canCommit(clockNow())) // another leader may have deleted what this one has as stored
+        return CancelAnswer::Unavailable;
+    switch (m_tombstones.reserve(id, team, clockNow())) {
+    case CancelTombstones::Reservation::Reserved:
+        return CancelAnswer::Reserved;
+    case CancelTombstones::Reservation::Durable:
+        return CancelAnswer::Stored;
+    case CancelTombstones::Reservation::Refused:
+        break;
+    }
+    return CancelAnswer::LimitReached;
+}
+
+void CellLeader::cancel(const std::string& id, std::int64_t rowVersion)
+{
+    const auto now = clockNow();
+    if (!m_scheduler.cancel(id, now)) {
+        m_tombstones.add(id, rowVersion, now);
+        refuseWaitingAccept(id);
+    }
     runSchedulerSoon();
 }
 
@@ -149,8 +184,10 @@
         if (clockNow() - self->m_lastSchedulerRun >= self->m_schedulerInterval)
             self->runScheduler();
         self->commitHeartbeatIfIdle();
-        if (const auto now = clockNow(); now - self->m_load.since >= loadLogInterval)
+        const auto now = clockNow();
+        if (now - self->m_load.since >= loadLogInterval)
             self->logLoad(now);
+        self->deleteExpiredTombstones(now);
         self->tick();
     });
 }
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -2,6 +2,7 @@
 
 #include "StoreClient.h"
 #include "edge/ApprovalBroker.h"
+#include "edge/CancelTombstones.h"
 #include "edge/CommitAttempts.h"
 #include "edge/JobRows.h"
 #include "edge/NodeLog.h"
@@ -68,8 +69,15 @@
     void accept(const StoredJob& job, AcceptCallback done);
     /** Adds a job whose row is already durable; ignored until the tables are loaded. */
     void submit(const StoredJob& job);
-    /** Cancels a job. If the job is not known yet, the cancellation is applied once it is. */
-    void cancel(const std::string& id);
+    /** Tells whether there is such a job. If not, no submission of it is accepted from now on. */
+    CancelAnswer requestCancel(const std::string& id, const std::string& team);
+    /**
+     * Cancels a job whose cancellation is durable. If the job is not known, no submission of it is accepted,
+     * and if it turns out to be stored it is cancelled then. `rowVersion`: of the cancellation, if known.
+     */
+    void cancel(const std::string& id, std::int64_t rowVersion = 0);
+    /** The number of cancellations of jobs that are not known. */
+    std::size_t tombstones() const { return m_tombstones.size(); }
 
     /** True once the durable state has been read and restored. */
     bool isLoaded() const { return m_isLoaded; }
@@ -115,6 +123,9 @@
     void holdBack(const std::string& id, const Reason& reason);
     void restoreNextBatch();
     void restoreJob(const platform::StoreRow& row);
+    void addJob(const fleet::JobRequest& request, bool isFound);
+    void deleteExpiredTombstones(Instant now);
+    void deleteTombstone(const CancelTombstones::Expired& tombstone);
     void applyJobRow(const platform::StoreRow& row, bool isFound = false);
     void applyExecutorRow(const platform::StoreRow& row);
     void executorDeregistered(const std::string& id);
@@ -145,6 +156,9 @@
         void answer(AcceptOutcome outcome) const;
     };
 
+    bool isStoredUnread(const std::string& id) const;
+    bool isBeingAccepted(const std::string& id) const;
+    void refuseWaitingAccept(const std::string& id);
     static bool joinPendingAccept(
         std::vector<PendingAccept>& accepts, const StoredJob& job, AcceptCallback& done);
 
@@ -197,7 +211,9 @@
     std::int64_t m_executorsVersionRead = 0;
     std::set<std::string> m_registeredExecutors; // with a valid registration row
     std::set<std::string> m_heldJobs; // whose records could not be read; they are not run
-    std::set<std::string> m_earlyCancels; // cancelled jobs that the scheduler does not know yet
+    std::set<std::string> m_unreadableJobs; // with a row that could not be read
+    CancelTombstones m_tombstones;
+    Instant m_tombstonesCheckedAt {};
 
     std::optional<fleet::CommitAction> m_commitInFlight; // without records: a heartbeat or accepted jobs
     std::optional<fleet::CommitAction> m_queuedCommit; // sent once the commit in flight is durable
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -65,6 +65,11 @@
 
 void CellLeader::accept(const StoredJob& job, AcceptCallback done)
 {
+    if (!m_isStopped && m_tombstones.contains(job.id) && !isStoredUnread(job.id)
+        && !m_scheduler.durablePhase(job.id)) {
+        done(AcceptOutcome::Cancelled);
+        return;
+    }
     if (!m_isLoaded || m_isStopped || m_isRelinquishing || !canCommit(clockNow())
         || m_waitingAccepts.size() >= maxWaitingAccepts || m_lastCommitLatency >= slowCommitLatency) {
         done(AcceptOutcome::NotWritten);
@@ -87,6 +92,26 @@
         it(outcome);
 }
 
+bool CellLeader::isBeingAccepted(const std::string& id) const
+{
+    const auto isSame = [&](const PendingAccept& accept) { return accept.job.id == id; };
+    return std::any_of(m_waitingAccepts.begin(), m_waitingAccepts.end(), isSame)
+        || std::any_of(m_acceptsInFlight.begin(), m_acceptsInFlight.end(), isSame);
+}
+
+// A job of the commit in flight is cancelled once it is durable; one that waits for a commit need not become
+// so.
+void CellLeader::refuseWaitingAccept(const std::string& id)
+{
+    const auto it = std::find_if(m_waitingAccepts.begin(), m_waitingAccepts.end(),
+        [&](const PendingAccept& accept) { return accept.job.id == id; });
+    if (it == m_waitingAccepts.end())
+        return;
+    const auto accept = std::move(*it);
+    m_waitingAccepts.erase(it);
+    accept.answer(AcceptOutcome::Cancelled);
+}
+
 // Adds a repeated submission to the pending one of the same job, so that both get the same answer. A
 // different job with the same id is answered as not written; the caller's node then compares it with the
 // stored row.
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -23,6 +23,9 @@
 constexpr auto executorsPollInterval = 250ms;
 constexpr std::size_t fullAnswerRows = 200; // a response with this many rows means that more are available
 constexpr auto jobsPollInterval = 700ms; // bounds the delay of jobs whose notification to the leader was lost
+constexpr auto tombstoneCheckInterval = 100ms;
+constexpr std::size_t maxTombstoneDeletions = 8; // in one check; more than callers can add in that time
+constexpr auto tombstoneRetryDelay = 2000ms; // nobody waits for it
 constexpr std::size_t restoreBatchSize = 40; // jobs; takes a few milliseconds on a tenth of a processor
 
 // An executor's id goes into headers and into requests that name other executors too.
@@ -241,12 +244,13 @@
         auto decoded = job ? toJobRequest(*job, reason) : std::nullopt;
         if (!decoded) {
             m_services.log.write("job_unreadable", row.key, { { "reason", reason.explain() } });
+            m_unreadableJobs.insert(row.key);
             return;
         }
         request = std::move(*decoded);
     }
     m_scheduler.restore(request, record->second, clockNow());
-    if (m_earlyCancels.erase(request.id))
+    if (m_tombstones.resolve(request.id))
         m_scheduler.cancel(request.id, clockNow());
 }
 
@@ -254,9 +258,8 @@
 {
     if (row.isDeleted)
         return;
-    const auto now = clockNow();
     if (row.key.ends_with(cancellationSuffix)) {
-        cancel(row.key.substr(0, row.key.size() - 1));
+        cancel(row.key.substr(0, row.key.size() - 1), row.version);
         return;
     }
     if (m_heldJobs.count(row.key))
@@ -266,11 +269,52 @@
     const auto request = job ? toJobRequest(*job, reason) : std::nullopt;
     if (!request) {
         m_services.log.write("job_unreadable", row.key, { { "reason", reason.explain() } });
+        m_unreadableJobs.insert(row.key);
+        return;
+    }
+    addJob(*request, isFound);
+}
+
+// Without its row a submission of the job would be accepted again, so the row goes only after all submissions
+// that were on their way when the job was cancelled have arrived.
+void CellLeader::deleteExpiredTombstones(Instant now)
+{
+    if (!m_isLoaded || m_isRelinquishing || now - m_tombstonesCheckedAt < tombstoneCheckInterval)
         return;
+    m_tombstonesCheckedAt = now;
+    for (const auto& it : m_tombstones.takeExpired(maxTombstoneDeletions, now)) {
+        if (isStoredUnread(it.job)) // a leader that can read the job must not run it
+            m_tombstones.add(it.job, it.rowVersion, now);
+        else
+            deleteTombstone(it);
     }
-    m_scheduler.submit(*request, now, isFound);
-    if (m_earlyCancels.erase(request->id))
-        m_scheduler.cancel(request->id, now);
+}
+
+void CellLeader::deleteTombstone(const CancelTombstones::Expired& tombstone)
+{
+    const auto partition = intakePartitionOf(tombstone.job);
+    const auto key = tombstone.job + cancellationSuffix;
+    StoreTransaction transaction;
+    // The job may have a row that this leader has not read, or may have been cancelled again.
+    transaction.conditions.push_back({ jobTable, partition, tombstone.job, {}, 0, false });
+    transaction.conditions.push_back({ jobTable, partition, key, {}, tombstone.rowVersion, false });
+    transaction.deletes.push_back({ jobTable, partition, key, {}, 0, false });
+    m_services.store.transact(transaction, readTimeout,
+        [self = shared_from_this(), job = tombstone.job, key](const StoreResult& result) {
+            const auto now = clockNow();
+            const auto current = std::find_if(result.rows.begin(), result.rows.end(),
+                [&](const StoreRow& row) { return row.key == key && row.version > 0; });
+            if (result.outcome == StoreOutcome::Ok)
+                self->m_services.log.write("cancellation_deleted", job, {});
+            else if (result.outcome != StoreOutcome::ConditionFailed)
+                self->m_services.log.write("job_removal_delayed", job, { { "reason", result.detail } });
+            if (result.outcome != StoreOutcome::Ok && result.outcome != StoreOutcome::ConditionFailed)
+                self->m_tombstones.retryLater(job, tombstoneRetryDelay, now);
+            else if (result.outcome == StoreOutcome::ConditionFailed && current != result.rows.end())
+                self->m_tombstones.add(job, current->version, now);
+            else
+                self->m_tombstones.remove(job);
+        });
 }
 
 void CellLeader::applyExecutorRow(const StoreRow& row)
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -184,6 +184,10 @@
             [](const fleet::SchedulerCounts& counts) { return counts.agedSteps; }, {});
         gauge("quay_open_jobs", "Jobs that are not finished",
             [](const fleet::SchedulerCounts& counts) { return counts.openJobs; }, {});
+        m_metrics.gauge("quay_cancelled_unknown_jobs",
+            "Cancellations of jobs that do not exist, whose submissions would be refused", [this] {
+                return m_election.leader() ? static_cast<double>(m_election.leader()->tombstones()) : 0.0;
+            });
     }
 
     // Counting visits all jobs, so the result is cached for all gauges of one scrape.
@@ -380,9 +384,11 @@
             if (const auto job = decodeStoredJob(request.body, reason))
                 leader->submit(*job);
             response.body = "{}";
-        } else if (path == cancelPath && leader) {
+        } else if (path == cancelPath && leader && fleet::isJobId(textOf("id"))) {
             leader->cancel(textOf("id"));
             response.body = "{}";
+        } else if (path == cancelRequestPath && leader && fleet::isJobId(textOf("id"))) {
+            response.body = encode(leader->requestCancel(textOf("id"), textOf("team")));
         } else if (path == statePath && leader && leader->isLoaded()) {
             const auto phase = leader->durablePhase(textOf("id"));
             response.body
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -42,6 +42,10 @@
         2107, "cancel_accepted", "a cancellation was made durable and acknowledged", "nothing to do" },
     CataloguedEvent {
         2108, "pending_shown", "a caller read a queue's number of waiting jobs", "nothing to do" },
+    CataloguedEvent { 2109, "cancel_unmatched",
+        "a cancellation of a job that does not exist was made durable: a submission that was delayed is "
+        "refused",
+        "nothing to do; many of one team: ask it which ids it cancels" },
     CataloguedEvent {
         2201, "store_lost", "two consecutive calls to the store failed", "see OPERATIONS.md, store" },
     CataloguedEvent {
@@ -122,6 +126,9 @@
     CataloguedEvent { 2509, "job_removal_delayed",
         "the rows of a job past its retention could not be deleted; the deletion is retried",
         "see store_lost" },
+    CataloguedEvent { 2510, "cancellation_deleted",
+        "the cancellation of a job that was never submitted was deleted after its retention",
+        "nothing to do" },
     CataloguedEvent { 2601, "approval_answered",
         "the approval service has answered: workers asked, workers approved, duration",
         "status 0: the node that made the call was lost; 429: it made too many calls" },
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -1,9 +1,10 @@
-#include "edge/JobApi.h"
+#include "edge/JobApiCall.h"
 
 #include "Wire.h"
 #include "edge/Clock.h"
 #include "edge/Delay.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -18,19 +19,18 @@
 constexpr auto answerMargin = 150ms; // time for the response to reach the caller
 constexpr int maxWritesInFlight = 2; // direct writes of this node
 constexpr auto maxWriteRetryDelay = 1000ms; // a third of the default deadline
-constexpr auto writeRetryDelay = 40ms; // before doubling; the time of a few transactions
-constexpr auto stateTimeout = 500ms;
 constexpr std::size_t rowsOfOneJob = 2; // its own and its cancellation, the next key
 constexpr auto leaderCheckInterval = 200ms; // below the interval of the probes that detect a failed leader
 // If nothing can have been written, the request is refused after this time, so that the caller can still try
 // another node before its deadline.
 constexpr auto maxUnwrittenRetryTime = 200ms;
 constexpr int retryAfterMs = 500; // sent with refusals as the delay before a retry
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusGone = 410;
 constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
 constexpr auto maxPendingAge = 1900ms; // the documented staleness bound of a count is 2 s
+// Of cancellations of jobs that do not exist, for each node while there is no leader.
+constexpr double unmatchedCancelsPerSecond = 10;
+constexpr double unmatchedCancelBurst = 50;
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 std::string hostOf(const HttpRequest& request)
@@ -55,20 +55,6 @@
 
 } // namespace
 
-struct JobApi::Call {
-    HttpRequest request;
-    Respond respond;
-    Instant arrivedAt;
-    Instant deadline;
-    std::string id; // of the job; empty if the request is about the queue
-    QueuePolicy queue;
-    std::string team;
-    StoredJob job;
-    bool mayBeWritten = false; // the outcome of an attempt is unknown
-    int writeAttempts = 0; // of this node, so far
-    bool isLeaderOutcomeKnown = false; // the leader has answered or was lost; later answers are ignored
-};
-
 JobApi::JobApi(EdgeServices services, PeerClient& peers, ConfigurationWatcher& configurationWatcher,
     Election& election, std::size_t maxRowBytes)
     : m_services(services)
@@ -80,6 +66,7 @@
     , m_accepted(services.metrics.counter("quay_jobs_accepted_total", "Jobs made durable and acknowledged"))
     , m_acceptTime(
           services.metrics.histogram("quay_accept_seconds", "From a job's arrival to its acknowledgement"))
+    , m_unmatchedCancels(unmatchedCancelsPerSecond, unmatchedCancelBurst)
 {
 }
 
@@ -115,7 +102,9 @@
 void JobApi::refuse(const CallPointer& call, ErrorKind kind, const std::string& detail)
 {
     countRefusal(describe(kind).name);
-    auto response = errorResponse(Reason { kind, detail }, retryAfterMs);
+    // A repetition would be refused as well.
+    auto response
+        = errorResponse(Reason { kind, detail }, kind == ErrorKind::JobCancelled ? 0 : retryAfterMs);
     m_services.log.write("request_refused", call->id,
         { { "method", call->request.method }, { "queue", call->queue.name }, { "team", call->team },
             { "status", std::to_string(response.status) }, { "reason", Reason { kind, detail }.explain() },
@@ -137,6 +126,14 @@
     refuse(call, ErrorKind::SubmissionUnknown, detail);
 }
 
+void JobApi::refuseCancelled(const CallPointer& call)
+{
+    if (call->mayBeWritten)
+        refuseOutcomeUnknown(call, "the job was cancelled meanwhile");
+    else
+        refuse(call, ErrorKind::JobCancelled, {});
+}
+
 void JobApi::serve(HttpRequest request, Respond respond)
 {
     auto call = std::make_shared<Call>();
@@ -255,6 +252,9 @@
     case AcceptOutcome::NotWritten:
         writeJob(call);
         break;
+    case AcceptOutcome::Cancelled:
+        refuseCancelled(call);
+        break;
     }
 }
 
@@ -290,6 +290,7 @@
     StoreTransaction transaction;
     const auto partition = intakePartitionOf(call->id);
     transaction.conditions.push_back({ jobTable, partition, call->id, {}, 0, false });
+    transaction.conditions.push_back({ jobTable, partition, call->id + cancellationSuffix, {}, 0, false });
     transaction.puts.push_back({ jobTable, partition, call->id, encode(call->job), 0, false });
     m_services.store.transact(
         transaction, m_storeBreaker.timeout(), withOutcomeRecorded([this, call](const StoreResult& result) {
@@ -304,9 +305,19 @@
         jobDurable(call);
         return;
     }
-    if (result.outcome == StoreOutcome::ConditionFailed && !result.rows.empty()) {
-        compareWithStoredJob(call, result.rows.front());
-        return;
+    if (result.outcome == StoreOutcome::ConditionFailed) {
+        const auto rowWithKey = [&](const std::string& key) {
+            return std::find_if(result.rows.begin(), result.rows.end(),
+                [&](const StoreRow& row) { return row.key == key && row.version > 0; });
+        };
+        if (const auto job = rowWithKey(call->id); job != result.rows.end()) {
+            compareWithStoredJob(call, *job);
+            return;
+        }
+        if (rowWithKey(call->id + cancellationSuffix) != result.rows.end()) {
+            refuseCancelled(call);
+            return;
+        }
     }
     if (result.outcome == StoreOutcome::Unknown)
         call->mayBeWritten = true;
@@ -451,62 +462,6 @@
         }));
 }
 
-void JobApi::cancel(const CallPointer& call)
-{
-    if (const auto* leader = m_election.leader();
-        leader && leader->isLoaded() && leader->durablePhase(call->id)) {
-        writeCancel(call);
-        return;
-    }
-    cancelIfStored(call, cellPartition);
-}
-
-// Cancels the job if it has a row in the partition; looks for it in the intake partition next.
-void JobApi::cancelIfStored(const CallPointer& call, const std::string& partition)
-{
-    if (refuseIfStoreDown(call))
-        return;
-    m_services.store.readRow(jobTable, partition, call->id, m_storeBreaker.timeout(),
-        withOutcomeRecorded([this, call, partition](const StoreResult& result) {
-            if (result.outcome != StoreOutcome::Ok)
-                retryRead(call, result.detail, [this, call, partition] { cancelIfStored(call, partition); });
-            else if (!result.rows.empty())
-                writeCancel(call);
-            else if (partition == cellPartition)
-                cancelIfStored(call, intakePartitionOf(call->id));
-            else
-                answer(call, statusGone, "{\"error\":\"no such job\"}", "job_unknown");
-        }));
-}
-
-void JobApi::writeCancel(const CallPointer& call)
-{
-    if (refuseIfStoreDown(call))
-        return;
-    StoreTransaction transaction;
-    transaction.puts.push_back(
-        { jobTable, intakePartitionOf(call->id), call->id + cancellationSuffix, "cancelled", 0, false });
-    m_services.store.transact(
-        transaction, m_storeBreaker.timeout(), withOutcomeRecorded([this, call](const StoreResult& result) {
-            if (result.outcome == StoreOutcome::Ok) {
-                answer(call, statusOk, encodeJobState(JobPhase::Cancelled), "cancel_accepted");
-                if (auto* leader = m_election.leader())
-                    leader->cancel(call->id);
-                else if (const auto address = m_election.leaderAddress(); !address.empty())
-                    m_peers.notifyCancel(address, call->id);
-                return;
-            }
-            if (result.outcome == StoreOutcome::Unknown)
-                call->mayBeWritten = true;
-            if (clockNow() + writeRetryDelay < call->deadline)
-                callLater(m_services.context, writeRetryDelay, [this, call] { writeCancel(call); });
-            else if (call->mayBeWritten)
-                refuseOutcomeUnknown(call, result.detail);
-            else
-                refuse(call, ErrorKind::StoreUnavailable, result.detail);
-        }));
-}
-
 void JobApi::countPending(const CallPointer& call)
 {
     if (auto* leader = m_election.leader(); leader && leader->isLoaded()) {
--- a/src/edge/JobApi.h
+++ b/src/edge/JobApi.h
@@ -4,6 +4,7 @@
 #include "edge/Election.h"
 #include "edge/PeerClient.h"
 #include "edge/StoreCircuitBreaker.h"
+#include "edge/TokenBucket.h"
 #include "net/HttpServer.h"
 
 #include <memory>
@@ -50,7 +51,11 @@
     void getJobStateFromRecord(const CallPointer& call);
     void cancel(const CallPointer& call);
     void cancelIfStored(const CallPointer& call, const std::string& partition);
-    void writeCancel(const CallPointer& call);
+    void continueCancel(const CallPointer& call, CancelAnswer answer);
+    void writeCancel(const CallPointer& call, bool isJobKnown);
+    void retryLimitedCancel(const CallPointer& call);
+    void tellLeaderOfCancel(const std::string& id);
+    void answerCancel(const CallPointer& call, bool isJobKnown);
     void countPending(const CallPointer& call);
     /** Wraps `done` so that the circuit breaker records each outcome first. */
     platform::StoreClient::Done withOutcomeRecorded(platform::StoreClient::Done done);
@@ -60,6 +65,8 @@
     void answer(const CallPointer& call, unsigned status, std::string body, std::string_view why);
     void countRefusal(std::string_view reason);
     void refuse(const CallPointer& call, ErrorKind kind, const std::string& detail);
+    /** Refuses a submission because the job was cancelled before. */
+    void refuseCancelled(const CallPointer& call);
     /** Answers that it is unknown whether the request took effect. */
     void refuseOutcomeUnknown(const CallPointer& call, const std::string& detail);
 
@@ -72,6 +79,8 @@
     Counter& m_accepted;
     DurationHistogram& m_acceptTime;
     int m_writesInFlight = 0;
+    // Of jobs that do not exist, while no leader limits them.
+    TokenBucket m_unmatchedCancels;
 };
 
 } // namespace quay::edge
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -51,6 +51,16 @@
     Conflict, // another job has the same id
     NotWritten, // the leader has not written it and never will
     Unknown, // it may have been written
+    Cancelled, // not written: the job was cancelled before
+};
+
+/** The leader's answer to the request to cancel a job. */
+enum class CancelAnswer {
+    JobKnown, // the job has a row, or may get one: its cancellation has to be stored
+    Reserved, // there is no such job, and none is accepted under this id while the cancellation is stored
+    Stored, // there is no such job, and its cancellation is stored already
+    LimitReached, // there is no such job, and too many such cancellations are stored already
+    Unavailable, // there is no leader that knows
 };
 
 /** Decodes the steps of a stored job. */
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -78,6 +78,21 @@
     }
 }
 
+std::string encode(CancelAnswer answer)
+{
+    return json::serialize(json::object { { "answer", static_cast<int>(answer) } });
+}
+
+CancelAnswer decodeCancelAnswer(const std::string& body)
+{
+    json::error_code ec;
+    const auto value = json::parse(body, ec);
+    const auto* answer = !ec && value.is_object() ? value.get_object().if_contains("answer") : nullptr;
+    const bool isKnown = answer && answer->is_int64() && answer->get_int64() >= 0
+        && answer->get_int64() <= static_cast<int>(CancelAnswer::Unavailable);
+    return isKnown ? static_cast<CancelAnswer>(answer->get_int64()) : CancelAnswer::Unavailable;
+}
+
 std::string encodeApprovalRequest(
     const std::string& step, const std::vector<std::string>& workers, Duration timeout)
 {
@@ -178,7 +193,7 @@
             const auto* outcome
                 = !ec && value.is_object() ? value.get_object().if_contains("outcome") : nullptr;
             const bool isKnownOutcome = outcome && outcome->is_int64() && outcome->get_int64() >= 0
-                && outcome->get_int64() <= static_cast<int>(AcceptOutcome::Unknown);
+                && outcome->get_int64() <= static_cast<int>(AcceptOutcome::Cancelled);
             if (isKnownOutcome)
                 done(static_cast<AcceptOutcome>(outcome->get_int64()));
             else // 409: the node is not the leader
@@ -197,6 +212,18 @@
         notifyTimeout, [](HttpResult) {});
 }
 
+void PeerClient::requestCancel(const std::string& address, const std::string& id, const std::string& team,
+    Duration timeout, std::function<void(CancelAnswer)> done)
+{
+    auto request
+        = jsonPost(cancelRequestPath, json::serialize(json::object { { "id", id }, { "team", team } }));
+    m_messages.send(address, std::move(request), timeout, [done = std::move(done)](const HttpResult& result) {
+        // A leader of an earlier release answers 409.
+        done(result.response && result.response->status == 200 ? decodeCancelAnswer(result.response->body)
+                                                               : CancelAnswer::Unavailable);
+    });
+}
+
 void PeerClient::requestJobState(const std::string& address, const std::string& id, Duration timeout,
     std::function<void(StateAnswer)> done)
 {
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -20,6 +20,7 @@
 constexpr const char* acceptPath = "/peer/accept";
 constexpr const char* jobPath = "/peer/job";
 constexpr const char* cancelPath = "/peer/cancel";
+constexpr const char* cancelRequestPath = "/peer/cancel-request";
 constexpr const char* statePath = "/peer/state";
 constexpr const char* approvePath = "/peer/approve";
 
@@ -53,6 +54,10 @@
 std::string encode(const LeaderStatus& status);
 std::optional<LeaderStatus> decodeLeaderStatus(const std::string& body);
 
+std::string encode(CancelAnswer answer);
+/** Unavailable if the body is not an answer. */
+CancelAnswer decodeCancelAnswer(const std::string& body);
+
 std::string encodeApprovalRequest(
     const std::string& step, const std::vector<std::string>& workers, Duration timeout);
 bool decodeApprovalRequest(
@@ -87,6 +92,9 @@
     void notifyJob(const std::string& address, const StoredJob& job);
     /** Notifies the leader of a durable cancellation. Never retries, as notifyJob(). */
     void notifyCancel(const std::string& address, const std::string& id);
+    /** Asks the leader whether there is a job that a caller cancels, before the cancellation is stored. */
+    void requestCancel(const std::string& address, const std::string& id, const std::string& team,
+        Duration timeout, std::function<void(CancelAnswer)> done);
     void requestJobState(const std::string& address, const std::string& id, Duration timeout,
         std::function<void(StateAnswer)> done);
     /** Has the node at `address` call the approval service. */
--- a/tests/contract/FuzzSeedsTest.cpp
+++ b/tests/contract/FuzzSeedsTest.cpp
@@ -132,7 +132,7 @@
     status.pending = { { "q", 3 } };
     return { encode(edge::LeaderProbe { "n", "a:1", "z", 0.5 }), encode(status),
         edge::encodeApprovalRequest("00000000000000aa.0.1", { "i-1" }, 100ms), edge::encode(request),
-        edge::encode(std::vector { result }) };
+        edge::encode(std::vector { result }), encode(edge::CancelAnswer::Reserved) };
 }
 
 std::vector<std::string> schedulerInputs()
--- a/tests/fuzz/FuzzNodeMessages.cpp
+++ b/tests/fuzz/FuzzNodeMessages.cpp
@@ -24,6 +24,10 @@
     Duration timeout {};
     if (edge::decodeApprovalRequest(bytes, step, workers, timeout))
         parsed = 1;
+    if (const auto answer = edge::decodeCancelAnswer(bytes); answer != edge::CancelAnswer::Unavailable) {
+        fuzz::require(edge::decodeCancelAnswer(encode(answer)) == answer, "decode(encode(answer)) == answer");
+        parsed = 1;
+    }
     if (const auto request = edge::decodeRelayRequest(bytes)) {
         const auto again = edge::decodeRelayRequest(encode(*request));
         fuzz::require(again && again->calls.size() == request->calls.size(), "calls survive encoding");
