quayd: a cancellation is acknowledged only once it is stored

Cause: the cancellation was applied to the leader's ledger, whose change of the row is written later, and the answer was given from the ledger at once. Only this leader knew of what it had acknowledged.

Change: the answer waits until the change is in the store, at most 5 s; then it is submission_unknown (504), as it is when the leadership is lost meanwhile. A repeated cancellation waits for the same change.

That the job runs on after a kill of the leader was read, not played.

--- a/include/quay/core/JobLedger.h
+++ b/include/quay/core/JobLedger.h
@@ -385,6 +385,15 @@
 /** The job's record with all changes so far, durable or not; nullptr if the ledger doesn't hold the job. */
 const JobRecord* findJob(const JobLedger& ledger, const JobId& job);
 
+/** The number of the latest change to the job's record; 0 if the ledger doesn't hold the job. */
+std::uint64_t latestChange(const JobLedger& ledger, const JobId& job);
+
+/**
+ * Whether a change of the job's record is in the store. Only a leader's ledger can tell; it holds each job
+ * until its last change is.
+ */
+bool isChangeDurable(const JobLedger& ledger, const JobId& job, std::uint64_t change);
+
 /** Returns ended jobs with their durable versions and removes them from the ledger. */
 std::vector<VersionedRecord> takeFinished(JobLedger& ledger);
 
--- a/src/core/JobLedger.cpp
+++ b/src/core/JobLedger.cpp
@@ -175,6 +175,18 @@
     return found == ledger.jobs.end() ? nullptr : &found->second.record;
 }
 
+std::uint64_t latestChange(const JobLedger& ledger, const JobId& job)
+{
+    const auto found = ledger.jobs.find(job);
+    return found == ledger.jobs.end() ? 0 : found->second.latestChange;
+}
+
+bool isChangeDurable(const JobLedger& ledger, const JobId& job, std::uint64_t change)
+{
+    const auto found = ledger.jobs.find(job);
+    return found == ledger.jobs.end() || found->second.durableChange >= change;
+}
+
 std::vector<VersionedRecord> takeFinished(JobLedger& ledger)
 {
     std::vector<VersionedRecord> rows;
--- a/src/service/JobCalls.cpp
+++ b/src/service/JobCalls.cpp
@@ -22,6 +22,8 @@
 constexpr int leaderRetryMs = 1000;
 constexpr std::size_t maxJobsPerListPage = 100;
 constexpr std::size_t maxEventsPerWatchPage = 500;
+constexpr auto cancelTimeout = std::chrono::seconds(5);
+constexpr std::size_t maxPendingCancels = 2000;
 constexpr std::size_t maxWatchers = 2000;
 constexpr std::uint32_t maxWatchWaitMs = 30'000;
 
@@ -208,9 +210,37 @@
 void JobService::cancel(const JobCall& call, const Done& done)
 {
     const auto* record = findJob(m_ledger, call.job);
-    if (record && record->spec.team == call.team)
-        applyEvent(CancelRequested { call.job });
-    status(call, done);
+    if (!record || record->spec.team != call.team) {
+        status(call, done);
+        return;
+    }
+    if (m_pendingCancels.size() >= maxPendingCancels) {
+        done(refusal(Reason { ErrorKind::Overloaded, "too many cancellations" }, leaderRetryMs));
+        return;
+    }
+    applyEvent(CancelRequested { call.job });
+    m_pendingCancels.push_back(
+        { call, latestChange(m_ledger, call.job), std::chrono::steady_clock::now() + cancelTimeout, done });
+    answerStoredCancels();
+}
+
+// A cancellation that only this leader knows would be lost with it, so it is acknowledged once it is stored.
+void JobService::answerStoredCancels()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_pendingCancels, [&](const PendingCancel& cancel) {
+        if (!m_ledger.isLeading)
+            cancel.done(
+                refusal(Reason { ErrorKind::SubmissionUnknown, "the leader changed" }, leaderRetryMs));
+        else if (isChangeDurable(m_ledger, cancel.call.job, cancel.change))
+            status(cancel.call, cancel.done);
+        else if (cancel.deadline <= now)
+            cancel.done(refusal(
+                Reason { ErrorKind::SubmissionUnknown, "the table service did not answer" }, leaderRetryMs));
+        else
+            return false;
+        return true;
+    });
 }
 
 void JobService::list(const JobCall& call, const Done& done)
--- a/src/service/JobService.cpp
+++ b/src/service/JobService.cpp
@@ -67,6 +67,7 @@
 void JobService::tick()
 {
     updateLeadership(monotonicNow());
+    answerStoredCancels();
     if (!m_ledger.isLeading)
         return;
     applyEvent(WorkerList { m_membership.fleet().get()->servers });
@@ -231,6 +232,7 @@
                 if (outcome.status == TransactionStatus::Done)
                     onRecordStored(record, outcome.version);
                 applyEvent(event);
+                answerStoredCancels();
             });
         });
 }
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -107,6 +107,7 @@
     void answerDuplicateSubmission(const JobCall& call, const Done& done);
     void status(const JobCall& call, const Done& done);
     void cancel(const JobCall& call, const Done& done);
+    void answerStoredCancels();
     void list(const JobCall& call, const Done& done);
     void explain(const JobCall& call, const Done& done);
     void watch(const JobCall& call, const Done& done);
@@ -121,6 +122,13 @@
         Instant deadline;
         Done done;
     };
+    // A cancellation whose change of the job's record is not known to be stored yet.
+    struct PendingCancel {
+        JobCall call;
+        std::uint64_t change = 0;
+        Instant deadline;
+        Done done;
+    };
     // An ended job that is in the object store; its row stays so that watchers can still see the end.
     struct ArchivedJob {
         JobId id;
@@ -147,6 +155,7 @@
     std::map<JobId, std::deque<std::string>> m_explanations;
     std::deque<JobId> m_finishedOrder; // oldest first; limits the size of m_finished
     JobEventLog m_events;
+    std::vector<PendingCancel> m_pendingCancels;
     std::vector<Watcher> m_watchers;
     std::deque<ArchivedJob> m_archived; // in order of removeAt
     std::uint64_t m_trimRowVersion = 0; // version of the trim row; 0: no such row
