quayd: a job whose insert was not answered is known to its cancellation

Cause: the answer was given from the leader's ledger, which the insert had not reached yet: an insert without an answer is found by a scan every ten seconds.

Change: before a job counts as unknown, its row is read, and a job that is found is added to the ledger first; for cancellations and for queries of the state.

Evidence: 'a job whose insert was not answered is known to a cancellation and to a query of its state' fails before (404, no state) and passes now.

--- a/src/service/JobCalls.cpp
+++ b/src/service/JobCalls.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto submitTimeout = std::chrono::seconds(5);
 constexpr auto forwardTimeout = std::chrono::seconds(8);
+constexpr auto rowTimeout = std::chrono::seconds(2); // with the object read, within forwardTimeout
 constexpr auto objectTimeout = std::chrono::seconds(5);
 constexpr int leaderRetryMs = 1000;
 constexpr std::size_t maxJobsPerListPage = 100;
@@ -89,10 +90,10 @@
         submit(call, done);
         return;
     case JobOperation::Status:
-        status(call, done);
+        withStoredJob(call, done, [this, call, done] { status(call, done); });
         return;
     case JobOperation::Cancel:
-        cancel(call, done);
+        withStoredJob(call, done, [this, call, done] { cancel(call, done); });
         return;
     case JobOperation::List:
         list(call, done);
@@ -179,6 +180,30 @@
     });
 }
 
+// A job whose insert was not answered is stored, and its id is told to a repeated submission, before
+// reconcile() finds it. So the store is asked before a job counts as unknown.
+void JobService::withStoredJob(const JobCall& call, const Done& done, std::function<void()> action)
+{
+    if (findJob(m_ledger, call.job) || m_finished.count(call.job)) {
+        action();
+        return;
+    }
+    m_store.read({ jobPrefix(call.domain) + call.job.text }, rowTimeout,
+        [this, done, action = std::move(action)](std::optional<std::vector<TableRow>> rows) {
+            postResponse([this, done, action, rows = std::move(rows)] {
+                if (!rows) {
+                    done(refusal(Reason { ErrorKind::StoreUnavailable, {} }, leaderRetryMs));
+                } else if (!m_ledger.isLeading) {
+                    done(
+                        refusal(Reason { ErrorKind::OwnerUnreachable, "the leader changed" }, leaderRetryMs));
+                } else {
+                    onReconciled(*rows);
+                    action();
+                }
+            });
+        });
+}
+
 void JobService::status(const JobCall& call, const Done& done)
 {
     const auto* record = findJob(m_ledger, call.job);
--- a/src/service/JobService.h
+++ b/src/service/JobService.h
@@ -105,6 +105,7 @@
     void submit(const JobCall& call, const Done& done);
     void onSubmitted(const JobRecord& record, const TransactionOutcome& outcome, const Done& done);
     void answerDuplicateSubmission(const JobCall& call, const Done& done);
+    void withStoredJob(const JobCall& call, const Done& done, std::function<void()> action);
     void status(const JobCall& call, const Done& done);
     void cancel(const JobCall& call, const Done& done);
     void answerStoredCancels();
