A tombstone that was only reserved goes when its job becomes known

Cause: found by reading: a node may write a job itself and have it cancelled before the leader has read the row. The tombstone that the leader had reserved then stayed for its lifetime, and counted against the team's limit. Change: it goes with the job's arrival, whether or not its row is durable; a known job is refused twice by other means. Evidence: a line in 'a reserved cancellation refuses submissions ...'.

--- a/src/edge/CancelTombstones.cpp
+++ b/src/edge/CancelTombstones.cpp
@@ -49,10 +49,11 @@
 bool CancelTombstones::resolve(const std::string& job)
 {
     const auto it = m_entries.find(job);
-    if (it == m_entries.end() || !it->second.isDurable)
-        return false; // of a reserved one, add() follows once its row is durable
+    if (it == m_entries.end())
+        return false;
+    const bool isDurable = it->second.isDurable;
     erase(it);
-    return true;
+    return isDurable;
 }
 
 std::vector<CancelTombstones::Expired> CancelTombstones::takeExpired(std::size_t maxCount, Instant now)
--- a/src/edge/CancelTombstones.h
+++ b/src/edge/CancelTombstones.h
@@ -55,8 +55,8 @@
     bool contains(const std::string& job) const { return m_entries.count(job) > 0; }
 
     /**
-     * The job has become known. Returns true if its cancellation is durable, so that the caller has to cancel
-     * it; from then on the cancellation is stored as long as the job is.
+     * Removes the tombstone of a job that has become known. Returns true if its cancellation is durable, so
+     * that the caller has to cancel the job; from then on the cancellation is stored as long as the job is.
      */
     bool resolve(const std::string& job);
 
--- a/tests/contract/CancelTombstonesTest.cpp
+++ b/tests/contract/CancelTombstonesTest.cpp
@@ -56,8 +56,10 @@
     CancelTombstones tombstones({ .lifetime = lifetime });
     CHECK(tombstones.reserve("x", "a", start) == Reservation::Reserved);
     CHECK(tombstones.contains("x"));
-    CHECK_FALSE(tombstones.resolve("x"));
     CHECK(tombstones.reserve("x", "a", start) == Reservation::Reserved); // its first write may have failed
+    CHECK_FALSE(tombstones.resolve("x"));
+    CHECK_FALSE(tombstones.contains("x")); // nor does it count for its team any more
+    CHECK(tombstones.reserve("x", "a", start) == Reservation::Reserved);
     tombstones.add("x", 0, start);
     CHECK(tombstones.reserve("x", "a", start) == Reservation::Durable);
     CHECK(tombstones.resolve("x"));
