Test of the ledger: which answers make a cancellation durable

Cause: the new questions to the ledger had only a test with real processes. Change: a table of the answers of the table service.

--- a/tests/cores/JobLedgerTest.cpp
+++ b/tests/cores/JobLedgerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <functional>
 
 // Tests of single transitions. JobLedgerSeededTest.cpp tests random interleavings.
 namespace quay::test {
@@ -304,6 +305,40 @@
     CHECK(fixture.state() == JobState::Cancelled);
 }
 
+// Guards against a cancellation that is acknowledged from the leader's memory.
+TEST_CASE("job ledger: a cancellation is durable once the write that includes it is confirmed")
+{
+    struct Row {
+        const char* name;
+        std::function<LedgerEvent(std::uint64_t writeId)> answer;
+        bool isDurable;
+    };
+    const Row rows[] = {
+        { "written",
+            [](std::uint64_t id) {
+                return WriteDone { id, 50 };
+            },
+            true },
+        { "not written", [](std::uint64_t id) { return WriteFailed { id }; }, false },
+        { "no answer", [](std::uint64_t id) { return WriteUnknown { id }; }, false },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(std::string(row.name));
+        LedgerFixture fixture;
+        fixture.waitUntilWorkersAcceptWork();
+        fixture.accept(makeJob(JobKind::Batch, true, 1));
+        CHECK(latestChange(fixture.ledger, JobId { "unknown" }) == 0);
+        const auto before = latestChange(fixture.ledger, job);
+        const auto writes = actionsOf<WriteRecord>(fixture.feed(CancelRequested { job }));
+        const auto change = latestChange(fixture.ledger, job);
+        CHECK(change > before);
+        CHECK_FALSE(isChangeDurable(fixture.ledger, job, change));
+        REQUIRE(writes.size() == 1);
+        fixture.feed(row.answer(writes[0].writeId));
+        CHECK(isChangeDurable(fixture.ledger, job, change) == row.isDurable);
+    }
+}
+
 TEST_CASE("job ledger: a job that is too large for every worker fails with the reason in its record")
 {
     struct Row {
