Logs and metrics tell how old a node's configuration is, and what each read of it cost

The age counts from the last moment at which the store certainly held no newer version. No decision uses it yet.

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -32,6 +32,9 @@
     return std::clamp(maxEvacuationDelay / pollsPerBound, shortestPollWait, longestPollWait);
 }
 
+// The change feed has the rows of all partitions; the operator writes to the one without a name.
+bool isConfigurationRow(const StoreRow& row) { return row.partition.empty() && row.key == configurationKey; }
+
 } // namespace
 
 ConfigurationWatcher::ConfigurationWatcher(boost::asio::io_context& context, StoreClient& store, NodeLog& log,
@@ -72,6 +75,28 @@
     }
 }
 
+void ConfigurationWatcher::logRead(std::string_view read, const StoreResult& result, Instant sentAt)
+{
+    const auto now = clockNow();
+    std::int64_t newest = 0;
+    for (const auto& row : result.rows) {
+        if (isConfigurationRow(row))
+            newest = std::max(newest, row.version);
+    }
+    m_log.write("configuration_read", {},
+        { { "read", std::string(read) }, { "outcome", std::string(text(result.outcome)) },
+            { "ms", std::to_string(toMilliseconds(now - sentAt)) }, { "bytes", std::to_string(result.bytes) },
+            { "rows", std::to_string(result.rows.size()) }, { "row_version", std::to_string(newest) },
+            { "version", std::to_string(version()) }, { "age_ms", ageText(m_currentAsOf, now) },
+            { "reason", result.detail } });
+}
+
+void ConfigurationWatcher::confirmCurrent(Instant asOf)
+{
+    if (m_current)
+        m_currentAsOf = std::max(m_currentAsOf, asOf);
+}
+
 void ConfigurationWatcher::readAll()
 {
     readPage(std::make_shared<FullRead>(FullRead { clockNow(), 0, std::string(configurationKey), {} }));
@@ -81,8 +106,9 @@
 void ConfigurationWatcher::readPage(std::shared_ptr<FullRead> read)
 {
     m_store.scanPartition(std::string(operatorTable), "", read->nextKey, std::string(evacuationKeyEnd), 0,
-        readTimeout, [this, read](StoreResult result) {
+        readTimeout, [this, read, sentAt = clockNow()](StoreResult result) {
             recordOutcome(result.outcome == StoreOutcome::Ok, result.detail);
+            logRead("full", result, sentAt);
             if (result.outcome != StoreOutcome::Ok) {
                 retryLater(true);
                 return;
@@ -112,6 +138,7 @@
             removeEvacuation(request.first);
     }
     m_lastVersionRead = read.version;
+    confirmCurrent(read.sentAt);
     publishEvacuations(read.sentAt);
     if (m_current)
         watch();
@@ -125,10 +152,13 @@
         return;
     m_isRefreshing = true;
     m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout,
-        [this](StoreResult result) {
+        [this, sentAt = clockNow()](StoreResult result) {
             m_isRefreshing = false;
+            logRead("refresh", result, sentAt);
             for (const auto& row : result.rows)
                 applyConfiguration(row);
+            if (result.outcome == StoreOutcome::Ok)
+                confirmCurrent(sentAt);
         });
 }
 
@@ -142,6 +172,8 @@
             const bool isAnswered
                 = result.outcome == StoreOutcome::Ok || result.outcome == StoreOutcome::HistoryTruncated;
             recordOutcome(isAnswered, result.detail);
+            if (result.outcome != StoreOutcome::Ok || std::ranges::any_of(result.rows, isConfigurationRow))
+                logRead("poll", result, sentAt);
             if (m_isAgeBounded)
                 m_answerDelay
                     = isAnswered ? std::max(clockNow() - sentAt - wait, Duration::zero()) : m_pollWait;
@@ -159,6 +191,11 @@
             }
             m_lastVersionRead = std::max(m_lastVersionRead, result.version);
             const bool isBehind = result.hasMore || result.rows.size() >= fullAnswerRows;
+            // The store answers at the first change, so none came before the end of the wait.
+            if (!isBehind && result.rows.empty() && clockNow() - sentAt >= wait)
+                confirmCurrent(sentAt + wait);
+            else if (!isBehind)
+                confirmCurrent(sentAt);
             publishEvacuations(isBehind ? m_evacuations.readAt : sentAt);
             watch();
         });
@@ -179,8 +216,7 @@
 
 void ConfigurationWatcher::applyConfiguration(const StoreRow& row)
 {
-    // The change feed has the rows of all partitions; the operator writes to the one without a name.
-    if (!row.partition.empty() || row.key != configurationKey || row.isDeleted)
+    if (!isConfigurationRow(row) || row.isDeleted)
         return;
     Reason reason;
     auto configuration = decodeConfiguration(row.value, reason);
--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -41,6 +41,11 @@
     std::int64_t version() const { return m_current ? m_current->version : 0; }
     /** The requests to empty failure domains as they were last read. */
     const fleet::EvacuationView& evacuations() const { return m_evacuations; }
+    /**
+     * A moment at which the store had no newer configuration than `current()`; zero if there is none. What
+     * was acknowledged after it may be missing.
+     */
+    Instant currentAsOf() const { return m_currentAsOf; }
     /** True if the store has answered recently. */
     bool isStoreReachable(Instant now) const;
 
@@ -63,6 +68,8 @@
     void removeEvacuation(const std::string& domain);
     void publishEvacuations(Instant readAt);
     void recordOutcome(bool ok, const std::string& detail);
+    void logRead(std::string_view read, const platform::StoreResult& result, Instant sentAt);
+    void confirmCurrent(Instant asOf);
 
     boost::asio::io_context& m_context;
     platform::StoreClient& m_store;
@@ -73,6 +80,7 @@
     EvacuationsCallback m_onEvacuations;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<const fleet::FleetConfiguration> m_current;
+    Instant m_currentAsOf {};
     fleet::EvacuationView m_evacuations;
     std::map<std::string, std::int64_t> m_requests; // versions of the rows, by failure domain
     Duration m_answerDelay {}; // of the last poll, beyond its wait; only if the age is bounded
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -108,6 +108,13 @@
                 const auto readAt = m_configurationWatcher.evacuations().readAt;
                 return readAt == Instant {} ? -1.0 : secondsOf(clockNow() - readAt);
             });
+        m_metrics.gauge("quay_configuration_version", "Version of the configuration in force; 0: none",
+            [this] { return static_cast<double>(m_configurationWatcher.version()); });
+        m_metrics.gauge("quay_configuration_age_seconds",
+            "Since the configuration in force was last known to be the newest; -1: never", [this] {
+                const auto asOf = m_configurationWatcher.currentAsOf();
+                return asOf == Instant {} ? -1.0 : secondsOf(clockNow() - asOf);
+            });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
             if (!ec)
                 drain();
@@ -315,7 +322,9 @@
         if (isReady != m_wasReady)
             m_log.write(isReady ? "node_ready" : "node_not_ready", {},
                 { { "draining", m_isDraining ? "yes" : "no" },
-                    { "configuration", std::to_string(m_configurationWatcher.version()) } });
+                    { "configuration", std::to_string(m_configurationWatcher.version()) },
+                    { "age_ms", ageText(m_configurationWatcher.currentAsOf(), now) },
+                    { "store", m_configurationWatcher.isStoreReachable(now) ? "reachable" : "lost" } });
         m_wasReady = isReady;
         HttpResponse response;
         response.status = isReady ? 200 : 503;
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -76,6 +76,11 @@
         "in "
         "the partition without a name",
         "write the row again, or remove it" },
+    CataloguedEvent { 2306, "configuration_read",
+        "a read of the configuration: which (read), its outcome, time and bytes, the newest version in it, "
+        "and "
+        "the age of what the node holds; polls without a change are not logged",
+        "if reads fail or take long, compare their bytes with the node's link and processor share" },
     CataloguedEvent { 2401, "leader_found", "the leader answers probes", "nothing to do" },
     CataloguedEvent { 2402, "leader_missed",
         "a probe of the leader failed, or the leader can't commit; the leadership row is read next",
--- a/src/edge/NodeLog.cpp
+++ b/src/edge/NodeLog.cpp
@@ -22,6 +22,11 @@
 
 } // namespace
 
+std::string ageText(Instant since, Instant now)
+{
+    return since == Instant {} ? "never" : std::to_string(toMilliseconds(now - since));
+}
+
 NodeLog::NodeLog(std::string node)
     : m_node(std::move(node))
     , m_ring(ringCapacity)
--- a/src/edge/NodeLog.h
+++ b/src/edge/NodeLog.h
@@ -16,6 +16,9 @@
 /** Name and value of one field of a log line. */
 using LogField = std::pair<std::string_view, std::string>;
 
+/** The milliseconds from `since` to `now` for a log field; "never" if `since` is zero. */
+std::string ageText(Instant since, Instant now);
+
 /**
  * Structured log: writes one JSON object per line to standard output from its own thread. It never blocks its
  * callers: a line is dropped if the ring buffer is full or its event exceeds its rate limit. Dropped lines
