--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -195,6 +195,16 @@
         respond(transact(request));
 }
 
+void FleetPlatform::holdReads(const std::string& table)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tableWithHeldReads = table;
+    if (!table.empty())
+        return;
+    for (const auto& [request, respond] : std::exchange(m_heldReads, {}))
+        respond(readRows(request));
+}
+
 void FleetPlatform::dropTransactions(bool isDropping)
 {
     const std::lock_guard lock(m_mutex);
@@ -256,6 +266,9 @@
         m_droppedTransactions.emplace_back(request.body, std::move(respond));
     else if (path == "/rows-tx")
         respond(transact(request));
+    else if (path == "/rows-get" && !m_tableWithHeldReads.empty()
+        && request.query("table") == m_tableWithHeldReads)
+        m_heldReads.emplace_back(request, std::move(respond));
     else if (path == "/rows-get")
         respond(readRows(request));
     else if (path == "/rows-parts")
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -55,6 +55,8 @@
     void setBusyPartition(const std::string& partition);
     /** From now on, transactions on the partition wait; with an empty name those that wait are executed. */
     void holdPartition(const std::string& partition);
+    /** From now on, reads of the table wait; with an empty name those that wait are answered. */
+    void holdReads(const std::string& table);
     /** While true, transactions are neither applied nor answered. Reads are served as usual. */
     void dropTransactions(bool isDropping);
     /** The number of dropped transactions so far that name the table. */
@@ -106,6 +108,8 @@
     std::string m_busyPartition;
     std::string m_heldPartition;
     std::vector<std::pair<HttpRequest, Respond>> m_heldTransactions;
+    std::string m_tableWithHeldReads;
+    std::vector<std::pair<HttpRequest, Respond>> m_heldReads;
     bool m_isDroppingTransactions = false;
     // The bodies, each with the callback that keeps its connection open.
     std::vector<std::pair<std::string, Respond>> m_droppedTransactions;
--- a/tests/contract/ConfigurationWatcherTest.cpp
+++ b/tests/contract/ConfigurationWatcherTest.cpp
@@ -1,5 +1,6 @@
 #include "edge/ConfigurationWatcher.h"
 #include "FleetPlatform.h"
+#include "PacedServer.h"
 #include "Wire.h"
 #include "net/HttpServer.h"
 
@@ -32,7 +33,8 @@
     explicit Watcher(const std::string& storeAddress, Duration bound = maxDelay)
         : m_store(m_context, storeAddress)
         , m_watcher(
-              m_context, m_store, m_log, bound, [this](const FleetConfiguration&) { changed([] {}); },
+              m_context, m_store, m_log, bound,
+              [this](const FleetConfiguration& it) { changed([&] { m_applied.push_back(it.version); }); },
               [this](const EvacuationView& view) { changed([&] { m_views.push_back(view); }); })
     {
         m_store.setObserver([this](StoreCall call, StoreOutcome outcome, Duration) {
@@ -109,6 +111,16 @@
         const std::lock_guard lock(m_mutex);
         return m_views;
     }
+    std::vector<std::int64_t> appliedVersions()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_applied;
+    }
+    void waitUntilVersion(std::int64_t version)
+    {
+        waitUntil(
+            "the version is in force", [&] { return !m_applied.empty() && m_applied.back() == version; });
+    }
     int reads()
     {
         const std::lock_guard lock(m_mutex);
@@ -128,6 +140,7 @@
     std::mutex m_mutex; // guards what the watcher's thread and the test use
     std::condition_variable m_condition;
     std::vector<EvacuationView> m_views;
+    std::vector<std::int64_t> m_applied;
     int m_reads = 0;
     int m_failures = 0;
     boost::asio::io_context m_context { 1 };
@@ -233,13 +246,18 @@
     std::string address() const { return m_server.address(); }
     std::atomic<int> polls = 0;
     std::atomic<int> longestWaitMs = 0;
+    void awaitPoll(int count)
+    {
+        while (polls < count)
+            std::this_thread::sleep_for(1ms);
+    }
     // Answers the newest poll and returns when it arrived.
-    Instant answerPoll()
+    Instant answerPoll(const std::string& body = R"({"rows":[],"ver":5})")
     {
         std::promise<Instant> arrived;
         boost::asio::post(m_context, [&] {
             HttpResponse response;
-            response.body = R"({"rows":[],"ver":5})";
+            response.body = body;
             std::exchange(m_poll, nullptr)(response);
             arrived.set_value(m_pollArrivedAt);
         });
@@ -285,10 +303,97 @@
         CAPTURE(row.longestWaitMs);
         HeldStore store;
         Watcher watcher(store.address(), row.bound);
-        while (store.polls == 0)
-            std::this_thread::sleep_for(1ms);
+        store.awaitPoll(1);
         const auto arrivedAt = store.answerPoll();
         CHECK(watcher.viewAfter(1).readAt <= arrivedAt);
         CHECK(store.longestWaitMs == row.longestWaitMs);
     }
 }
+
+namespace {
+
+std::string configurationWith(int version, int queues)
+{
+    auto text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+    for (int i = 0; i < queues; ++i)
+        text += (i == 0 ? "" : ",") + std::string(R"({"name":"q)") + std::to_string(i)
+            + R"(","host":"h","prefix":"/)" + std::to_string(i) + R"(/","service":"s"})";
+    return text + R"(],"services":[{"name":"s"}],"tenants":[]})";
+}
+
+std::string configurationRow(int version, const std::string& text)
+{
+    return R"({"table":"op","part":"","key":"config","ver":)" + std::to_string(version) + R"(,"value":")"
+        + encodeBase64(text) + "\"}";
+}
+
+std::string rowsAnswer(const std::string& rows, int version)
+{
+    return R"({"rows":[)" + rows + R"(],"hasMore":false,"ver":)" + std::to_string(version) + "}";
+}
+
+} // namespace
+
+// Guards against issue 55: a full read had 800 ms in all and began anew after it, so a large configuration
+// never reached a node with a thin link.
+TEST_CASE(
+    "a configuration that takes longer to arrive than a read may be silent is read, by each kind of read")
+{
+    constexpr Duration pause = 100ms;
+    constexpr std::size_t chunks = 25; // 2.5 s in all
+    struct Row {
+        const char* what;
+        int slowVersion; // whose answers are paced
+    };
+    for (const auto& row : { Row { "full read", 1 }, Row { "change feed", 2 } }) {
+        CAPTURE(row.what);
+        const auto answerWith = [](int version) {
+            return rowsAnswer(configurationRow(version, configurationWith(version, 500)), version);
+        };
+        test::PacedServer store([&](const std::string& target, test::Pace& pace) {
+            const bool isFeed = target.starts_with("/rows-feed");
+            const bool isUpToDate = isFeed && target.find("after=2&") != std::string::npos;
+            if (isUpToDate) {
+                pace = { 10, pause / 2 }; // as a poll that waits
+                return rowsAnswer({}, 2);
+            }
+            const auto body = answerWith(isFeed ? 2 : 1);
+            if ((isFeed ? 2 : 1) == row.slowVersion) {
+                pace.chunkBytes = body.size() / chunks;
+                pace.pause = pause;
+            }
+            return body;
+        });
+        Watcher watcher(store.address());
+        watcher.waitUntilVersion(2);
+    }
+}
+
+// Guards against issue 55: a node that had been away applied each version that it had missed in its turn.
+TEST_CASE("of the versions in one answer only the newest valid one is applied, and never an older one")
+{
+    struct Row {
+        std::vector<std::pair<int, std::string>> answer; // by the version of the row
+        std::vector<std::int64_t> applied;
+    };
+    const std::string invalid = R"({"version":9,"routes":[{"name":7}]})";
+    const Row rows[] = {
+        { { { 6, configurationWith(2, 1) }, { 7, configurationWith(5, 1) }, { 8, configurationWith(8, 1) } },
+            { 1, 8 } },
+        { { { 6, configurationWith(2, 1) }, { 7, configurationWith(5, 1) }, { 8, invalid } }, { 1, 5 } },
+        { { { 6, invalid } }, { 1 } },
+        { { { 6, configurationWith(1, 1) } }, { 1 } },
+        { { { 6, configurationWith(0, 1) } }, { 1 } },
+    };
+    for (const auto& row : rows) {
+        HeldStore store;
+        Watcher watcher(store.address());
+        std::string answer;
+        for (const auto& [version, text] : row.answer)
+            answer += (answer.empty() ? "" : ",") + configurationRow(version, text);
+        store.awaitPoll(1);
+        store.answerPoll(rowsAnswer(answer, 8));
+        store.awaitPoll(2);
+        CHECK(watcher.appliedVersions() == row.applied);
+    }
+}
--- a/tests/contract/TestNode.h
+++ b/tests/contract/TestNode.h
@@ -28,7 +28,7 @@
     const auto end = std::chrono::steady_clock::now() + testTimeout;
     while (!condition()) {
         if (std::chrono::steady_clock::now() > end)
-            FAIL(what);
+            FAIL(std::string(what));
         std::this_thread::sleep_for(10ms);
     }
 }
@@ -82,6 +82,7 @@
         settings.maxStopDuration = 900ms;
         settings.terminationGracePeriod = 6s;
         settings.processorShare = processorShare;
+        settings.maxConfigurationDelay = 2000ms;
         settings.finishedJobRetention = finishedJobRetention;
         settings.maxEvacuationDelay = maxEvacuationDelay;
         m_node = std::make_unique<edge::EdgeNode>(settings);
