A read of the store is bounded by silence, not by its whole duration

A full read of the configuration had 800 ms and began anew after it, as did every long poll (1.8 s) and every page of the tables at a takeover (1.5 s).

Repeating it would move the same bytes over the same link. A response may have 8 MB: the store ends it at 1 MB of rows, but not within a row. Transactions and all other calls keep their whole timeout.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -27,7 +27,9 @@
 struct Exchange {
     std::string address;
     HttpRequest request;
-    Instant deadline;
+    Instant deadline; // put off while the response arrives, see RequestTimeout
+    Duration stall {};
+    Instant lastDeadline; // never put off beyond it
     HttpClient::ResponseHandler done;
 };
 
@@ -96,6 +98,8 @@
     void handshake(const std::string& host);
     void write();
     void read();
+    void readMore();
+    void putOffDeadline();
     void finish(HttpResult result, bool isKeepAlive);
     HttpResult takeResponse();
 
@@ -194,17 +198,37 @@
 {
     m_parser.emplace();
     m_parser->body_limit(m_client->maxResponseBytes);
-    http::async_read(
+    m_parser->eager(true);
+    readMore();
+}
+
+void Connection::readMore()
+{
+    http::async_read_some(
         m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code ec, std::size_t) {
             if (ec) {
                 self->finish(failedResult(true, self->m_address + ": " + ec.message()), false);
                 return;
             }
+            if (!self->m_parser->is_done()) {
+                self->putOffDeadline();
+                self->readMore();
+                return;
+            }
             const bool isKeepAlive = self->m_parser->get().keep_alive();
             self->finish(self->takeResponse(), isKeepAlive);
         });
 }
 
+void Connection::putOffDeadline()
+{
+    auto& exchange = *m_exchange;
+    if (exchange.stall == Duration::zero())
+        return;
+    exchange.deadline = std::min(std::chrono::steady_clock::now() + exchange.stall, exchange.lastDeadline);
+    m_stream.tcp().expires_at(exchange.deadline);
+}
+
 HttpResult Connection::takeResponse()
 {
     auto message = m_parser->release();
@@ -295,12 +319,16 @@
 
 void HttpClient::setMaxIdleConnections(std::size_t most) { m_impl->maxIdleConnections = most; }
 
-void HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, ResponseHandler done)
+void HttpClient::send(
+    const std::string& address, HttpRequest request, const RequestTimeout& timeout, ResponseHandler done)
 {
     auto exchange = std::make_unique<Exchange>();
     exchange->address = address;
     exchange->request = std::move(request);
-    exchange->deadline = std::chrono::steady_clock::now() + timeout;
+    const auto now = std::chrono::steady_clock::now();
+    exchange->deadline = now + timeout.start;
+    exchange->stall = timeout.stall;
+    exchange->lastDeadline = now + timeout.total;
     exchange->done = std::move(done);
     m_impl->pools[address].pending.push_back(std::move(exchange));
     m_impl->dispatch(address);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -11,6 +11,30 @@
 
 namespace quay {
 
+/**
+ * How long a request may take. Of a slow link only a stalled response counts as lost: one that keeps arriving
+ * would not arrive sooner if it were requested again.
+ *
+ * Usage: `RequestTimeout { 800ms, 1s, 10s }`, or a Duration for the whole request.
+ */
+struct RequestTimeout {
+    template <typename Count, typename Period>
+    RequestTimeout(std::chrono::duration<Count, Period> whole)
+        : start(whole)
+    {
+    }
+    RequestTimeout(Duration untilStart, Duration untilNextByte, Duration longest)
+        : start(untilStart)
+        , stall(untilNextByte)
+        , total(longest)
+    {
+    }
+
+    Duration start; // until the first byte of the response, or until its last one if `stall` is zero
+    Duration stall {}; // between bytes of a response that has begun before `start` has passed
+    Duration total {}; // until the last byte; used only with `stall`
+};
+
 /**
  * An asynchronous HTTP/1.1 client with keep-alive and one connection pool per address.
  * It never retries; the caller decides which requests are safe to send again.
@@ -41,7 +65,8 @@
      * before send() returns. `timeout` covers the wait for a free connection of the address, connecting, and
      * the response.
      */
-    void send(const std::string& address, HttpRequest request, Duration timeout, ResponseHandler done);
+    void send(
+        const std::string& address, HttpRequest request, const RequestTimeout& timeout, ResponseHandler done);
 
 private:
     std::shared_ptr<Impl> m_impl;
--- a/tests/contract/HttpClientTest.cpp
+++ b/tests/contract/HttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include "net/HttpClient.h"
+#include "PacedServer.h"
 #include "net/HttpServer.h"
 
 #include <doctest/doctest.h>
@@ -93,3 +94,43 @@
         CHECK(detail.find("is not IP:PORT") != std::string::npos);
     }
 }
+
+// Guards against issue 55: a response that arrived slowly, but steadily, was abandoned and requested anew.
+TEST_CASE("a response that keeps arriving may take longer than its start, one that stalls may not")
+{
+    constexpr std::size_t bodyBytes = 10000;
+    constexpr std::size_t chunkBytes = 500;
+    struct Row {
+        const char* what;
+        RequestTimeout timeout;
+        test::Pace pace;
+        bool isAnswered;
+    };
+    const Row rows[] = {
+        { "all at once", 30s, {}, true },
+        { "moving, but it has to be complete", 300ms, { chunkBytes, 50ms }, false },
+        { "moving", { 2s, 5s, 30s }, { chunkBytes, 150ms }, true },
+        { "never begun", { 300ms, 30s, 30s }, { chunkBytes, 0ms, 0 }, false },
+        { "stalled in the middle", { 30s, 300ms, 30s }, { chunkBytes, 0ms, 10 }, false },
+        { "moving for too long", { 300ms, 5s, 600ms }, { chunkBytes, 100ms }, false },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.what);
+        test::PacedServer server([&](const std::string&, test::Pace& pace) {
+            pace = row.pace;
+            return std::string(bodyBytes, 'x');
+        });
+        boost::asio::io_context context(1);
+        HttpClient client(context, 1, bodyBytes);
+        std::optional<HttpResult> result;
+        client.send(
+            server.address(), HttpRequest {}, row.timeout, [&](const HttpResult& it) { result = it; });
+        while (!result)
+            context.run_one();
+        CHECK(result->response.has_value() == row.isAnswered);
+        if (row.isAnswered)
+            CHECK(result->response->body.size() == bodyBytes);
+        else
+            CHECK(result->mayHaveArrived);
+    }
+}
