A node answers callers only by a configuration that it can show to be current

Cause: "the store has answered recently" was taken for "what this node holds is current". An answer that the history is gone made a node ready, and the full read that follows took seconds or never ended.

A node that is not is not ready, refuses every request as not run (503, stale_configuration) and does not take the lead. Only an answer without a configuration, a full read or a read of the row moves the moment on; after an answer with one the next poll does not wait, since more may follow. A poll is asked for whole milliseconds: with a fraction more the answer seemed to come before the end of the wait, and the age grew by the whole wait (seen as a 503 after 2,086 ms in EdgeNodeTest while this was written).

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -38,12 +38,12 @@
 } // namespace
 
 ConfigurationWatcher::ConfigurationWatcher(boost::asio::io_context& context, StoreClient& store, NodeLog& log,
-    Duration maxEvacuationDelay, ChangeCallback onChange, EvacuationsCallback onEvacuations)
+    const ConfigurationBounds& bounds, ChangeCallback onChange, EvacuationsCallback onEvacuations)
     : m_context(context)
     , m_store(store)
     , m_log(log)
-    , m_pollWait(pollWaitFor(maxEvacuationDelay))
-    , m_isAgeBounded(maxEvacuationDelay != Duration::zero())
+    , m_maxAge(bounds.maxConfigurationDelay)
+    , m_pollWait(pollWaitFor(bounds.maxEvacuationDelay))
     , m_onChange(std::move(onChange))
     , m_onEvacuations(std::move(onEvacuations))
     , m_timer(context)
@@ -52,6 +52,11 @@
 
 void ConfigurationWatcher::start() { readAll(); }
 
+bool ConfigurationWatcher::isCurrent(Instant now) const
+{
+    return m_current && (m_maxAge == Duration::zero() || now - m_currentAsOf < m_maxAge);
+}
+
 bool ConfigurationWatcher::isStoreReachable(Instant now) const
 {
     return m_consecutiveFailures < maxConsecutiveFailures && m_lastAnswerAt != Instant {}
@@ -139,6 +144,7 @@
     }
     m_lastVersionRead = read.version;
     confirmCurrent(read.sentAt);
+    m_answerDelay = clockNow() - read.sentAt > pollMargin ? m_pollWait : Duration::zero();
     publishEvacuations(read.sentAt);
     if (m_current)
         watch();
@@ -162,21 +168,25 @@
         });
 }
 
-// Where the age of the evacuations is bounded, a poll waits less by what the store took to answer the one
-// before, and not at all after one that failed.
+// A poll waits less by what the store took to answer the one before. It does not wait at all after one that
+// failed or had a configuration, since only an answer without one shows that there is no newer one.
 void ConfigurationWatcher::watch()
 {
-    const auto wait = std::max(m_pollWait - m_answerDelay, Duration::zero());
+    // Whole milliseconds, as the store is asked for them: it would else seem to answer before the wait is
+    // over.
+    const auto wait = std::chrono::floor<std::chrono::milliseconds>(
+        std::max(m_pollWait - m_answerDelay, Duration::zero()));
     m_store.pollChanges(std::string(operatorTable), m_lastVersionRead, wait, m_pollWait + pollMargin,
         [this, wait, sentAt = clockNow()](StoreResult result) {
             const bool isAnswered
                 = result.outcome == StoreOutcome::Ok || result.outcome == StoreOutcome::HistoryTruncated;
             recordOutcome(isAnswered, result.detail);
-            if (result.outcome != StoreOutcome::Ok || std::ranges::any_of(result.rows, isConfigurationRow))
+            const bool hasConfiguration = std::ranges::any_of(result.rows, isConfigurationRow);
+            if (result.outcome != StoreOutcome::Ok || hasConfiguration)
                 logRead("poll", result, sentAt);
-            if (m_isAgeBounded)
-                m_answerDelay
-                    = isAnswered ? std::max(clockNow() - sentAt - wait, Duration::zero()) : m_pollWait;
+            m_answerDelay = isAnswered && !hasConfiguration
+                ? std::max(clockNow() - sentAt - wait, Duration::zero())
+                : m_pollWait;
             if (result.outcome == StoreOutcome::HistoryTruncated) {
                 readAll();
                 return;
@@ -192,10 +202,8 @@
             m_lastVersionRead = std::max(m_lastVersionRead, result.version);
             const bool isBehind = result.hasMore || result.rows.size() >= fullAnswerRows;
             // The store answers at the first change, so none came before the end of the wait.
-            if (!isBehind && result.rows.empty() && clockNow() - sentAt >= wait)
-                confirmCurrent(sentAt + wait);
-            else if (!isBehind)
-                confirmCurrent(sentAt);
+            if (!isBehind && !hasConfiguration)
+                confirmCurrent(result.rows.empty() && clockNow() - sentAt >= wait ? sentAt + wait : sentAt);
             publishEvacuations(isBehind ? m_evacuations.readAt : sentAt);
             watch();
         });
--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -12,12 +12,20 @@
 
 namespace quay::edge {
 
+/** Bounds on how long the operator's acknowledged writes may be unknown to a node; zero: none. */
+struct ConfigurationBounds {
+    Duration
+        maxConfigurationDelay {}; // until a configuration is in force on every node that reaches the store
+    Duration maxEvacuationDelay {}; // until the last start in a domain that is to be emptied
+};
+
 /**
  * Watches what the operator writes to the store with long polls: the configuration, and the requests to empty
- * failure domains. Their results also tell whether the store is reachable.
+ * failure domains. Their results also tell whether the store is reachable, and since when what the node holds
+ * may be out of date: a store that answers may still not have shown the newest configuration.
  *
- * Usage: `ConfigurationWatcher watcher(io, store, log, bounds.maxEvacuationDelay,
- * [](const auto& configuration) { ... }, [](const auto& evacuations) { ... }); watcher.start();`
+ * Usage: `ConfigurationWatcher watcher(io, store, log, bounds, [](const auto& configuration) { ... },
+ * [](const auto& evacuations) { ... }); watcher.start();`
  */
 class ConfigurationWatcher {
 public:
@@ -25,12 +33,11 @@
     using EvacuationsCallback = std::function<void(const fleet::EvacuationView&)>;
 
     /**
-     * `maxEvacuationDelay`: the bound from the acknowledgement of a request to the last start; zero: none.
-     * The polls are so short that the view stays well below it in age. `onEvacuations` is called with each
-     * view, also if only its age is new.
+     * The polls are so short that the view of evacuations stays well below its bound in age. `onEvacuations`
+     * is called with each view, also if only its age is new.
      */
     ConfigurationWatcher(boost::asio::io_context& context, platform::StoreClient& store, NodeLog& log,
-        Duration maxEvacuationDelay, ChangeCallback onChange, EvacuationsCallback onEvacuations);
+        const ConfigurationBounds& bounds, ChangeCallback onChange, EvacuationsCallback onEvacuations);
 
     void start();
     /** Reads the row immediately; for use when a peer reports a newer version. */
@@ -46,6 +53,8 @@
      * was acknowledged after it may be missing.
      */
     Instant currentAsOf() const { return m_currentAsOf; }
+    /** True if a configuration that was acknowledged longer ago than the bound can't be missing. */
+    bool isCurrent(Instant now) const;
     /** True if the store has answered recently. */
     bool isStoreReachable(Instant now) const;
 
@@ -74,8 +83,8 @@
     boost::asio::io_context& m_context;
     platform::StoreClient& m_store;
     NodeLog& m_log;
+    Duration m_maxAge; // of the configuration; zero: unbounded
     Duration m_pollWait;
-    bool m_isAgeBounded; // of the evacuations
     ChangeCallback m_onChange;
     EvacuationsCallback m_onEvacuations;
     boost::asio::steady_timer m_timer;
@@ -83,7 +92,8 @@
     Instant m_currentAsOf {};
     fleet::EvacuationView m_evacuations;
     std::map<std::string, std::int64_t> m_requests; // versions of the rows, by failure domain
-    Duration m_answerDelay {}; // of the last poll, beyond its wait; only if the age is bounded
+    Duration
+        m_answerDelay {}; // of the last poll, beyond its wait; all of m_pollWait: the next one must not wait
     std::int64_t m_lastVersionRead = 0; // store version up to which changes have been read
     int m_consecutiveFailures = 0;
     Instant m_lastAnswerAt;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -57,7 +57,7 @@
         , m_relay(m_context, m_executors, m_startGuard)
         , m_services { m_context, m_store, m_orders, m_approvals, m_log, m_metrics }
         , m_configurationWatcher(
-              m_context, m_store, m_log, settings.maxEvacuationDelay,
+              m_context, m_store, m_log, { settings.maxConfigurationDelay, settings.maxEvacuationDelay },
               [this](const fleet::FleetConfiguration& configuration) {
                   registerTeamMetrics(configuration);
                   m_election.configurationChanged(configuration);
@@ -317,7 +317,7 @@
     void answerReadiness(const Respond& respond)
     {
         const auto now = clockNow();
-        const bool isReady = !m_isDraining && m_configurationWatcher.current()
+        const bool isReady = !m_isDraining && m_configurationWatcher.isCurrent(now)
             && m_configurationWatcher.isStoreReachable(now);
         if (isReady != m_wasReady)
             m_log.write(isReady ? "node_ready" : "node_not_ready", {},
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -77,7 +77,10 @@
     void applyAcquireResult(const platform::StoreResult& result, std::int64_t expectedVersion);
     void startLeading(std::int64_t version, Instant lastPredecessorCommit);
     void askSuccessor(std::int64_t version);
-    bool mayLead() const { return !m_hasResigned && m_isFormatKnown && m_configurationWatcher.current(); }
+    bool mayLead() const
+    {
+        return !m_hasResigned && m_isFormatKnown && m_configurationWatcher.isCurrent(clockNow());
+    }
     void relinquish(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -146,6 +146,12 @@
         refuse(call, ErrorKind::StaleConfiguration, "this node has not read a configuration yet");
         return;
     }
+    if (!m_configurationWatcher.isCurrent(call->arrivedAt)) {
+        refuse(call, ErrorKind::StaleConfiguration,
+            "version " + std::to_string(configuration->version) + " was last known to be the newest "
+                + ageText(m_configurationWatcher.currentAsOf(), call->arrivedAt) + " ms ago");
+        return;
+    }
     const auto path = call->request.path();
     const auto* queue = configuration->queueFor(hostOf(call->request), path);
     if (!queue) {
--- a/tests/contract/ConfigurationWatcherTest.cpp
+++ b/tests/contract/ConfigurationWatcherTest.cpp
@@ -25,6 +25,7 @@
 
 constexpr auto testTimeout = 30s; // only fails tests that hang
 constexpr Duration maxDelay = 5s;
+constexpr Duration maxConfigurationDelay = 3s;
 
 const std::string configuration = R"({"version":1,"routes":[],"services":[],"tenants":[]})";
 
@@ -33,7 +34,7 @@
     explicit Watcher(const std::string& storeAddress, Duration bound = maxDelay)
         : m_store(m_context, storeAddress)
         , m_watcher(
-              m_context, m_store, m_log, bound,
+              m_context, m_store, m_log, { maxConfigurationDelay, bound },
               [this](const FleetConfiguration& it) { changed([&] { m_applied.push_back(it.version); }); },
               [this](const EvacuationView& view) { changed([&] { m_views.push_back(view); }); })
     {
@@ -57,7 +58,7 @@
     {
         std::unique_lock lock(m_mutex);
         if (!m_condition.wait_for(lock, testTimeout, condition))
-            FAIL(what);
+            FAIL(std::string(what));
     }
     // Waits until the newest view names exactly these domains.
     EvacuationView viewWith(const std::vector<std::string>& domains)
@@ -121,6 +122,13 @@
         waitUntil(
             "the version is in force", [&] { return !m_applied.empty() && m_applied.back() == version; });
     }
+    // What `read` returns on the watcher's thread.
+    template <typename Read> auto on(Read read)
+    {
+        std::packaged_task<decltype(read(m_watcher))()> task([&] { return read(m_watcher); });
+        boost::asio::post(m_context, [&] { task(); });
+        return task.get_future().get();
+    }
     int reads()
     {
         const std::lock_guard lock(m_mutex);
@@ -246,11 +254,21 @@
     std::string address() const { return m_server.address(); }
     std::atomic<int> polls = 0;
     std::atomic<int> longestWaitMs = 0;
+    std::atomic<int> lastWaitMs = 0;
     void awaitPoll(int count)
     {
         while (polls < count)
             std::this_thread::sleep_for(1ms);
     }
+    // Answers the newest poll at the end of its wait, without a change, and returns when it arrived.
+    Instant answerPollAfterWait()
+    {
+        std::promise<Instant> arrived;
+        boost::asio::post(m_context, [&] { arrived.set_value(m_pollArrivedAt); });
+        std::this_thread::sleep_until(
+            arrived.get_future().get() + std::chrono::milliseconds(lastWaitMs.load()));
+        return answerPoll();
+    }
     // Answers the newest poll and returns when it arrived.
     Instant answerPoll(const std::string& body = R"({"rows":[],"ver":5})")
     {
@@ -268,7 +286,8 @@
     void serve(const HttpRequest& request, Respond respond)
     {
         if (request.path() == "/rows-feed") {
-            longestWaitMs = std::max(longestWaitMs.load(), std::stoi(request.query("waitMs")));
+            lastWaitMs = std::stoi(request.query("waitMs"));
+            longestWaitMs = std::max(longestWaitMs.load(), lastWaitMs.load());
             m_poll = std::move(respond);
             m_pollArrivedAt = std::chrono::steady_clock::now();
             ++polls;
@@ -397,3 +416,21 @@
         CHECK(watcher.appliedVersions() == row.applied);
     }
 }
+
+// Guards against an age that grows by a poll's whole wait: the store is asked for whole milliseconds.
+TEST_CASE("a poll that ends without a change shows that the configuration was current at the end of its wait")
+{
+    HeldStore store;
+    Watcher watcher(store.address(), 1s);
+    store.awaitPoll(1);
+    Instant notSentBefore {}; // of the next poll
+    for (int poll = 1; poll <= 8; ++poll) {
+        const std::chrono::milliseconds wait(store.lastWaitMs);
+        const auto arrivedAt = store.answerPollAfterWait();
+        store.awaitPoll(poll + 1);
+        const auto asOf = watcher.on([](ConfigurationWatcher& it) { return it.currentAsOf(); });
+        CHECK(asOf >= notSentBefore + wait);
+        CHECK(asOf <= arrivedAt + wait);
+        notSentBefore = arrivedAt + wait;
+    }
+}
