Only the newest configuration is read and decoded

The change feed gives a node that was away each version in its turn, and the node decoded and applied each on the way to the newest.

Of the versions in one answer only the newest valid one is applied. If two answers in a row have one, the row is read instead of the versions in between. A configuration of more than 128 KB is not read a second time beside the poll that brings it; that read only shortens the wait for a poll whose connection is dead.

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -19,6 +19,7 @@
 constexpr auto pollMargin = 400ms; // added to the wait to get the timeout
 // Of the bound on the age of the evacuations: a view is two polls old at most while the store answers.
 constexpr int pollsPerBound = 4;
+constexpr std::size_t largeConfigurationBytes = 128 * 1024; // a tenth of a second over a link of 10 Mbit/s
 constexpr std::size_t fullAnswerRows = 200; // a response with this many rows means that more are available
 constexpr auto readTimeout = 800ms;
 constexpr auto retryDelay = 120ms;
@@ -104,6 +105,7 @@
 
 void ConfigurationWatcher::readAll()
 {
+    m_hadConfiguration = false;
     readPage(std::make_shared<FullRead>(FullRead { clockNow(), 0, std::string(configurationKey), {} }));
 }
 
@@ -133,8 +135,8 @@
 void ConfigurationWatcher::fullyRead(const FullRead& read)
 {
     std::set<std::string> present;
+    applyNewestConfiguration(read.rows);
     for (const auto& row : read.rows) {
-        applyConfiguration(row);
         applyEvacuation(row);
         present.insert(row.key);
     }
@@ -152,17 +154,18 @@
         retryLater(true);
 }
 
+// The poll in flight usually has the new version too. Reading a large one twice at the same time would delay
+// both.
 void ConfigurationWatcher::refresh()
 {
-    if (m_isRefreshing)
+    if (m_isRefreshing || (m_currentText && m_currentText->size() > largeConfigurationBytes))
         return;
     m_isRefreshing = true;
     m_store.readRow(std::string(operatorTable), "", std::string(configurationKey), readTimeout,
         [this, sentAt = clockNow()](StoreResult result) {
             m_isRefreshing = false;
             logRead("refresh", result, sentAt);
-            for (const auto& row : result.rows)
-                applyConfiguration(row);
+            applyNewestConfiguration(result.rows);
             if (result.outcome == StoreOutcome::Ok)
                 confirmCurrent(sentAt);
         });
@@ -195,17 +198,20 @@
                 retryLater(false);
                 return;
             }
-            for (const auto& row : result.rows) {
-                applyConfiguration(row);
+            applyNewestConfiguration(result.rows);
+            for (const auto& row : result.rows)
                 applyEvacuation(row);
-            }
             m_lastVersionRead = std::max(m_lastVersionRead, result.version);
             const bool isBehind = result.hasMore || result.rows.size() >= fullAnswerRows;
             // The store answers at the first change, so none came before the end of the wait.
             if (!isBehind && !hasConfiguration)
                 confirmCurrent(result.rows.empty() && clockNow() - sentAt >= wait ? sentAt + wait : sentAt);
             publishEvacuations(isBehind ? m_evacuations.readAt : sentAt);
-            watch();
+            // Several changes are left to read, and only the newest one counts.
+            if (std::exchange(m_hadConfiguration, hasConfiguration) && hasConfiguration)
+                readAll();
+            else
+                watch();
         });
 }
 
@@ -222,24 +228,41 @@
     });
 }
 
-void ConfigurationWatcher::applyConfiguration(const StoreRow& row)
+// A change feed has each version; decoding a large one takes a small node a noticeable time.
+void ConfigurationWatcher::applyNewestConfiguration(const std::vector<StoreRow>& rows)
+{
+    std::vector<const StoreRow*> configurations;
+    for (const auto& row : rows) {
+        if (isConfigurationRow(row) && !row.isDeleted)
+            configurations.push_back(&row);
+    }
+    std::ranges::stable_sort(
+        configurations, std::ranges::greater(), [](const StoreRow* row) { return row->version; });
+    for (const auto* row : configurations) {
+        if (applyConfiguration(row->value))
+            return;
+    }
+}
+
+// Returns false if the text can't be decoded.
+bool ConfigurationWatcher::applyConfiguration(const std::string& text)
 {
-    if (!isConfigurationRow(row) || row.isDeleted)
-        return;
     Reason reason;
-    auto configuration = decodeConfiguration(row.value, reason);
+    auto configuration = decodeConfiguration(text, reason);
     if (!configuration) {
         m_log.write("configuration_unreadable", {}, { { "reason", reason.explain() } });
-        return;
+        return false;
     }
     if (m_current && configuration->version <= m_current->version)
-        return;
+        return true;
     m_current = std::make_shared<const fleet::FleetConfiguration>(std::move(*configuration));
+    m_currentText = std::make_shared<const std::string>(text);
     m_log.write("configuration_in_force", {},
         { { "version", std::to_string(m_current->version) },
             { "queues", std::to_string(m_current->queues.size()) },
             { "teams", std::to_string(m_current->teams.size()) } });
     m_onChange(*m_current);
+    return true;
 }
 
 void ConfigurationWatcher::applyEvacuation(const StoreRow& row)
--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -40,11 +40,13 @@
         const ConfigurationBounds& bounds, ChangeCallback onChange, EvacuationsCallback onEvacuations);
 
     void start();
-    /** Reads the row immediately; for use when a peer reports a newer version. */
+    /** Reads the row before the next poll does; for use when a peer reports a newer version. */
     void refresh();
 
     /** Null until the first version has been read. */
     std::shared_ptr<const fleet::FleetConfiguration> current() const { return m_current; }
+    /** The text from which current() was decoded; null until the first version has been read. */
+    std::shared_ptr<const std::string> currentText() const { return m_currentText; }
     std::int64_t version() const { return m_current ? m_current->version : 0; }
     /** The requests to empty failure domains as they were last read. */
     const fleet::EvacuationView& evacuations() const { return m_evacuations; }
@@ -72,7 +74,8 @@
     void fullyRead(const FullRead& read);
     void watch();
     void retryLater(bool fromStart);
-    void applyConfiguration(const platform::StoreRow& row);
+    void applyNewestConfiguration(const std::vector<platform::StoreRow>& rows);
+    bool applyConfiguration(const std::string& text);
     void applyEvacuation(const platform::StoreRow& row);
     void removeEvacuation(const std::string& domain);
     void publishEvacuations(Instant readAt);
@@ -89,11 +92,13 @@
     EvacuationsCallback m_onEvacuations;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<const fleet::FleetConfiguration> m_current;
+    std::shared_ptr<const std::string> m_currentText;
     Instant m_currentAsOf {};
     fleet::EvacuationView m_evacuations;
     std::map<std::string, std::int64_t> m_requests; // versions of the rows, by failure domain
     Duration
         m_answerDelay {}; // of the last poll, beyond its wait; all of m_pollWait: the next one must not wait
+    bool m_hadConfiguration = false; // the last poll's answer
     std::int64_t m_lastVersionRead = 0; // store version up to which changes have been read
     int m_consecutiveFailures = 0;
     Instant m_lastAnswerAt;
