A node that the store refuses gets the configuration from the leader

Its peers know the newer version and tell it so with each status, but it only asked the store again, and served on by the version that it had. The leader's status now names the age of its configuration: the same version on a node is then current as of that age before the probe. For a newer one the node asks the leader for the text that it has read, decodes it as it would the row, and takes no older or invalid one. Negative and endless ages count as unknown. The leader hands out 2 MB a second, so that many nodes do not fill its link.

Safe, as the leader has the text from the store and its age counts from the store's answers; a leader that is not current names none.

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -58,17 +58,18 @@
     return m_current && (m_maxAge == Duration::zero() || now - m_currentAsOf < m_maxAge);
 }
 
+bool ConfigurationWatcher::isStoreLost() const { return m_consecutiveFailures >= maxConsecutiveFailures; }
+
 bool ConfigurationWatcher::isStoreReachable(Instant now) const
 {
-    return m_consecutiveFailures < maxConsecutiveFailures && m_lastAnswerAt != Instant {}
-    && now - m_lastAnswerAt < maxAnswerAge;
+    return !isStoreLost() && m_lastAnswerAt != Instant {} && now - m_lastAnswerAt < maxAnswerAge;
 }
 
 void ConfigurationWatcher::recordOutcome(bool ok, const std::string& detail)
 {
     const auto now = clockNow();
     if (ok) {
-        if (m_consecutiveFailures >= maxConsecutiveFailures)
+        if (isStoreLost())
             m_log.write(
                 "store_regained", {}, { { "outage_ms", std::to_string(toMilliseconds(now - m_lostAt)) } });
         m_consecutiveFailures = 0;
@@ -171,6 +172,21 @@
         });
 }
 
+void ConfigurationWatcher::applyFromPeer(const std::string& text)
+{
+    const auto before = version();
+    applyConfiguration(text);
+    m_log.write("configuration_from_peer", {},
+        { { "bytes", std::to_string(text.size()) }, { "before", std::to_string(before) },
+            { "version", std::to_string(version()) } });
+}
+
+void ConfigurationWatcher::confirmByPeer(std::int64_t peerVersion, Instant asOf)
+{
+    if (peerVersion == version())
+        confirmCurrent(asOf);
+}
+
 // A poll waits less by what the store took to answer the one before. It does not wait at all after one that
 // failed or had a configuration, since only an answer without one shows that there is no newer one.
 void ConfigurationWatcher::watch()
--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -42,6 +42,10 @@
     void start();
     /** Reads the row before the next poll does; for use when a peer reports a newer version. */
     void refresh();
+    /** Applies the configuration that a peer has read, unless it is invalid or not newer. */
+    void applyFromPeer(const std::string& text);
+    /** A peer knows that `version` was the newest at `asOf`. */
+    void confirmByPeer(std::int64_t version, Instant asOf);
 
     /** Null until the first version has been read. */
     std::shared_ptr<const fleet::FleetConfiguration> current() const { return m_current; }
@@ -57,6 +61,8 @@
     Instant currentAsOf() const { return m_currentAsOf; }
     /** True if a configuration that was acknowledged longer ago than the bound can't be missing. */
     bool isCurrent(Instant now) const;
+    /** True once several calls in a row have failed, until one is answered. */
+    bool isStoreLost() const;
     /** True if the store has answered recently. */
     bool isStoreReachable(Instant now) const;
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -30,6 +30,7 @@
 constexpr std::size_t idleConnectionsDivisor = 4;
 constexpr auto drainPollInterval = 50ms;
 constexpr auto graceMargin = 700ms; // before the grace period ends and the platform kills the process
+constexpr std::chrono::nanoseconds peerConfigurationByteTime { 500 }; // 2 MB a second for all peers
 constexpr std::uint16_t metricsPort = 9464; // as configured in the deployment file for all machines
 
 double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
@@ -346,6 +347,10 @@
             m_relay.serve(request, std::move(respond));
             return;
         }
+        if (path == configurationPath) {
+            serveConfiguration(std::move(respond));
+            return;
+        }
         if (path == acceptPath && leader) {
             serveAccept(request, *leader, std::move(respond));
             return;
@@ -366,6 +371,8 @@
             status.isLeader = leader != nullptr;
             status.canCommit = leader && leader->canCommit(clockNow());
             status.configurationVersion = m_configurationWatcher.version();
+            if (m_configurationWatcher.isCurrent(clockNow()))
+                status.configurationAge = clockNow() - m_configurationWatcher.currentAsOf();
             if (leader) {
                 if (leader->isLoaded())
                     status.pending = leader->pending();
@@ -408,6 +415,22 @@
         respond(std::move(response));
     }
 
+    // Paced: a large configuration for each of many nodes at once would fill the link. A node that is refused
+    // asks again after its next probe.
+    void serveConfiguration(Respond respond)
+    {
+        HttpResponse response;
+        const auto now = clockNow();
+        const auto text = m_configurationWatcher.currentText();
+        if (!text || now < m_nextConfigurationAt) {
+            response.status = 429;
+        } else {
+            m_nextConfigurationAt = now + peerConfigurationByteTime * text->size();
+            response.body = *text;
+        }
+        respond(std::move(response));
+    }
+
     static void serveAccept(const HttpRequest& request, CellLeader& leader, Respond respond)
     {
         Reason reason;
@@ -491,6 +514,7 @@
     asio::signal_set m_signals;
     asio::signal_set m_reloadSignal;
     asio::steady_timer m_drainTimer;
+    Instant m_nextConfigurationAt {}; // for peers
     bool m_isDraining = false;
     bool m_wasReady = false;
     Instant m_drainStarted;
--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -88,7 +88,7 @@
         m_knownLeader.address, ownProbe(), leaderProbeTimeout, [this, sentAt](const LeaderStatus& status) {
             const bool isConnectionRefused = !status.isAnswered && clockNow() - sentAt < suspectAfter;
             m_isLeaderGone = isConnectionRefused || (status.isAnswered && !status.isLeader);
-            probeAnswered(status);
+            probeAnswered(status, sentAt);
         });
     m_timer.expires_after(suspectAfter);
     m_timer.async_wait([this](boost::system::error_code ec) {
@@ -105,7 +105,7 @@
         isEligible ? m_identity.processorShare : 0 };
 }
 
-void Election::probeAnswered(const LeaderStatus& status)
+void Election::probeAnswered(const LeaderStatus& status, Instant sentAt)
 {
     if (m_leader)
         return;
@@ -119,8 +119,7 @@
             m_pending = *status.pending;
             m_pendingAt = clockNow();
         }
-        if (status.configurationVersion > m_configurationWatcher.version())
-            m_configurationWatcher.refresh();
+        compareConfiguration(status, sentAt);
         scheduleCheck(std::clamp<Duration>(probeIntervalPerNode * static_cast<int>(status.nodeCount),
             minLeaderProbeInterval, maxLeaderProbeInterval));
         return;
@@ -134,6 +133,25 @@
     readLeadershipRow();
 }
 
+// The leader answered after the probe was sent, so its version was the newest no longer before that than its
+// age. Only a node that the store does not answer takes the configuration itself from the leader.
+void Election::compareConfiguration(const LeaderStatus& status, Instant sentAt)
+{
+    if (status.configurationAge)
+        m_configurationWatcher.confirmByPeer(status.configurationVersion, sentAt - *status.configurationAge);
+    if (status.configurationVersion <= m_configurationWatcher.version())
+        return;
+    m_configurationWatcher.refresh();
+    if (!m_configurationWatcher.isStoreLost() || m_isFetchingConfiguration)
+        return;
+    m_isFetchingConfiguration = true;
+    m_peers.requestConfiguration(m_knownLeader.address, [this](const std::optional<std::string>& text) {
+        m_isFetchingConfiguration = false;
+        if (text)
+            m_configurationWatcher.applyFromPeer(*text);
+    });
+}
+
 void Election::readLeadershipRow()
 {
     m_services.store.readRow(leadershipTable, cellPartition, leadershipKey, rowReadTimeout,
@@ -198,11 +216,11 @@
             scheduleCheck(Duration::zero());
         } else {
             scheduleCheck(rowReadInterval);
-            m_peers.probe(
-                m_knownLeader.address, ownProbe(), leaderProbeTimeout, [this](const LeaderStatus& status) {
+            m_peers.probe(m_knownLeader.address, ownProbe(), leaderProbeTimeout,
+                [this, sentAt = now](const LeaderStatus& status) {
                     m_hasLeaderLostStore = status.isAnswered && status.isLeader && !status.canCommit;
                     if (!m_leader && status.isAnswered && status.isLeader && status.canCommit)
-                        probeAnswered(status);
+                        probeAnswered(status, sentAt);
                 });
         }
         return;
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -69,7 +69,8 @@
     void scheduleCheck(Duration delay);
     void checkLeader();
     void probe();
-    void probeAnswered(const LeaderStatus& status);
+    void probeAnswered(const LeaderStatus& status, Instant sentAt);
+    void compareConfiguration(const LeaderStatus& status, Instant sentAt);
     void readLeadershipRow();
     void leadershipRowRead(const platform::StoreResult& result);
     void acquireLeadership(std::int64_t version);
@@ -110,6 +111,7 @@
     Instant m_nextCandidateUpdate {};
     Instant m_nextSuccessorRequestAt {};
     std::size_t m_successorsAsked = 0;
+    bool m_isFetchingConfiguration = false; // from the leader
     bool m_isAcquiring = false; // a write of the row is not answered yet
     std::function<void(bool isTaken)> m_onTakenOver; // for the leader that asked for this write
     std::map<std::string, std::int64_t> m_pending;
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -81,6 +81,11 @@
         "and "
         "the age of what the node holds; polls without a change are not logged",
         "if reads fail or take long, compare their bytes with the node's link and processor share" },
+    CataloguedEvent { 2307, "configuration_from_peer",
+        "the store does not answer this node, which got the configuration from the leader; the versions "
+        "before "
+        "and after",
+        "look for store_lost on the same node" },
     CataloguedEvent { 2401, "leader_found", "the leader answers probes", "nothing to do" },
     CataloguedEvent { 2402, "leader_missed",
         "a probe of the leader failed, or the leader can't commit; the leadership row is read next",
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -12,10 +12,16 @@
 constexpr std::size_t acceptConnections = 40; // a burst of submissions to one node during one slow commit
 constexpr std::size_t messageConnections = 4;
 constexpr std::size_t approvalConnections = 8;
+constexpr std::size_t configurationConnections = 1;
 constexpr std::size_t maxResponseBytes = 256 * 1024;
+constexpr std::size_t maxConfigurationBytes = 8 * 1024 * 1024;
 constexpr auto notifyTimeout = 1000ms; // no retry: the leader also reads the store's changes
 
 constexpr auto takeoverTimeout = 1500ms; // a write of the row by the other node
+constexpr std::chrono::milliseconds maxConfigurationAge = std::chrono::hours(1); // older ones are of no use
+constexpr Duration configurationStart = 1000ms;
+constexpr Duration configurationStall = 1000ms;
+constexpr Duration maxConfigurationDuration = 20s; // of a large one over a link of 1 Mbit/s
 
 } // namespace
 
@@ -46,6 +52,9 @@
 {
     json::object object { { "leader", status.isLeader }, { "usable", status.canCommit },
         { "version", status.configurationVersion }, { "nodes", status.nodeCount } };
+    if (status.configurationAge)
+        object["version_age_ms"]
+            = std::chrono::ceil<std::chrono::milliseconds>(*status.configurationAge).count();
     if (status.pending) {
         json::object pending;
         for (const auto& [queue, count] : *status.pending)
@@ -55,6 +64,18 @@
     return json::serialize(object);
 }
 
+namespace {
+
+// A negative age would name a moment that is still to come.
+std::optional<Duration> decodeAge(std::int64_t ms)
+{
+    if (ms < 0 || ms > maxConfigurationAge.count())
+        return std::nullopt;
+    return std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
 std::optional<LeaderStatus> decodeLeaderStatus(const std::string& body)
 {
     try {
@@ -65,6 +86,8 @@
         status.isLeader = object.at("leader").as_bool();
         status.canCommit = object.at("usable").as_bool();
         status.configurationVersion = object.at("version").to_number<std::int64_t>();
+        if (const auto* age = object.if_contains("version_age_ms")) // missing in answers of earlier releases
+            status.configurationAge = decodeAge(age->to_number<std::int64_t>());
         if (const auto* nodes = object.if_contains("nodes")) // missing in answers of earlier releases
             status.nodeCount = nodes->to_number<std::size_t>();
         if (const auto* pending = object.if_contains("pending")) {
@@ -155,6 +178,7 @@
     , m_accepts(context, acceptConnections, maxResponseBytes)
     , m_messages(context, messageConnections, maxResponseBytes)
     , m_approvals(context, approvalConnections, maxResponseBytes)
+    , m_configurations(context, configurationConnections, maxConfigurationBytes)
 {
 }
 
@@ -245,6 +269,21 @@
     });
 }
 
+void PeerClient::requestConfiguration(
+    const std::string& address, std::function<void(std::optional<std::string>)> done)
+{
+    HttpRequest request;
+    request.target = configurationPath;
+    m_configurations.send(address, std::move(request),
+        RequestTimeout { configurationStart, configurationStall, maxConfigurationDuration },
+        [done = std::move(done)](HttpResult result) {
+            if (result.response && result.response->status == 200)
+                done(std::move(result.response->body));
+            else
+                done(std::nullopt);
+        });
+}
+
 void PeerClient::approve(const std::string& address, const std::string& step,
     const std::vector<std::string>& workers, Duration timeout,
     std::function<void(platform::ApprovalResponse)> done)
--- a/src/edge/PeerClient.h
+++ b/src/edge/PeerClient.h
@@ -23,6 +23,7 @@
 constexpr const char* cancelRequestPath = "/peer/cancel-request";
 constexpr const char* statePath = "/peer/state";
 constexpr const char* approvePath = "/peer/approve";
+constexpr const char* configurationPath = "/peer/configuration";
 
 /** Health check that a node sends to the leader. */
 struct LeaderProbe {
@@ -43,6 +44,8 @@
     bool isLeader = false;
     bool canCommit = false; // its commits to the store succeed
     std::int64_t configurationVersion = 0;
+    // Since this version was last known to be the newest. Absent if the leader can't tell.
+    std::optional<Duration> configurationAge;
     std::size_t nodeCount = 0; // nodes that probe the leader
     // Jobs that have not started, by queue. Absent until the leader has read all jobs, since counts of 0
     // would be wrong.
@@ -97,6 +100,10 @@
         Duration timeout, std::function<void(CancelAnswer)> done);
     void requestJobState(const std::string& address, const std::string& id, Duration timeout,
         std::function<void(StateAnswer)> done);
+    /** Asks the leader for the operator's configuration as stored; `done` gets nothing if there is no answer.
+     */
+    void requestConfiguration(
+        const std::string& address, std::function<void(std::optional<std::string>)> done);
     /** Has the node at `address` call the approval service. */
     void approve(const std::string& address, const std::string& step, const std::vector<std::string>& workers,
         Duration timeout, std::function<void(platform::ApprovalResponse)> done);
@@ -108,6 +115,7 @@
     HttpClient m_accepts; // each request is open until the leader has committed
     HttpClient m_messages;
     HttpClient m_approvals; // each request may take a second
+    HttpClient m_configurations; // the only large responses
 };
 
 } // namespace quay::edge
--- a/tests/contract/ConfigurationWatcherTest.cpp
+++ b/tests/contract/ConfigurationWatcherTest.cpp
@@ -417,6 +417,60 @@
     }
 }
 
+TEST_CASE("a configuration from a peer is applied only if it is valid and newer")
+{
+    struct Row {
+        std::string text;
+        std::int64_t version;
+    };
+    const Row rows[] = {
+        { configurationWith(3, 1), 3 },
+        { configurationWith(1, 2), 1 },
+        { configurationWith(0, 1), 1 },
+        { R"({"version":9,"routes":[{"name":7}]})", 1 },
+        { "{", 1 },
+        { "", 1 },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.text);
+        HeldStore store;
+        Watcher watcher(store.address());
+        store.awaitPoll(1);
+        watcher.on([&](ConfigurationWatcher& it) { it.applyFromPeer(row.text); });
+        CHECK(watcher.on([](ConfigurationWatcher& it) { return it.version(); }) == row.version);
+    }
+}
+
+// Times are relative to the moment as of which the store has shown version 1 to be the newest.
+TEST_CASE("a configuration is current for as long as the bound, and a peer confirms only its own version")
+{
+    struct Row {
+        std::int64_t confirmedVersion; // by a peer
+        Duration confirmedAt;
+        Duration now;
+        bool isCurrent;
+    };
+    const Row rows[] = {
+        { 0, 0ms, maxConfigurationDelay - 1ms, true }, { 0, 0ms, maxConfigurationDelay, false },
+        { 1, 500ms, maxConfigurationDelay + 499ms, true }, { 1, 500ms, maxConfigurationDelay + 500ms, false },
+        { 1, -500ms, maxConfigurationDelay - 1ms, true },
+        { 2, 500ms, maxConfigurationDelay, false }, // the node holds an older one
+        { 0, 500ms, maxConfigurationDelay, false }, // the peer holds an older one
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.confirmedVersion);
+        CAPTURE(row.now.count());
+        HeldStore store;
+        Watcher watcher(store.address());
+        store.awaitPoll(1);
+        CHECK(watcher.on([&](ConfigurationWatcher& it) {
+            const auto start = it.currentAsOf();
+            it.confirmByPeer(row.confirmedVersion, start + row.confirmedAt);
+            return it.isCurrent(start + row.now);
+        }) == row.isCurrent);
+    }
+}
+
 // Guards against an age that grows by a poll's whole wait: the store is asked for whole milliseconds.
 TEST_CASE("a poll that ends without a change shows that the configuration was current at the end of its wait")
 {
--- a/tests/contract/FuzzSeedsTest.cpp
+++ b/tests/contract/FuzzSeedsTest.cpp
@@ -130,6 +130,7 @@
     edge::LeaderStatus status;
     status.isAnswered = status.isLeader = true;
     status.pending = { { "q", 3 } };
+    status.configurationAge = 1400ms;
     return { encode(edge::LeaderProbe { "n", "a:1", "z", 0.5 }), encode(status),
         edge::encodeApprovalRequest("00000000000000aa.0.1", { "i-1" }, 100ms), edge::encode(request),
         edge::encode(std::vector { result }), encode(edge::CancelAnswer::Reserved) };
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -260,6 +260,7 @@
     CHECK(settings->maxFileDescriptors == 4100);
     CHECK(settings->firstPeerPort == 7420);
     CHECK(settings->maxEvacuationDelay == Duration::zero());
+    CHECK(settings->maxConfigurationDelay == 2000ms);
     for (const auto& bound : { std::pair<const char*, Duration> { "5000", 5000ms }, { "0", Duration::zero() },
              { "null", Duration::zero() }, { "1e300", std::chrono::hours(24 * 365) } }) {
         const std::string value = bound.first;
@@ -269,6 +270,9 @@
         const auto bounded = parseNodeSettings(text, reason);
         REQUIRE(bounded);
         CHECK(bounded->maxEvacuationDelay == bound.second);
+        text.replace(text.find("evacuateMs"), 10, "configApplyMs");
+        CHECK(parseNodeSettings(text, reason)->maxConfigurationDelay
+            == (value == "null" ? Duration(2000ms) : bound.second));
     }
     struct Row {
         const char* from;
@@ -316,6 +320,31 @@
     CHECK_FALSE(edge::decodeLeaderStatus("{}"));
 }
 
+TEST_CASE("the age of a leader's configuration is rounded up, and odd ages count as unknown")
+{
+    struct Row {
+        const char* sent;
+        std::optional<Duration> age;
+    };
+    const Row rows[] = {
+        { R"(,"version_age_ms":0)", 0ms }, { R"(,"version_age_ms":1400)", 1400ms },
+        { R"(,"version_age_ms":3600000)", 3600000ms }, { R"(,"version_age_ms":3600001)", std::nullopt },
+        { R"(,"version_age_ms":9223372036854775807)", std::nullopt },
+        { R"(,"version_age_ms":-1)", std::nullopt }, { "", std::nullopt }, // of an earlier release
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.sent);
+        const auto status = edge::decodeLeaderStatus(
+            R"({"leader":true,"usable":true,"version":7)" + std::string(row.sent) + "}");
+        REQUIRE(status);
+        CHECK(status->configurationAge == row.age);
+        CHECK(edge::decodeLeaderStatus(encode(*status)) == status);
+    }
+    edge::LeaderStatus status;
+    status.configurationAge = 1400ms + 1us;
+    CHECK(edge::decodeLeaderStatus(encode(status))->configurationAge == 1401ms);
+}
+
 TEST_CASE("stored rows round-trip through their encoding, and other bytes are rejected")
 {
     Reason reason;
