--- a/tests/contract/ConfigurationWatcherTest.cpp
+++ b/tests/contract/ConfigurationWatcherTest.cpp
@@ -376,7 +376,7 @@
                 pace = { 10, pause / 2 }; // as a poll that waits
                 return rowsAnswer({}, 2);
             }
-            const auto body = answerWith(isFeed ? 2 : 1);
+            auto body = answerWith(isFeed ? 2 : 1);
             if ((isFeed ? 2 : 1) == row.slowVersion) {
                 pace.chunkBytes = body.size() / chunks;
                 pace.pause = pause;
