--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -14,8 +14,7 @@
 
 /** Bounds on how long the operator's acknowledged writes may be unknown to a node; zero: none. */
 struct ConfigurationBounds {
-    Duration
-        maxConfigurationDelay {}; // until a configuration is in force on every node that reaches the store
+    Duration maxConfigurationDelay {}; // until a configuration is in force on every node
     Duration maxEvacuationDelay {}; // until the last start in a domain that is to be emptied
 };
 
@@ -102,8 +101,8 @@
     Instant m_currentAsOf {};
     fleet::EvacuationView m_evacuations;
     std::map<std::string, std::int64_t> m_requests; // versions of the rows, by failure domain
-    Duration
-        m_answerDelay {}; // of the last poll, beyond its wait; all of m_pollWait: the next one must not wait
+    // Of the last poll, beyond its wait. All of m_pollWait: the next poll must not wait.
+    Duration m_answerDelay {};
     bool m_hadConfiguration = false; // the last poll's answer
     std::int64_t m_lastVersionRead = 0; // store version up to which changes have been read
     int m_consecutiveFailures = 0;
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -18,8 +18,9 @@
     CataloguedEvent {
         2004, "node_ready", "the node reports to the balancer that it takes requests", "nothing to do" },
     CataloguedEvent { 2005, "node_not_ready",
-        "the node has no configuration, does not reach the store, or is draining",
-        "look for store_lost at about the same time" },
+        "the node's configuration may be out of date (age_ms), it does not reach the store, or it is "
+        "draining",
+        "look for store_lost and configuration_read at about the same time" },
     CataloguedEvent { 2006, "settings_reload",
         "SIGHUP was received; the settings apply only from the next start",
         "restart the node to apply new settings" },
@@ -77,14 +78,12 @@
         "the partition without a name",
         "write the row again, or remove it" },
     CataloguedEvent { 2306, "configuration_read",
-        "a read of the configuration: which (read), its outcome, time and bytes, the newest version in it, "
-        "and "
-        "the age of what the node holds; polls without a change are not logged",
+        "a read that brought a configuration or failed: its kind, outcome, time and bytes, the newest row "
+        "version in it, and the version and age of what the node then held",
         "if reads fail or take long, compare their bytes with the node's link and processor share" },
     CataloguedEvent { 2307, "configuration_from_peer",
-        "the store does not answer this node, which got the configuration from the leader; the versions "
-        "before "
-        "and after",
+        "the store does not answer this node, and the leader sent it the configuration; versions before, "
+        "after",
         "look for store_lost on the same node" },
     CataloguedEvent { 2401, "leader_found", "the leader answers probes", "nothing to do" },
     CataloguedEvent { 2402, "leader_missed",
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -148,8 +148,9 @@
     }
     if (!m_configurationWatcher.isCurrent(call->arrivedAt)) {
         refuse(call, ErrorKind::StaleConfiguration,
-            "version " + std::to_string(configuration->version) + " was last known to be the newest "
-                + ageText(m_configurationWatcher.currentAsOf(), call->arrivedAt) + " ms ago");
+            "milliseconds since version " + std::to_string(configuration->version)
+                + " was last known to be the newest: "
+                + ageText(m_configurationWatcher.currentAsOf(), call->arrivedAt));
         return;
     }
     const auto path = call->request.path();
