A large response is read in large pieces

Cause: the client's buffer grew only as far as its first read, half a kilobyte, so each later read took as little, and one turn of the event loop. On a leader whose turns take milliseconds 1 MB is some 2,000 turns. Now a response that is longer than the first read is read in pieces of 64 KB; the buffer goes when the response is complete, since idle connections are many.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -23,6 +23,10 @@
 
 namespace {
 
+// What a read takes once a response is known to be longer than the first one. The default, half a kilobyte,
+// costs a turn of the event loop each: on a busy one a large response would take seconds.
+constexpr std::size_t largeReadBytes = 64 * 1024;
+
 // One request, from the call of send() until its callback has run.
 struct Exchange {
     std::string address;
@@ -211,6 +215,7 @@
                 return;
             }
             if (!self->m_parser->is_done()) {
+                self->m_buffer.reserve(largeReadBytes);
                 self->putOffDeadline();
                 self->readMore();
                 return;
@@ -249,6 +254,8 @@
 void Connection::finish(HttpResult result, bool isKeepAlive)
 {
     auto exchange = std::move(m_exchange);
+    if (m_buffer.capacity() >= largeReadBytes)
+        m_buffer.shrink_to_fit(); // idle connections are many
     auto& pool = m_client->pools[m_address];
     // The limit on idle connections doesn't apply while requests are pending: dispatch() reuses the
     // connection immediately.
--- a/tests/contract/HttpClientTest.cpp
+++ b/tests/contract/HttpClientTest.cpp
@@ -134,3 +134,23 @@
             CHECK(result->mayHaveArrived);
     }
 }
+
+// Guards against reads of a megabyte that took 22 s on a node with a busy event loop.
+TEST_CASE("a large response takes few turns of the event loop")
+{
+    constexpr std::size_t bodyBytes = 1024 * 1024;
+    constexpr std::size_t bytesPerTurn = 4096;
+    test::PacedServer server([](const std::string&, test::Pace&) { return std::string(bodyBytes, 'x'); });
+    boost::asio::io_context context(1);
+    HttpClient client(context, 1, bodyBytes);
+    for (int pass = 0; pass < 2; ++pass) { // the second one reuses the connection
+        std::optional<HttpResult> result;
+        client.send(server.address(), HttpRequest {}, 30s, [&](const HttpResult& it) { result = it; });
+        std::size_t turns = 0;
+        while (!result)
+            turns += context.run_one();
+        REQUIRE(result->response);
+        CHECK(result->response->body.size() == bodyBytes);
+        CHECK(turns < bodyBytes / bytesPerTurn);
+    }
+}
