One set of limits for a large response

The store's client and the peers' client had the same limits for a response that may be megabytes long (1 s of silence, 20 s in all), each in constants of its own. RequestTimeout::forLargeResponse() has them now. FullRead::startedAt is no longer named like the sending of each page. No change of behaviour.

--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -146,9 +146,9 @@
             removeEvacuation(request.first);
     }
     m_lastVersionRead = read.version;
-    confirmCurrent(read.sentAt);
-    m_answerDelay = clockNow() - read.sentAt > pollMargin ? m_pollWait : Duration::zero();
-    publishEvacuations(read.sentAt);
+    confirmCurrent(read.startedAt);
+    m_answerDelay = clockNow() - read.startedAt > pollMargin ? m_pollWait : Duration::zero();
+    publishEvacuations(read.startedAt);
     if (m_current)
         watch();
     else
--- a/src/edge/ConfigurationWatcher.h
+++ b/src/edge/ConfigurationWatcher.h
@@ -68,7 +68,7 @@
 private:
     // A reading of all of the operator's rows that this class knows, page by page.
     struct FullRead {
-        Instant sentAt; // of the first page
+        Instant startedAt; // when the first page was requested
         std::int64_t version = 0; // of the first page
         std::string nextKey;
         std::vector<platform::StoreRow> rows;
--- a/src/edge/PeerClient.cpp
+++ b/src/edge/PeerClient.cpp
@@ -16,12 +16,9 @@
 constexpr std::size_t maxResponseBytes = 256 * 1024;
 constexpr std::size_t maxConfigurationBytes = 8 * 1024 * 1024;
 constexpr auto notifyTimeout = 1000ms; // no retry: the leader also reads the store's changes
-
 constexpr auto takeoverTimeout = 1500ms; // a write of the row by the other node
 constexpr std::chrono::milliseconds maxConfigurationAge = std::chrono::hours(1); // older ones are of no use
-constexpr Duration configurationStart = 1000ms;
-constexpr Duration configurationStall = 1000ms;
-constexpr Duration maxConfigurationDuration = 20s; // of a large one over a link of 1 Mbit/s
+constexpr Duration configurationTimeout = 1000ms; // until the response begins
 
 } // namespace
 
@@ -274,8 +271,7 @@
 {
     HttpRequest request;
     request.target = configurationPath;
-    m_configurations.send(address, std::move(request),
-        RequestTimeout { configurationStart, configurationStall, maxConfigurationDuration },
+    m_configurations.send(address, std::move(request), RequestTimeout::forLargeResponse(configurationTimeout),
         [done = std::move(done)](HttpResult result) {
             if (result.response && result.response->status == 200)
                 done(std::move(result.response->body));
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -26,6 +26,8 @@
 // What a read takes once a response is known to be longer than the first one. The default, half a kilobyte,
 // costs a turn of the event loop each: on a busy one a large response would take seconds.
 constexpr std::size_t largeReadBytes = 64 * 1024;
+constexpr Duration maxResponseStall = 1000ms;
+constexpr Duration maxLargeResponseDuration = 20s; // of 2 MB over a link of 1 Mbit/s
 
 // One request, from the call of send() until its callback has run.
 struct Exchange {
@@ -50,6 +52,11 @@
 
 } // namespace
 
+RequestTimeout RequestTimeout::forLargeResponse(Duration untilStart)
+{
+    return { untilStart, maxResponseStall, maxLargeResponseDuration };
+}
+
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     Impl(asio::io_context& io, std::size_t connections, std::size_t responseBytes, TlsContext tlsContext)
         : context(io)
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -29,6 +29,8 @@
         , total(longest)
     {
     }
+    /** For a response that may be megabytes long: its start is bounded, the rest only by a very slow link. */
+    static RequestTimeout forLargeResponse(Duration untilStart);
 
     Duration start; // until the first byte of the response, or until its last one if `stall` is zero
     Duration stall {}; // between bytes of a response that has begun before `start` has passed
