Stand-in: reads are held at one address only, and the change feed ends an answer at 200 rows

The store of the users does both: it may fail one node and serve the others, and it gives 200 changes in one answer, to be continued at its version. Tests of a leader that lags need them. Held transactions and held reads are answered by one function, and the first two cases of ConfigurationAgeTest share their beginning; the second one refuses the node before the leader ends, so that it can't take the lead in between.

--- a/standin/FleetPlatform.cpp
+++ b/standin/FleetPlatform.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t maxLeaseMs = 6000;
 constexpr std::int64_t cpuMilli = 8000;
 constexpr std::size_t maxRowBytes = 65536;
+constexpr std::size_t feedAnswerRows = 200;
 
 Instant currentTime() { return std::chrono::steady_clock::now(); }
 
@@ -88,10 +89,7 @@
     m_store->start();
     m_otherStore = std::make_unique<HttpServer>(
         m_context, "127.0.0.1:0", HttpLimits {}, [this](const HttpRequest& request, Respond respond) {
-            if (m_isRefusingOtherAddress && request.path() != "/advise")
-                respond(answer(503, {}));
-            else
-                serveStore(request, std::move(respond));
+            serveOtherStore(request, std::move(respond));
         });
     m_otherStore->start();
     for (int i = 0; i < executors; ++i) {
@@ -191,18 +189,23 @@
     m_heldPartition = partition;
     if (!partition.empty())
         return;
-    for (const auto& [request, respond] : std::exchange(m_heldTransactions, {}))
-        respond(transact(request));
+    answerHeld(m_heldTransactions, &FleetPlatform::transact);
 }
 
-void FleetPlatform::holdReads(const std::string& table)
+void FleetPlatform::holdOtherReads(const std::string& table)
 {
     const std::lock_guard lock(m_mutex);
     m_tableWithHeldReads = table;
     if (!table.empty())
         return;
-    for (const auto& [request, respond] : std::exchange(m_heldReads, {}))
-        respond(readRows(request));
+    answerHeld(m_heldReads, &FleetPlatform::readRows);
+}
+
+void FleetPlatform::answerHeld(
+    std::vector<HeldCall>& calls, HttpResponse (FleetPlatform::*call)(const HttpRequest&))
+{
+    for (const auto& [request, respond] : std::exchange(calls, {}))
+        respond((this->*call)(request));
 }
 
 void FleetPlatform::dropTransactions(bool isDropping)
@@ -250,6 +253,22 @@
     return m_violations;
 }
 
+void FleetPlatform::serveOtherStore(const HttpRequest& request, Respond respond)
+{
+    if (m_isRefusingOtherAddress && request.path() != "/advise") {
+        respond(answer(503, {}));
+        return;
+    }
+    if (request.path() == "/rows-get") {
+        const std::lock_guard lock(m_mutex);
+        if (!m_tableWithHeldReads.empty() && request.query("table") == m_tableWithHeldReads) {
+            m_heldReads.emplace_back(request, std::move(respond));
+            return;
+        }
+    }
+    serveStore(request, std::move(respond));
+}
+
 void FleetPlatform::serveStore(const HttpRequest& request, Respond respond)
 {
     const std::lock_guard lock(m_mutex);
@@ -266,9 +285,6 @@
         m_droppedTransactions.emplace_back(request.body, std::move(respond));
     else if (path == "/rows-tx")
         respond(transact(request));
-    else if (path == "/rows-get" && !m_tableWithHeldReads.empty()
-        && request.query("table") == m_tableWithHeldReads)
-        m_heldReads.emplace_back(request, std::move(respond));
     else if (path == "/rows-get")
         respond(readRows(request));
     else if (path == "/rows-parts")
@@ -358,7 +374,7 @@
         respond(answer(410, {}));
         return;
     }
-    json::array rows;
+    std::multimap<std::int64_t, json::object> changes; // by version
     std::set<RowName> reportedRows;
     for (const auto& name : m_changedRows) {
         const auto row = m_rows.find(name);
@@ -367,16 +383,25 @@
             continue;
         if (row != m_rows.end() && row->second.version > seenVersion) {
             reportedRows.insert(name);
-            rows.push_back(encodeRow(name, row->second));
+            changes.emplace(row->second.version, encodeRow(name, row->second));
         } else if (removal != m_removedRows.end() && removal->second > seenVersion) {
             reportedRows.insert(name);
             auto removed = encodeRow(name, { {}, removal->second });
             removed["tombstone"] = true;
-            rows.push_back(std::move(removed));
+            changes.emplace(removal->second, std::move(removed));
         }
     }
+    json::array rows;
+    auto version = m_version;
+    for (auto& [changedIn, row] : changes) {
+        if (rows.size() >= feedAnswerRows && changedIn != version)
+            break; // the rows of one version stay together
+        rows.push_back(std::move(row));
+        if (rows.size() >= feedAnswerRows)
+            version = changedIn;
+    }
     if (!rows.empty() || currentTime() >= waitUntil) {
-        respond(answer(200, { { "rows", rows }, { "ver", m_version } }));
+        respond(answer(200, { { "rows", rows }, { "ver", version } }));
         return;
     }
     runAfter(pollInterval, [this, request, respond, waitUntil] {
--- a/standin/FleetPlatform.h
+++ b/standin/FleetPlatform.h
@@ -55,8 +55,8 @@
     void setBusyPartition(const std::string& partition);
     /** From now on, transactions on the partition wait; with an empty name those that wait are executed. */
     void holdPartition(const std::string& partition);
-    /** From now on, reads of the table wait; with an empty name those that wait are answered. */
-    void holdReads(const std::string& table);
+    /** From now on, reads of the table at otherStoreAddress() wait; with an empty name, they are answered. */
+    void holdOtherReads(const std::string& table);
     /** While true, transactions are neither applied nor answered. Reads are served as usual. */
     void dropTransactions(bool isDropping);
     /** The number of dropped transactions so far that name the table. */
@@ -78,8 +78,11 @@
         std::int64_t version = 0;
     };
     using RowName = std::tuple<std::string, std::string, std::string>; // table, partition, key
+    using HeldCall = std::pair<HttpRequest, Respond>;
 
+    void serveOtherStore(const HttpRequest& request, Respond respond);
     void serveStore(const HttpRequest& request, Respond respond);
+    void answerHeld(std::vector<HeldCall>& calls, HttpResponse (FleetPlatform::*call)(const HttpRequest&));
     HttpResponse transact(const HttpRequest& request);
     HttpResponse readRows(const HttpRequest& request);
     HttpResponse listPartitions(const HttpRequest& request);
@@ -107,9 +110,9 @@
     bool m_isStoreUnavailable = false;
     std::string m_busyPartition;
     std::string m_heldPartition;
-    std::vector<std::pair<HttpRequest, Respond>> m_heldTransactions;
+    std::vector<HeldCall> m_heldTransactions;
     std::string m_tableWithHeldReads;
-    std::vector<std::pair<HttpRequest, Respond>> m_heldReads;
+    std::vector<HeldCall> m_heldReads;
     bool m_isDroppingTransactions = false;
     // The bodies, each with the callback that keeps its connection open.
     std::vector<std::pair<std::string, Respond>> m_droppedTransactions;
--- a/tests/contract/ConfigurationAgeTest.cpp
+++ b/tests/contract/ConfigurationAgeTest.cpp
@@ -57,6 +57,19 @@
         .status;
 }
 
+// Lets the node miss a change of the configuration: the store refuses it meanwhile, forgets the change, and
+// holds the node's next full read.
+void missNextConfiguration(standin::FleetPlatform& platform, const Node& node)
+{
+    platform.refuseOtherAddress(true);
+    waitFor("the node is not ready", [&] { return !isReady(node); });
+    platform.configure(nextConfiguration());
+    platform.truncateHistory();
+    platform.holdOtherReads("op");
+    waitFor("the configuration is old", [&] { return metric(node, "quay_configuration_age_seconds") > 2; });
+    platform.refuseOtherAddress(false);
+}
+
 } // namespace
 
 // Guards against issue 55: "history is gone" made a node ready, which then answered by a version that had
@@ -67,13 +80,7 @@
     platform.configure(configuration);
     Node node(1, platform.otherStoreAddress());
     waitFor("the node is ready", [&] { return isReady(node); });
-    platform.refuseOtherAddress(true);
-    waitFor("the node is not ready", [&] { return !isReady(node); });
-    platform.configure(nextConfiguration());
-    platform.truncateHistory();
-    platform.holdReads("op");
-    waitFor("the configuration is old", [&] { return metric(node, "quay_configuration_age_seconds") > 2; });
-    platform.refuseOtherAddress(false);
+    missNextConfiguration(platform, node);
     const std::string historyGone = "quay_store_calls_total{call=\"changes\",outcome=\"history gone\"}";
     waitFor("a poll is told that the history is gone", [&] { return metric(node, historyGone) > 0; });
     CHECK_FALSE(isReady(node));
@@ -85,7 +92,7 @@
         CHECK(statusOf(node, request, job++) == 503);
         CHECK_FALSE(isReady(node));
     }
-    platform.holdReads("");
+    platform.holdOtherReads("");
     waitFor("the node is ready again", [&] { return isReady(node); });
     waitFor("it answers by the new version",
         [&] { return statusOf(node, requests.front(), job) == requests.front().newStatus; });
@@ -107,21 +114,16 @@
     waitFor("the first node leads", [&] { return leader.isLeader(); });
     Node node(2, platform.otherStoreAddress());
     waitFor("the second node is ready", [&] { return isReady(node); });
-    platform.refuseOtherAddress(true);
-    waitFor("the second node is not ready", [&] { return !isReady(node); });
+    platform.refuseOtherAddress(true); // before it can take the lead
     leader.kill();
-    platform.configure(nextConfiguration());
-    platform.truncateHistory();
-    platform.holdReads("op");
-    waitFor("the configuration is old", [&] { return metric(node, "quay_configuration_age_seconds") > 2; });
-    platform.refuseOtherAddress(false);
+    missNextConfiguration(platform, node);
     // Each time it reads the leadership row; it would take the lead after a few.
     const std::string reads = "quay_store_calls_total{call=\"read\",outcome=\"ok\"}";
     const auto before = metric(node, reads);
     waitFor("it has read the leadership row often, or leads",
         [&] { return metric(node, reads) > before + 20 || node.isLeader(); });
     CHECK_FALSE(node.isLeader());
-    platform.holdReads("");
+    platform.holdOtherReads("");
     waitFor("it leads", [&] { return node.isLeader(); });
 }
 
