A leader that is behind in the changes of the jobs reads on at once

The leader was 7.7 s behind in the changes of the jobs. The feed of the executors went on at once.

StoreClient::pollChanges() now tells by hasMore that an answer is full, for all three readers of the feed; each had or lacked its own test of the number of rows.

--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -21,7 +21,6 @@
 constexpr auto executorsPollWait = 1000ms; // below the 2 s after which a draining executor refuses starts
 // Batches changes: the registrations of 48 executors change about thirty times a second.
 constexpr auto executorsPollInterval = 250ms;
-constexpr std::size_t fullAnswerRows = 200; // a response with this many rows means that more are available
 constexpr auto jobsPollInterval = 700ms; // bounds the delay of jobs whose notification to the leader was lost
 constexpr auto tombstoneCheckInterval = 100ms;
 constexpr std::size_t maxTombstoneDeletions = 8; // in one check; more than callers can add in that time
@@ -363,8 +362,7 @@
                 self->m_executorsVersionRead = std::max(self->m_executorsVersionRead, result.version);
                 self->runSchedulerSoon();
             }
-            const bool isBehind = result.hasMore || result.rows.size() >= fullAnswerRows;
-            self->runLater(isBehind ? Duration::zero() : Duration(executorsPollInterval),
+            self->runLater(result.hasMore ? Duration::zero() : Duration(executorsPollInterval),
                 [self] { self->watchExecutors(); });
         });
 }
@@ -406,7 +404,8 @@
                     self->runSchedulerSoon();
                 self->m_jobsVersionRead = std::max(self->m_jobsVersionRead, result.version);
             }
-            self->runLater(jobsPollInterval, [self] { self->watchJobs(); });
+            self->runLater(result.hasMore ? Duration::zero() : Duration(jobsPollInterval),
+                [self] { self->watchJobs(); });
         });
 }
 
--- a/src/edge/ConfigurationWatcher.cpp
+++ b/src/edge/ConfigurationWatcher.cpp
@@ -20,7 +20,6 @@
 // Of the bound on the age of the evacuations: a view is two polls old at most while the store answers.
 constexpr int pollsPerBound = 4;
 constexpr std::size_t largeConfigurationBytes = 128 * 1024; // a tenth of a second over a link of 10 Mbit/s
-constexpr std::size_t fullAnswerRows = 200; // a response with this many rows means that more are available
 constexpr auto readTimeout = 800ms;
 constexpr auto retryDelay = 120ms;
 constexpr auto maxAnswerAge = 2300ms; // one poll with its timeout, and a retry
@@ -218,11 +217,10 @@
             for (const auto& row : result.rows)
                 applyEvacuation(row);
             m_lastVersionRead = std::max(m_lastVersionRead, result.version);
-            const bool isBehind = result.hasMore || result.rows.size() >= fullAnswerRows;
             // The store answers at the first change, so none came before the end of the wait.
-            if (!isBehind && !hasConfiguration)
+            if (!result.hasMore && !hasConfiguration)
                 confirmCurrent(result.rows.empty() && clockNow() - sentAt >= wait ? sentAt + wait : sentAt);
-            publishEvacuations(isBehind ? m_evacuations.readAt : sentAt);
+            publishEvacuations(result.hasMore ? m_evacuations.readAt : sentAt);
             // Several changes are left to read, and only the newest one counts.
             if (std::exchange(m_hadConfiguration, hasConfiguration) && hasConfiguration)
                 readAll();
