A leader that can't read the newest configuration hands over to a node that has it

Jobs of an added queue waited, and those of a removed one ran under its old limits.

Now it hands over once it has been so for 2.5 s while its commits succeed, if another node is eligible; only current nodes are. The time begins anew after each outage of the commits: the leader may be the last to read then, and a change of leader costs more than that. Without an eligible node it goes on, since running tasks need a leader.

Without an eligible node the leader keeps the lead.

--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -36,6 +36,7 @@
 constexpr auto candidateUpdateInterval = 100ms; // looks at all nodes, and each of them probes
 constexpr auto smallNodeDelay = 800ms; // a larger node can detect the failure and write the row within it
 constexpr auto handoverInterval = 15000ms; // between handovers of one node; many times the cost of one
+constexpr auto staleLeadershipLimit = 2500ms; // a poll without an answer, and one more after it
 
 Duration acquireJitter(const std::string& node, std::size_t candidateCount)
 {
@@ -333,6 +334,7 @@
         std::max(m_identity.processorShare, m_knownLeader.largestShare), m_knownLeader.candidateCount };
     m_vacantSince = {};
     m_candidates = {};
+    m_staleSince = {};
     m_leader = std::make_shared<CellLeader>(m_services, m_bounds, m_knownLeader, version,
         lastPredecessorCommit, std::exchange(m_acquireSentAt, Instant {}), [this] {
             m_leader.reset();
@@ -356,17 +358,38 @@
 {
     const auto now = clockNow();
     m_candidates.recordProbe(node, address, share, now);
-    if (!m_leader || m_hasResigned || !m_leader->isLoaded() || !m_leader->canCommit(now))
+    if (!m_leader || m_hasResigned || !m_leader->isLoaded())
         return;
+    if (!m_leader->canCommit(now)) {
+        m_staleSince = {}; // once the store answers again, the configuration has its time to arrive
+        return;
+    }
     if (now < m_nextCandidateUpdate)
         return;
     m_nextCandidateUpdate = now + candidateUpdateInterval;
     m_leader->setCandidates(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
         m_candidates.successors(now).size());
-    if (now < m_nextHandoverAt || !m_candidates.hasClearlyLarger(m_identity.processorShare, now))
+    const auto reason = handoverReason(now);
+    if (!reason || now < m_nextHandoverAt)
         return;
     m_nextHandoverAt = now + handoverInterval;
-    relinquish("a node with a clearly larger processor share is available", [] {});
+    relinquish(*reason, [] {});
+}
+
+// A change of leader costs more than a short wait for the configuration, which the leader may be the last to
+// read after an outage of the store.
+std::optional<std::string_view> Election::handoverReason(Instant now)
+{
+    if (m_configurationWatcher.isCurrent(now))
+        m_staleSince = {};
+    else if (m_staleSince == Instant {})
+        m_staleSince = now;
+    if (m_staleSince != Instant {} && now - m_staleSince >= staleLeadershipLimit
+        && !m_candidates.successors(now).empty())
+        return "the configuration may have been replaced, and another node has the newest one";
+    if (m_candidates.hasClearlyLarger(m_identity.processorShare, now))
+        return "a node with a clearly larger processor share is available";
+    return std::nullopt;
 }
 
 void Election::relinquish(std::string_view why, std::function<void()> done)
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -7,6 +7,7 @@
 #include "edge/PeerClient.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace quay::edge {
@@ -38,7 +39,10 @@
     void start();
     /** Relinquishes the leadership, if held, and never takes it again; then calls `done`. */
     void resign(std::function<void()> done);
-    /** Records a probe by another node. A leader hands over to a node with a clearly larger share. */
+    /**
+     * Records a probe by another node. A leader hands over to a node with a clearly larger share, and to any
+     * eligible node once it has led for too long by a configuration that may have been replaced.
+     */
     void probeReceived(const std::string& node, const std::string& address, double share);
     /**
      * The leader, which the store refuses, asks this node to replace it. Has no effect if the version of the
@@ -82,6 +86,7 @@
     {
         return !m_hasResigned && m_isFormatKnown && m_configurationWatcher.isCurrent(clockNow());
     }
+    std::optional<std::string_view> handoverReason(Instant now);
     void relinquish(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
@@ -108,6 +113,8 @@
     Instant m_vacantSince;
     LeaderCandidates m_candidates; // maintained while this node is the leader
     Instant m_nextHandoverAt {};
+    Instant
+        m_staleSince {}; // as the leader, by a configuration that may have been replaced; zero: it is current
     Instant m_nextCandidateUpdate {};
     Instant m_nextSuccessorRequestAt {};
     std::size_t m_successorsAsked = 0;
--- a/tests/contract/ConfigurationAgeTest.cpp
+++ b/tests/contract/ConfigurationAgeTest.cpp
@@ -1,5 +1,6 @@
 #include "TestNode.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -127,6 +128,54 @@
     waitFor("it leads", [&] { return node.isLeader(); });
 }
 
+// Guards against the same fault in office: a leader that could not read the configuration for 22 s, and whose
+// commits succeeded, scheduled by the replaced one.
+TEST_CASE("a leader whose configuration may have been replaced hands over to a node that has the newest one")
+{
+    struct Row {
+        const char* name;
+        bool hasCurrentPeer;
+    };
+    const Row rows[] = {
+        { "a peer has the newest one", true },
+        { "no peer has it", false },
+    };
+    int number = 10;
+    for (const auto& row : rows) {
+        CAPTURE(std::string(row.name));
+        standin::FleetPlatform platform(2);
+        platform.configure(configuration);
+        Node leader(number++, platform.otherStoreAddress(), 0.5);
+        waitFor("the first node leads", [&] { return leader.isLeader() && isReady(leader); });
+        Node peer(number++, row.hasCurrentPeer ? platform.storeAddress() : platform.otherStoreAddress(), 0.5);
+        waitFor("the other node is ready", [&] { return isReady(peer); });
+        platform.holdOtherReads("op");
+        const std::vector<const Node*> lagging = row.hasCurrentPeer
+            ? std::vector<const Node*> { &leader }
+            : std::vector<const Node*> { &leader, &peer };
+        waitFor("the full reads of the nodes that lag are held", [&] {
+            platform.truncateHistory();
+            return std::ranges::all_of(
+                lagging, [](const Node* it) { return metric(*it, "quay_configuration_age_seconds") > 2; });
+        });
+        platform.configure(nextConfiguration());
+        if (row.hasCurrentPeer) {
+            waitFor("the other node leads", [&] { return peer.isLeader(); });
+            waitFor("it accepts a job of the new queue",
+                [&] { return statusOf(peer, requests.front(), 1) == 200; });
+            waitFor("the job runs", [&] { return platform.startedRuns() == 7; });
+            CHECK_FALSE(leader.isLeader());
+        } else {
+            waitFor("the configuration is as old as the leader's may be and older",
+                [&] { return metric(leader, "quay_configuration_age_seconds") > 6; });
+            CHECK(leader.isLeader()); // tasks that run need a leader
+        }
+        platform.holdOtherReads("");
+        waitFor("the first node is ready again", [&] { return isReady(leader); });
+        CHECK(platform.violations().empty());
+    }
+}
+
 // Guards against answers by an old version from a node that the store refuses while its peers know better.
 TEST_CASE("a node that the store refuses gets the configuration from the leader and serves on by it")
 {
