--- a/tests/contract/ConfigurationAgeTest.cpp
+++ b/tests/contract/ConfigurationAgeTest.cpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-// Nodes whose configuration is not known to be the newest. Node 1 leads and always reaches the store; the
-// store may refuse node 2.
+// Nodes whose configuration is not known to be the newest. At its other address the store may refuse calls,
+// or hold reads, while the rest of its callers are served.
 using namespace quay;
 using namespace quay::test;
 
