--- a/src/edge/Election.cpp
+++ b/src/edge/Election.cpp
@@ -360,11 +360,8 @@
     m_candidates.recordProbe(node, address, share, now);
     if (!m_leader || m_hasResigned || !m_leader->isLoaded())
         return;
-    if (!m_leader->canCommit(now)) {
-        m_staleSince = {}; // once the store answers again, the configuration has its time to arrive
-        return;
-    }
-    if (now < m_nextCandidateUpdate)
+    updateStaleness(now);
+    if (!m_leader->canCommit(now) || now < m_nextCandidateUpdate)
         return;
     m_nextCandidateUpdate = now + candidateUpdateInterval;
     m_leader->setCandidates(std::max(m_identity.processorShare, m_candidates.largestRecentShare(now)),
@@ -376,14 +373,20 @@
     relinquish(*reason, [] {});
 }
 
-// A change of leader costs more than a short wait for the configuration, which the leader may be the last to
-// read after an outage of the store.
-std::optional<std::string_view> Election::handoverReason(Instant now)
+// While the leader can't commit, the time does not count: once the store answers again, the configuration has
+// its time to arrive.
+void Election::updateStaleness(Instant now)
 {
-    if (m_configurationWatcher.isCurrent(now))
+    if (m_configurationWatcher.isCurrent(now) || !m_leader->canCommit(now))
         m_staleSince = {};
     else if (m_staleSince == Instant {})
         m_staleSince = now;
+}
+
+// A change of leader costs more than a short wait for the configuration, which the leader may be the last to
+// read after an outage of the store.
+std::optional<std::string_view> Election::handoverReason(Instant now) const
+{
     if (m_staleSince != Instant {} && now - m_staleSince >= staleLeadershipLimit
         && !m_candidates.successors(now).empty())
         return "the configuration may have been replaced, and another node has the newest one";
--- a/src/edge/Election.h
+++ b/src/edge/Election.h
@@ -86,7 +86,8 @@
     {
         return !m_hasResigned && m_isFormatKnown && m_configurationWatcher.isCurrent(clockNow());
     }
-    std::optional<std::string_view> handoverReason(Instant now);
+    void updateStaleness(Instant now);
+    std::optional<std::string_view> handoverReason(Instant now) const;
     void relinquish(std::string_view why, std::function<void()> done);
 
     EdgeServices m_services;
