--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -33,7 +33,11 @@
 constexpr std::chrono::nanoseconds peerConfigurationByteTime { 500 }; // 2 MB a second for all peers
 constexpr std::uint16_t metricsPort = 9464; // as configured in the deployment file for all machines
 
-double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
+// As gauges show it; -1: never.
+double secondsSince(Instant moment)
+{
+    return moment == Instant {} ? -1.0 : std::chrono::duration<double>(clockNow() - moment).count();
+}
 
 } // namespace
 
@@ -105,17 +109,12 @@
             [this] { return static_cast<double>(m_configurationWatcher.evacuations().evacuations.size()); });
         m_metrics.gauge("quay_evacuations_age_seconds",
             "Since the node last asked the store which failure domains to empty; -1: not answered yet",
-            [this] {
-                const auto readAt = m_configurationWatcher.evacuations().readAt;
-                return readAt == Instant {} ? -1.0 : secondsOf(clockNow() - readAt);
-            });
+            [this] { return secondsSince(m_configurationWatcher.evacuations().readAt); });
         m_metrics.gauge("quay_configuration_version", "Version of the configuration in force; 0: none",
             [this] { return static_cast<double>(m_configurationWatcher.version()); });
         m_metrics.gauge("quay_configuration_age_seconds",
-            "Since the configuration in force was last known to be the newest; -1: never", [this] {
-                const auto asOf = m_configurationWatcher.currentAsOf();
-                return asOf == Instant {} ? -1.0 : secondsOf(clockNow() - asOf);
-            });
+            "Since the configuration in force was last known to be the newest; -1: never",
+            [this] { return secondsSince(m_configurationWatcher.currentAsOf()); });
         m_signals.async_wait([this](boost::system::error_code ec, int) {
             if (!ec)
                 drain();
@@ -256,9 +255,7 @@
             gauge("quay_evacuated_domain_executors", "Executors of an emptied failure domain",
                 [](const fleet::EvacuationCounts& counts) { return counts.executors; });
             gauge("quay_evacuation_seconds", "Since the leader heeds the request to empty a failure domain",
-                [](const fleet::EvacuationCounts& counts) {
-                    return secondsOf(clockNow() - counts.heededSince);
-                });
+                [](const fleet::EvacuationCounts& counts) { return secondsSince(counts.heededSince); });
         }
     }
 
