--- a/include/quay/fleet/FleetConfiguration.h
+++ b/include/quay/fleet/FleetConfiguration.h
@@ -36,6 +36,9 @@
     bool operator==(const QueuePolicy&) const = default;
 };
 
+/** The part of the policy that decides how accepted jobs run: without the host, the path and `isPublic`. */
+QueuePolicy executionPolicy(const QueuePolicy& queue);
+
 /** One team with its keys, weight and upper limit. */
 struct TeamPolicy {
     std::string name;
--- a/include/quay/fleet/JobRequest.h
+++ b/include/quay/fleet/JobRequest.h
@@ -2,8 +2,10 @@
 
 #include "quay/core/Reason.h"
 #include "quay/core/Resources.h"
+#include "quay/fleet/FleetConfiguration.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,9 @@
     int occurrences = 0; // number of runs of a scheduled job; 0: the job isn't scheduled and runs once, now
     std::int64_t firstDueUnixMs = 0; // when occurrence 0 is due
     std::int64_t intervalMs = 0; // between due times
+    // executionPolicy() of its queue when the job was accepted; in force once the queue is removed. Nothing:
+    // an earlier release accepted the job.
+    std::optional<QueuePolicy> acceptedPolicy;
 
     bool operator==(const JobRequest&) const = default;
 };
--- a/src/edge/CellLeader.h
+++ b/src/edge/CellLeader.h
@@ -127,6 +127,7 @@
     void deleteExpiredTombstones(Instant now);
     void deleteTombstone(const CancelTombstones::Expired& tombstone);
     void applyJobRow(const platform::StoreRow& row, bool isFound = false);
+    std::optional<fleet::JobRequest> readJob(const platform::StoreRow& row); // logs what it can't read
     void applyExecutorRow(const platform::StoreRow& row);
     void executorDeregistered(const std::string& id);
     void watchExecutors();
--- a/src/edge/CellLeaderCommit.cpp
+++ b/src/edge/CellLeaderCommit.cpp
@@ -122,7 +122,7 @@
         accepts.begin(), accepts.end(), [&](const PendingAccept& other) { return other.job.id == job.id; });
     if (it == accepts.end())
         return false;
-    if (it->job == job)
+    if (isSameSubmission(it->job, job))
         it->done.push_back(std::move(done));
     else
         done(AcceptOutcome::NotWritten);
@@ -140,7 +140,7 @@
     m_acceptsInFlight.erase(it);
     Reason reason;
     const auto stored = decodeStoredJob(row.value, reason);
-    const bool isSame = stored && stored->body == accept.job.body && stored->team == accept.job.team;
+    const bool isSame = stored && isSameSubmission(*stored, accept.job);
     applyJobRow(row);
     accept.answer(isSame ? AcceptOutcome::Accepted : AcceptOutcome::Conflict);
 }
--- a/src/edge/CellLeaderTables.cpp
+++ b/src/edge/CellLeaderTables.cpp
@@ -238,14 +238,9 @@
     JobRequest request;
     request.id = row.key;
     if (record->second.phase != JobPhase::Completed) { // a completed job needs only its id
-        Reason reason;
-        const auto job = decodeStoredJob(row.value, reason);
-        auto decoded = job ? toJobRequest(*job, reason) : std::nullopt;
-        if (!decoded) {
-            m_services.log.write("job_unreadable", row.key, { { "reason", reason.explain() } });
-            m_unreadableJobs.insert(row.key);
+        auto decoded = readJob(row);
+        if (!decoded)
             return;
-        }
         request = std::move(*decoded);
     }
     m_scheduler.restore(request, record->second, clockNow());
@@ -263,15 +258,22 @@
     }
     if (m_heldJobs.count(row.key))
         return;
+    if (const auto request = readJob(row))
+        addJob(*request, isFound);
+}
+
+std::optional<JobRequest> CellLeader::readJob(const StoreRow& row)
+{
     Reason reason;
     const auto job = decodeStoredJob(row.value, reason);
-    const auto request = job ? toJobRequest(*job, reason) : std::nullopt;
+    if (job && reason.kind != ErrorKind::None)
+        m_services.log.write("job_policy_unreadable", row.key, { { "reason", reason.explain() } });
+    auto request = job ? toJobRequest(*job, reason) : std::nullopt;
     if (!request) {
         m_services.log.write("job_unreadable", row.key, { { "reason", reason.explain() } });
         m_unreadableJobs.insert(row.key);
-        return;
     }
-    addJob(*request, isFound);
+    return request;
 }
 
 // Without its row a submission of the job would be accepted again, so the row goes only after all submissions
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -394,7 +394,8 @@
             response.status = 400;
         } else if (path == jobPath && leader) {
             Reason reason;
-            if (const auto job = decodeStoredJob(request.body, reason))
+            const auto job = decodeStoredJob(request.body, reason);
+            if (job && reason.kind == ErrorKind::None) // otherwise the leader reads the row itself
                 leader->submit(*job);
             response.body = "{}";
         } else if (path == cancelPath && leader && fleet::isJobId(textOf("id"))) {
@@ -436,7 +437,8 @@
             response.body = "{\"outcome\":" + std::to_string(static_cast<int>(outcome)) + "}";
             respond(std::move(response));
         };
-        if (const auto job = decodeStoredJob(request.body, reason))
+        const auto job = decodeStoredJob(request.body, reason);
+        if (job && reason.kind == ErrorKind::None) // otherwise the other node writes the job with its policy
             leader.accept(*job, answer);
         else
             answer(AcceptOutcome::NotWritten);
--- a/src/edge/EventCatalogue.cpp
+++ b/src/edge/EventCatalogue.cpp
@@ -138,6 +138,10 @@
     CataloguedEvent { 2510, "cancellation_deleted",
         "the cancellation of a job that was never submitted was deleted after its retention",
         "nothing to do" },
+    CataloguedEvent { 2511, "job_policy_unreadable",
+        "the policy in a job's row can't be decoded; once the job's route is removed it waits until the "
+        "route is back",
+        "end the nodes of an older version; otherwise inspect the row" },
     CataloguedEvent { 2601, "approval_answered",
         "the approval service has answered: workers asked, workers approved, duration",
         "status 0: the node that made the call was lost; 429: it made too many calls" },
--- a/src/edge/JobApi.cpp
+++ b/src/edge/JobApi.cpp
@@ -199,7 +199,8 @@
         refuse(call, reason.kind, reason.detail);
         return;
     }
-    call->job = { call->id, call->queue.name, call->team, call->request.body };
+    call->job
+        = { call->id, call->queue.name, call->team, call->request.body, fleet::executionPolicy(call->queue) };
     if (encode(call->job).size() > m_maxRowBytes) { // the store would reject every commit that includes it
         refuse(call, ErrorKind::TooLarge,
             "a job takes at most " + std::to_string(m_maxRowBytes) + " bytes when stored");
@@ -335,7 +336,7 @@
 {
     Reason reason;
     const auto stored = decodeStoredJob(row.value, reason);
-    if (stored && stored->body == call->job.body && stored->team == call->job.team)
+    if (stored && isSameSubmission(*stored, call->job))
         jobDurable(call);
     else
         refuse(
--- a/src/edge/JobRows.cpp
+++ b/src/edge/JobRows.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace quay::edge {
 
@@ -20,23 +21,76 @@
     return "intake-" + std::to_string(value % intakePartitionCount);
 }
 
+bool isSameSubmission(const StoredJob& a, const StoredJob& b)
+{
+    return a.id == b.id && a.body == b.body && a.team == b.team;
+}
+
+namespace {
+
+json::object encodePolicy(const fleet::QueuePolicy& policy)
+{
+    json::object object { { "service", policy.service }, { "priority", policy.priority },
+        { "attempts", policy.maxAttempts }, { "factor", policy.objectiveFactor },
+        { "slackMs", policy.objectiveSlackMs } };
+    if (const auto& approval = policy.approval)
+        object["approval"] = { approval->decisionMs, approval->perWorkerMs, approval->ticketValidityMs };
+    return object;
+}
+
+double boundedNumber(const json::value& value)
+{
+    constexpr double most = 9e15; // as in a configuration
+    const auto number = value.to_number<double>();
+    if (std::abs(number) > most)
+        throw std::out_of_range("a number of the policy is out of range");
+    return number;
+}
+
+fleet::QueuePolicy decodePolicy(const json::object& object, const std::string& queue)
+{
+    fleet::QueuePolicy policy;
+    policy.name = queue;
+    policy.service = std::string(object.at("service").as_string());
+    policy.priority = object.at("priority").to_number<int>();
+    policy.maxAttempts = std::max(1, object.at("attempts").to_number<int>());
+    policy.objectiveFactor = boundedNumber(object.at("factor"));
+    policy.objectiveSlackMs = static_cast<std::int64_t>(boundedNumber(object.at("slackMs")));
+    if (const auto* it = object.if_contains("approval")) {
+        const auto& fields = it->as_array();
+        policy.approval = fleet::ApprovalPolicy { boundedNumber(fields.at(0)), boundedNumber(fields.at(1)),
+            static_cast<std::int64_t>(boundedNumber(fields.at(2))) };
+    }
+    return policy;
+}
+
+} // namespace
+
 std::string encode(const StoredJob& job)
 {
-    return json::serialize(json::object {
-        { "id", job.id }, { "queue", job.queue }, { "team", job.team }, { "body", job.body } });
+    json::object object { { "id", job.id }, { "queue", job.queue }, { "team", job.team },
+        { "body", job.body } };
+    if (job.policy)
+        object["policy"] = encodePolicy(*job.policy);
+    return json::serialize(object);
 }
 
 std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason)
 {
+    std::optional<StoredJob> job;
     try {
         const auto value = json::parse(bytes);
         const auto& object = value.as_object();
-        return StoredJob { std::string(object.at("id").as_string()),
+        job = StoredJob { std::string(object.at("id").as_string()),
             std::string(object.at("queue").as_string()), std::string(object.at("team").as_string()),
-            std::string(object.at("body").as_string()) };
+            std::string(object.at("body").as_string()), {} };
+        if (const auto* policy = object.if_contains("policy")) // releases before stored none
+            job->policy = decodePolicy(policy->as_object(), job->queue);
     } catch (const std::exception& error) {
-        return fail(reason, ErrorKind::MalformedRequest, std::string("stored job: ") + error.what());
+        fail(reason, ErrorKind::MalformedRequest,
+            std::string(job ? "policy of a stored job: " : "stored job: ") + error.what());
     }
+    return job;
 }
 
 std::optional<fleet::JobRequest> toJobRequest(const StoredJob& job, Reason& reason)
@@ -47,6 +101,7 @@
     request->id = job.id;
     request->queue = job.queue;
     request->team = job.team;
+    request->acceptedPolicy = job.policy;
     if (!validate(*request, reason)) // a row may have been written by something else than a node
         return std::nullopt;
     return request;
--- a/src/edge/JobRows.h
+++ b/src/edge/JobRows.h
@@ -35,14 +35,22 @@
     std::string queue;
     std::string team;
     std::string body;
+    std::optional<fleet::QueuePolicy> policy = std::nullopt; // see fleet::JobRequest::acceptedPolicy
 
     bool operator==(const StoredJob&) const = default;
 };
 
+/** Whether two submissions with the same id are the same one, repeated; the policy may differ. */
+bool isSameSubmission(const StoredJob& a, const StoredJob& b);
+
 /** The intake partition of a job and its cancellation. */
 std::string intakePartitionOf(const std::string& jobId);
 
 std::string encode(const StoredJob& job);
+/**
+ * Returns nothing and sets `reason` if the row can't be read. If only the policy can't, it returns the job
+ * without one and sets `reason`.
+ */
 std::optional<StoredJob> decodeStoredJob(const std::string& bytes, Reason& reason);
 
 /** Result of submitting a job to the leader. */
--- a/src/fleet/FleetConfiguration.cpp
+++ b/src/fleet/FleetConfiguration.cpp
@@ -39,4 +39,13 @@
     return it == teams.end() ? nullptr : &*it;
 }
 
+QueuePolicy executionPolicy(const QueuePolicy& queue)
+{
+    auto policy = queue;
+    policy.host.clear();
+    policy.pathPrefix.clear();
+    policy.isPublic = false;
+    return policy;
+}
+
 } // namespace quay::fleet
--- a/src/fleet/FleetScheduler.cpp
+++ b/src/fleet/FleetScheduler.cpp
@@ -34,13 +34,9 @@
             "team=" + first->name + " weight=" + std::to_string(*first->weight)
                 + " used=" + std::to_string(TeamShares::usableWeight(*first->weight))
                 + " teams=" + std::to_string(std::count_if(teams.begin(), teams.end(), isUnusable)));
-    // A queue that was removed keeps its last policy for its existing jobs.
-    auto merged = configuration;
-    for (const auto& queue : m_impl->configuration.queues) {
-        if (!merged.queueNamed(queue.name))
-            merged.queues.push_back(queue);
-    }
-    m_impl->configuration = std::move(merged);
+    for (const auto& queue : m_impl->configuration.queues)
+        m_impl->lastPolicies.insert_or_assign(queue.name, queue);
+    m_impl->configuration = configuration;
     for (auto& [id, job] : m_impl->jobs) {
         for (auto& [number, occurrence] : job->occurrences) {
             for (auto& step : occurrence.steps)
--- a/src/fleet/SchedulerJobs.cpp
+++ b/src/fleet/SchedulerJobs.cpp
@@ -55,7 +55,7 @@
     job->number = nextJobNumber++;
     job->request = request;
     job->acceptedAt = now;
-    const auto* queue = configuration.queueNamed(request.queue);
+    const auto* queue = policyOf(request);
     std::vector<double> estimates;
     for (const auto& step : request.steps)
         estimates.push_back(static_cast<double>(step.estimateMs));
@@ -241,7 +241,7 @@
     const auto rank = [this](const JobState* job) {
         if (nextCommit - job->dirtySince >= maxCommitsPassedOver)
             return std::numeric_limits<int>::min();
-        const auto* queue = configuration.queueNamed(job->request.queue);
+        const auto* queue = policyOf(job->request);
         return queue ? queue->priority : std::numeric_limits<int>::max();
     };
     std::vector<std::pair<int, JobState*>> ranked;
--- a/src/fleet/SchedulerPlacement.cpp
+++ b/src/fleet/SchedulerPlacement.cpp
@@ -96,9 +96,22 @@
 
 Resources FleetScheduler::Impl::demandOf(const StepRequest& request) const { return executorDemand(request); }
 
+// Of a queue that was removed, the jobs keep the policy under which they were accepted, so that it is the
+// same under each leader. Jobs of earlier releases have none stored; they keep the last one that this leader
+// knows. Null: this leader has never known the queue.
+const QueuePolicy* FleetScheduler::Impl::policyOf(const JobRequest& request) const
+{
+    if (const auto* queue = configuration.queueNamed(request.queue))
+        return queue;
+    if (request.acceptedPolicy)
+        return &*request.acceptedPolicy;
+    const auto last = lastPolicies.find(request.queue);
+    return last == lastPolicies.end() ? nullptr : &last->second;
+}
+
 void FleetScheduler::Impl::lookUpPolicies(StepState& step) const
 {
-    step.queue = configuration.queueNamed(step.job->request.queue);
+    step.queue = policyOf(step.job->request);
     step.team = configuration.teamNamed(step.job->request.team);
 }
 
--- a/src/fleet/SchedulerState.h
+++ b/src/fleet/SchedulerState.h
@@ -79,7 +79,7 @@
     bool isApprovalInFlight = false;
     Instant nextApprovalCall;
     Instant lastApprovalCall;
-    const QueuePolicy* queue = nullptr; // current policy; null: the queue was never configured
+    const QueuePolicy* queue = nullptr; // see Impl::policyOf()
     const TeamPolicy* team = nullptr; // current policy; null: no team, or it was removed
     bool isReady = false; // the steps it depends on are complete, and its occurrence is due
     Instant readySince;
@@ -469,6 +469,7 @@
     std::vector<IncarnationId> candidates(
         const StepState& step, const SpeedPreference& speeds, Instant now) const;
     std::vector<IncarnationId> approvedCandidates(const StepState& step, Instant now) const;
+    const QueuePolicy* policyOf(const JobRequest& request) const;
     void lookUpPolicies(StepState& step) const;
     int pickExecutor(const StepState& step, const TaskState& task, const std::vector<IncarnationId>& from,
         const std::unordered_map<IncarnationId, int>& perIncarnation, const SpeedPreference& speeds,
@@ -488,6 +489,7 @@
     Instant predecessorLeasesUntil; // upper bound of the end of all leases granted by earlier leaders
     Instant renewalAllowedUntil; // leases must not be renewed from this time on
     FleetConfiguration configuration;
+    std::map<std::string, QueuePolicy> lastPolicies; // of queues that earlier configurations had, by name
     std::unordered_map<std::string, std::unique_ptr<JobState>> jobs;
     std::uint64_t nextJobNumber = 1;
     std::deque<Incarnation> incarnations; // indexed by IncarnationId; closed ones are never erased
--- a/tests/contract/PlatformWireTest.cpp
+++ b/tests/contract/PlatformWireTest.cpp
@@ -345,6 +345,32 @@
     CHECK(edge::decodeLeaderStatus(encode(status))->configurationAge == 1401ms);
 }
 
+TEST_CASE("a stored job keeps its policy, and is read without one that is malformed")
+{
+    const edge::StoredJob job { validJobId, "q", "t", "{}" };
+    Reason reason;
+    auto withPolicy = job;
+    for (const auto& approval :
+        { std::optional<ApprovalPolicy>(), std::optional(ApprovalPolicy { 20, 0.3, 2000 }) }) {
+        withPolicy.policy = QueuePolicy { "q", {}, {}, "service", 2, 3, 2.2, 1200, false, approval };
+        CHECK(edge::decodeStoredJob(encode(withPolicy), reason) == withPolicy);
+        CHECK(edge::isSameSubmission(withPolicy, job));
+    }
+    CHECK(reason.kind == ErrorKind::None);
+    // A job whose policy can't be read is not lost: it runs by the configuration.
+    for (const char* policy : { "7", "{}", R"({"service":1})",
+             R"({"service":"s","priority":1e300,"attempts":1,"factor":1,"slackMs":1})",
+             R"({"service":"s","priority":1,"attempts":1,"factor":1,"slackMs":1e17})",
+             R"({"service":"s","priority":1,"attempts":1,"factor":1,"slackMs":1,"approval":[1,2]})" }) {
+        CAPTURE(policy);
+        Reason policyReason;
+        auto bytes = encode(job);
+        bytes.insert(bytes.size() - 1, std::string(",\"policy\":") + policy);
+        CHECK(edge::decodeStoredJob(bytes, policyReason) == job);
+        CHECK(policyReason.kind == ErrorKind::MalformedRequest);
+    }
+}
+
 TEST_CASE("stored rows round-trip through their encoding, and other bytes are rejected")
 {
     Reason reason;
