--- a/include/quay/fleet/FleetScheduler.h
+++ b/include/quay/fleet/FleetScheduler.h
@@ -180,7 +180,10 @@
         const SchedulerBounds& bounds, Instant lastPredecessorCommit, Instant leadershipCommitSentAt);
     ~FleetScheduler();
 
-    /** Replaces the configuration. A queue that was removed keeps its last policy for its existing jobs. */
+    /**
+     * Replaces the configuration. Jobs of a queue that it does not have run by JobRequest::acceptedPolicy;
+     * without one, by the last policy of the queue that an earlier configuration had.
+     */
     void configure(const FleetConfiguration& configuration);
 
     /** Adds a job of an earlier leader with its durable record. A known job is left unchanged. */
